--- /dev/null
+++ b/cmd/redwingshunt/main.go
@@ -0,0 +1,6 @@
+// Command redwingshunt is the operators' command line.
+package main
+
+import _ "net"
+
+func main() {}
--- /dev/null
+++ b/finding.go
@@ -0,0 +1,43 @@
+package redwingshunt
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one fault in a settings file or a document, with its place.
+type Finding struct {
+	File   string // name of the file, or "-" for standard input
+	Line   int    // from 1; zero when the fault has no line
+	Column int    // from 1
+	Path   string // path of keys, as in accounts[3].share
+	Text   string // what is wrong and what is expected
+}
+
+// String returns the finding in one line: file:line:column: path: text.
+func (f Finding) String() string {
+	if f.Line == 0 {
+		return fmt.Sprintf("%s: %s: %s", f.File, f.Path, f.Text)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Text)
+}
+
+// Findings are all the faults of one text, reported together.
+type Findings []Finding
+
+// Error returns one finding a line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the findings as an error, or nil when there are none.
+func (f Findings) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
