--- /dev/null
+++ b/retrier/retrier.go
@@ -0,0 +1,177 @@
+// Package retrier decides what follows a failed attempt on an upstream: another
+// attempt, the resumption of a stream, or an honest failure.
+//
+//   - Not run is only said when no attempt handed a byte to an upstream, or
+//     each upstream that got one said that it had not begun.
+//   - A non-idempotent request is tried again only while it is not run.
+//   - An idempotent request is tried again until a byte of the answer has gone
+//     out, and after that only when the upstream can resume at an offset.
+//   - Retries draw on a budget of the account and one of the instance, each
+//     filled by first attempts, so that retries never multiply an outage. The
+//     budgets of the instances add up to that of the fleet.
+//
+// Delays grow exponentially with jitter. The first retry goes to another
+// upstream; the caller of this package avoids the ones tried.
+//
+// # Usage
+//
+//	policy := retrier.New(document.Fleet.Budget, rand.New(rand.NewPCG(1, 2)))
+//	policy.First(now, account)
+//	decision := policy.Decide(now, attempt)
+//	switch decision.Kind {
+//	case retrier.Retry: // wait decision.After, then dispatch anew
+//	case retrier.Resume: // the same, from the offset of the stream
+//	case retrier.Fail: // tell decision.Outcome to the caller
+//	}
+package retrier
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Cause is how an attempt failed.
+type Cause int
+
+// The causes.
+const (
+	Unreached Cause = iota // no byte of the request was handed over
+	Refused                // the upstream said that it had not begun
+	Lost                   // the upstream failed after it had got a byte
+	Stalled                // the upstream was silent for too long
+	Garbled                // the answer was malformed or of another request
+)
+
+// Attempt is the state of a request after a failed attempt.
+type Attempt struct {
+	Account  redwingshunt.AccountID
+	Once     bool
+	Cause    Cause
+	Touched  bool // an earlier attempt may have run
+	Number   int  // attempts so far, from 1
+	Retries  int  // attempts allowed after the first
+	Answered bool // a byte of the answer has gone out to the caller
+	Resumes  bool // the stream can be resumed where it ended
+	Deadline time.Time
+}
+
+// Kind is what to do next.
+type Kind int
+
+// The kinds of decision.
+const (
+	Fail Kind = iota
+	Retry
+	Resume
+)
+
+// Decision answers Decide.
+type Decision struct {
+	Kind    Kind
+	After   time.Duration              // with Retry and Resume
+	Outcome *redwingshunt.OutcomeError // with Fail
+}
+
+const (
+	baseDelay = 10 * time.Millisecond
+	maxDelay  = time.Second
+	// refusedAfter is when a caller may resend after a refusal.
+	refusedAfter = time.Second
+)
+
+// Policy decides on retries. It is not safe for concurrent use.
+type Policy struct {
+	budget *budget
+	rand   *rand.Rand
+}
+
+// New returns a policy that allows retries in percent of first attempts.
+func New(percent int, source *rand.Rand) *Policy {
+	return &Policy{budget: newBudget(percent), rand: source}
+}
+
+// Limit changes the percentage.
+func (p *Policy) Limit(percent int) { p.budget.percent = percent }
+
+// First notes the first attempt of a request.
+func (p *Policy) First(now time.Time, account redwingshunt.AccountID) {
+	p.budget.deposit(now, account)
+}
+
+// Decide tells what follows a failed attempt.
+func (p *Policy) Decide(now time.Time, a Attempt) Decision {
+	mayHaveRun := a.Touched || a.Answered || a.Cause != Unreached && a.Cause != Refused
+	kind := Retry
+	switch {
+	case a.Answered && !a.Resumes:
+		return fail(redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, 502,
+			"the answer ended early and could not be resumed"))
+	case a.Answered:
+		kind = Resume
+	case a.Once && mayHaveRun:
+		return fail(failure(a.Cause, mayHaveRun))
+	}
+	if a.Number > a.Retries {
+		return fail(exhausted(a, mayHaveRun))
+	}
+	after := p.delay(a.Number)
+	if !a.Deadline.IsZero() && now.Add(after).After(a.Deadline) {
+		return fail(withReason(redwingshunt.ReasonDeadline, 504, mayHaveRun,
+			"the deadline leaves no time for another attempt"))
+	}
+	if !p.budget.withdraw(now, a.Account) {
+		return fail(withReason(redwingshunt.ReasonRetryBudget, 503, mayHaveRun,
+			"the budget for retries is used up").After(refusedAfter))
+	}
+	return Decision{Kind: kind, After: after}
+}
+
+// delay returns the backoff before the attempt that follows attempt n: half
+// fixed, half random, doubled each time.
+func (p *Policy) delay(n int) time.Duration {
+	d := baseDelay << min(n-1, 10)
+	d = min(d, maxDelay)
+	return d/2 + time.Duration(p.rand.Int64N(int64(d/2)+1))
+}
+
+// exhausted returns the outcome when no attempt is left.
+func exhausted(a Attempt, mayHaveRun bool) *redwingshunt.OutcomeError {
+	if a.Answered {
+		return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, 502,
+			"the answer ended early and could not be resumed")
+	}
+	return failure(a.Cause, mayHaveRun)
+}
+
+// failure returns the outcome of a failed attempt.
+func failure(c Cause, mayHaveRun bool) *redwingshunt.OutcomeError {
+	switch c {
+	case Unreached:
+		return withReason(redwingshunt.ReasonNoUpstream, 503, mayHaveRun,
+			"no upstream could be reached").After(refusedAfter)
+	case Refused:
+		return withReason(redwingshunt.ReasonUpstreamRefused, 503, mayHaveRun,
+			"the upstream refused the request before it began").After(refusedAfter)
+	case Stalled:
+		return withReason(redwingshunt.ReasonStalled, 504, mayHaveRun,
+			"the upstream made no progress in time")
+	case Lost, Garbled:
+	}
+	return withReason(redwingshunt.ReasonUpstreamFailed, 502, mayHaveRun,
+		"the upstream failed while it had the request")
+}
+
+// withReason returns an outcome error of either kind.
+func withReason(
+	r redwingshunt.Reason, status int, mayHaveRun bool, detail string,
+) *redwingshunt.OutcomeError {
+	if mayHaveRun {
+		return redwingshunt.MayHaveRun(r, status, detail)
+	}
+	return redwingshunt.NotRun(r, status, detail)
+}
+
+// fail returns the decision to fail.
+func fail(o *redwingshunt.OutcomeError) Decision { return Decision{Kind: Fail, Outcome: o} }
