--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -146,6 +146,11 @@
 	return len(s.losses)
 }
 
+// Allowed reports whether a fingerprint is below the limit.
+func (c *Core) Allowed(now time.Time, f redwingshunt.Fingerprint) bool {
+	return c.Losses(now, f) < c.limit
+}
+
 // Start asks to run a request now.
 func (c *Core) Start(now time.Time, f redwingshunt.Fingerprint) Verdict {
 	s := c.find(now, f)
