--- a/claimer/machine.go
+++ b/claimer/machine.go
@@ -135,8 +135,8 @@
 	return granted.answerTo(g.Id, fingerprint)
 }
 
-// finish records the answer of a claim, also of one that was taken for
-// interrupted while its holder was only cut off.
+// finish records how a run ended: with an answer, also of a claim that was taken
+// for interrupted while its holder was only cut off, or without one.
 func (m *Machine) finish(f *wire.ClaimFinish) *wire.ClaimReply {
 	known := m.held(f.Key, f.Id)
 	if known == nil {
@@ -146,6 +146,11 @@
 		return known.reply()
 	}
 	m.remove(known)
+	if f.Interrupted {
+		known.status = wire.ClaimStatus_CLAIM_STATUS_INTERRUPTED
+		m.settle(known)
+		return known.reply()
+	}
 	known.status = wire.ClaimStatus_CLAIM_STATUS_ANSWERED
 	known.kept = &kept{digest: f.Digest, keepers: f.Keepers}
 	if len(f.Answer) <= InlineLimit {
--- a/claimer/machine_test.go
+++ b/claimer/machine_test.go
@@ -57,6 +57,12 @@
 	return c
 }
 
+func failed(from string, at time.Duration, n int, id uint64) *wire.ClaimCommand {
+	c := finish(from, at, n, id)
+	c.GetFinish().Interrupted = true
+	return c
+}
+
 func abandon(from string, at time.Duration, n int, id uint64) *wire.ClaimCommand {
 	c := command(from, 1, at)
 	c.Action = &wire.ClaimCommand_Abandon{Abandon: &wire.ClaimAbandon{Key: key(n), Id: id}}
@@ -128,6 +134,12 @@
 			{finish("a", 0, 1, 10), answered},
 			{abandon("a", 0, 1, 10), answered},
 		},
+		"a run that failed is not granted again": {
+			{grant("a", 1, 0, 1, 1, 10), granted},
+			{failed("a", 0, 1, 10), interrupted},
+			{grant("b", 1, 0, 1, 1, 20), interrupted},
+			{failed("a", 0, 2, 10), refused},
+		},
 		"an answer of an unknown claim is refused": {
 			{finish("a", 0, 1, 10), refused},
 		},
@@ -193,7 +205,9 @@
 			at := time.Duration(rapid.IntRange(0, 50).Draw(t, "minutes")) * time.Minute
 			c := grant(from, rapid.Uint64Range(1, 2).Draw(t, "incarnation"), at, n, 1, id)
 			ends := false
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 3:
+				c = failed(from, at, n, id)
 			case 0:
 				c = finish(from, at, n, id)
 			case 1:
--- a/guarantor/answer.go
+++ b/guarantor/answer.go
@@ -16,6 +16,9 @@
 // keep stores an answer and returns the record of it, which says that the
 // request was answered even when the answer itself is too large to keep.
 func (g *Guarantor) keep(ctx context.Context, key claimer.Key, a *redwingshunt.Answer) *wire.ClaimFinish {
+	if a == nil {
+		return &wire.ClaimFinish{Interrupted: true}
+	}
 	encoded, err := proto.Marshal(encode(a))
 	if err != nil || len(encoded) > claimer.KeptLimit {
 		return &wire.ClaimFinish{}
--- a/interfaces.go
+++ b/interfaces.go
@@ -179,7 +179,8 @@
 	Body   []byte
 }
 
-// ClaimResult answers a claim. Answer is set when State is ClaimAnswered.
+// ClaimResult answers a claim. Answer is set when State is ClaimAnswered, but
+// for an answer that is not kept.
 type ClaimResult struct {
 	State  ClaimState
 	Answer *Answer
@@ -189,7 +190,8 @@
 type Claimer interface {
 	// Claim commits the key of r by a quorum before any byte leaves.
 	Claim(ctx context.Context, r *Request) (ClaimResult, error)
-	// Finish keeps the answer of a granted claim.
+	// Finish keeps the answer of a granted claim. A nil answer notes that the
+	// run ended without one and may have run.
 	Finish(ctx context.Context, r *Request, a *Answer) error
 	// Abandon ends a granted claim of which no upstream saw a byte.
 	Abandon(ctx context.Context, r *Request) error
--- a/outcome.go
+++ b/outcome.go
@@ -35,6 +35,7 @@
 	ReasonKeyConflict     Reason = "key-conflict"     // the key was used with another body
 	ReasonInProgress      Reason = "in-progress"      // the first request with this key still runs
 	ReasonInterrupted     Reason = "interrupted"      // the run of this key was lost before its answer was kept
+	ReasonNotKept         Reason = "not-kept"         // the request of this key ran; its answer is not kept
 	ReasonNoQuorum        Reason = "no-quorum"        // the claim could not be committed
 	ReasonClaimsFull      Reason = "claims-full"      // the space for claims is used up
 	ReasonSuspect         Reason = "suspect"          // upstreams died while they ran this request
