--- /dev/null
+++ b/prober/prober_test.go
@@ -0,0 +1,205 @@
+package prober
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// fleet is a fake network of probers with delay, loss and cuts.
+type fleet struct {
+	now     time.Time
+	random  *rand.Rand
+	loss    float64
+	probers map[redwingshunt.InstanceID]*Prober
+	byAddr  map[netip.AddrPort]redwingshunt.InstanceID
+	cut     func(a, b redwingshunt.InstanceID) bool
+	queue   []packet
+	across  int // bytes between regions
+}
+
+type packet struct {
+	at       time.Time
+	from, to redwingshunt.InstanceID
+	probe    *wire.Probe
+}
+
+const step = 50 * time.Millisecond
+
+func newFleet(regions, perRegion int, seed uint64) *fleet {
+	f := &fleet{
+		now:     time.Unix(1_700_000_000, 0),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		probers: make(map[redwingshunt.InstanceID]*Prober),
+		byAddr:  make(map[netip.AddrPort]redwingshunt.InstanceID),
+		cut:     func(_, _ redwingshunt.InstanceID) bool { return false },
+	}
+	for r := range regions {
+		for i := range perRegion {
+			f.start(r, i, 1)
+		}
+	}
+	return f
+}
+
+func name(region, index int) redwingshunt.InstanceID {
+	return redwingshunt.InstanceID(fmt.Sprintf("r%d-%03d", region, index))
+}
+
+func address(region, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(region), byte(index)}), 7000)
+}
+
+func (f *fleet) start(region, index int, incarnation redwingshunt.Incarnation) {
+	self := redwingshunt.Instance{
+		ID: name(region, index), Incarnation: incarnation, Address: address(region, index),
+		Region: redwingshunt.RegionID(fmt.Sprintf("region-%d", region)),
+	}
+	f.byAddr[self.Address] = self.ID
+	f.probers[self.ID] = New(self, []netip.AddrPort{address(0, 0), address(1, 0)}, Defaults(), uint64(index+1))
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for _, id := range sortedKeys(f.probers) {
+			f.carry(id, f.probers[id].Step(f.now, Tick{}))
+		}
+		f.deliver()
+	}
+}
+
+func (f *fleet) deliver() {
+	due := f.queue
+	f.queue = nil
+	for _, p := range due {
+		to, alive := f.probers[p.to]
+		switch {
+		case p.at.After(f.now):
+			f.queue = append(f.queue, p)
+		case alive && !f.cut(p.from, p.to) && f.random.Float64() >= f.loss:
+			f.carry(p.to, to.Step(f.now, Received{From: p.from, Probe: p.probe}))
+		}
+	}
+}
+
+func (f *fleet) carry(from redwingshunt.InstanceID, actions []Action) {
+	for _, action := range actions {
+		var to redwingshunt.InstanceID
+		var probe *wire.Probe
+		switch a := action.(type) {
+		case Send:
+			to, probe = a.To, a.Probe
+		case SendAddress:
+			to, probe = f.byAddr[a.Address], a.Probe
+		default:
+			continue
+		}
+		if from[:2] != to[:2] {
+			f.across += proto.Size(probe)
+		}
+		copied, _ := proto.Clone(probe).(*wire.Probe)
+		delay := time.Duration(f.random.IntN(40)) * time.Millisecond
+		f.queue = append(f.queue, packet{at: f.now.Add(delay), from: from, to: to, probe: copied})
+	}
+}
+
+// agree reports whether every prober that runs sees exactly the given number
+// of live instances.
+func (f *fleet) agree(live int) error {
+	for _, id := range sortedKeys(f.probers) {
+		if got := len(f.probers[id].Live()); got != live {
+			return fmt.Errorf("%s sees %d live instances, want %d", id, got, live)
+		}
+	}
+	return nil
+}
+
+func TestMembership(t *testing.T) {
+	const settle = 20 * time.Second
+	tests := map[string]struct {
+		loss float64
+		act  func(f *fleet)
+		live int
+	}{
+		"all join": {
+			act: func(*fleet) {}, live: 9,
+		},
+		"all join under loss": {
+			loss: 0.1, act: func(f *fleet) { f.run(settle); f.loss = 0; f.run(settle) }, live: 9,
+		},
+		"an instance dies": {
+			act: func(f *fleet) { delete(f.probers, name(1, 2)); f.run(6 * time.Second) }, live: 8,
+		},
+		"an instance restarts empty": {
+			act: func(f *fleet) { f.start(1, 2, 2) }, live: 9,
+		},
+		"an instance is cut off and returns, twice": {
+			act: func(f *fleet) {
+				for range 2 {
+					f.cut = func(a, b redwingshunt.InstanceID) bool { return a == name(1, 1) || b == name(1, 1) }
+					f.run(settle)
+					f.cut = func(_, _ redwingshunt.InstanceID) bool { return false }
+					f.run(settle)
+				}
+			}, live: 9,
+		},
+		"regions lose each other for minutes": {
+			act: func(f *fleet) {
+				f.cut = func(a, b redwingshunt.InstanceID) bool { return a[:2] != b[:2] }
+				f.run(3 * time.Minute)
+			}, live: 9,
+		},
+		"an instance dies during a cut between regions": {
+			act: func(f *fleet) {
+				f.cut = func(a, b redwingshunt.InstanceID) bool { return a[:2] != b[:2] }
+				f.run(settle)
+				delete(f.probers, name(2, 0))
+				f.run(settle)
+				f.cut = func(_, _ redwingshunt.InstanceID) bool { return false }
+			}, live: 8,
+		},
+	}
+	for testName, test := range tests {
+		t.Run(testName, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3, 3, 7)
+			f.loss = test.loss
+			f.run(settle)
+			test.act(f)
+			f.run(settle)
+			is.NoErr(f.agree(test.live))
+		})
+	}
+}
+
+// TestIdleBytes holds the budget for an idle pair of regions: 50 bytes a second.
+func TestIdleBytes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 3, 3)
+	f.run(20 * time.Second)
+	f.across = 0
+	f.run(100 * time.Second)
+	const budget = 50 // bytes a second for a pair of regions
+	is.True(f.across/100 < budget)
+}
+
+func TestLeavingIsKnownWithinTwoSeconds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(2, 3, 5)
+	f.run(20 * time.Second)
+	f.carry(name(0, 1), f.probers[name(0, 1)].Step(f.now, Leave{}))
+	f.run(2 * time.Second)
+	for _, id := range sortedKeys(f.probers) {
+		instance, ok := f.probers[id].Find(name(0, 1))
+		is.True(ok)
+		is.True(instance.Leaving)
+	}
+}
--- /dev/null
+++ b/prober/view.go
@@ -0,0 +1,297 @@
+package prober
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"math/bits"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// receive merges the rows that a message carries and answers it.
+func (p *Prober) receive(now time.Time, e Received) {
+	for _, row := range e.Probe.Updates {
+		p.merge(now, row)
+	}
+	from, known := p.members[e.From]
+	if !known {
+		return // no address to answer to; the sender's next full ping brings it
+	}
+	p.heard[redwingshunt.RegionID(from.row.Region)] = now
+	p.attempts[redwingshunt.RegionID(from.row.Region)] = 0
+	switch e.Probe.Type {
+	case wire.Probe_PING:
+		p.receivePing(e, from)
+	case wire.Probe_ACK:
+		p.receiveAck(e)
+	case wire.Probe_RELAY:
+		p.receiveRelay(now, e)
+	case wire.Probe_DIGEST:
+		p.receiveDigest(now, e)
+	}
+}
+
+func (p *Prober) receivePing(e Received, from *member) {
+	if e.Probe.Full {
+		ack := p.fullProbe(wire.Probe_ACK)
+		ack.Sequence = e.Probe.Sequence
+		p.send(e.From, ack)
+		return
+	}
+	if e.Probe.Sequence == 0 {
+		return // a notice that wants no answer
+	}
+	ack := &wire.Probe{Type: wire.Probe_ACK, Sequence: e.Probe.Sequence, Updates: p.takeUpdates()}
+	if from.row.State != wire.Member_ALIVE {
+		ack.Updates = append(ack.Updates, from.row) // so that the sender can refute
+	}
+	p.send(e.From, ack)
+}
+
+func (p *Prober) receiveAck(e Received) {
+	ping, ok := p.pings[e.Probe.Sequence]
+	if !ok {
+		return
+	}
+	answered := e.From
+	if e.Probe.Target != "" {
+		answered = redwingshunt.InstanceID(e.Probe.Target)
+	}
+	if answered != ping.target {
+		return
+	}
+	delete(p.pings, e.Probe.Sequence)
+	if ping.origin == "" {
+		return
+	}
+	p.send(ping.origin, &wire.Probe{Type: wire.Probe_ACK, Sequence: ping.answer, Target: string(ping.target)})
+}
+
+func (p *Prober) receiveRelay(now time.Time, e Received) {
+	target := redwingshunt.InstanceID(e.Probe.Target)
+	if _, ok := p.members[target]; !ok {
+		return
+	}
+	p.sequence++
+	p.pings[p.sequence] = &pending{target: target, sent: now, origin: e.From, answer: e.Probe.Sequence}
+	p.send(target, &wire.Probe{Type: wire.Probe_PING, Sequence: p.sequence})
+}
+
+// receiveDigest compares views. Whoever finds a difference sends its whole view;
+// a whole view is answered with the rows that it lacked.
+func (p *Prober) receiveDigest(now time.Time, e Received) {
+	if e.Probe.Full {
+		missing := p.newerThan(e.Probe.Updates)
+		if len(missing) > 0 {
+			p.send(e.From, &wire.Probe{Type: wire.Probe_DIGEST, Digest: p.digest(), Updates: missing})
+		}
+		return
+	}
+	if e.Probe.Digest == p.digest() {
+		return
+	}
+	region := redwingshunt.RegionID(p.members[e.From].row.Region)
+	if now.Sub(p.fullSent[region]) < p.params.Digest {
+		return
+	}
+	p.fullSent[region] = now
+	p.send(e.From, p.fullProbe(wire.Probe_DIGEST))
+}
+
+// newerThan returns own rows that are newer than those given, or absent there.
+func (p *Prober) newerThan(rows []*wire.Member) []*wire.Member {
+	theirs := make(map[string]*wire.Member, len(rows))
+	for _, row := range rows {
+		theirs[row.Id] = row
+	}
+	var newer []*wire.Member
+	for _, id := range sortedKeys(p.members) {
+		row := p.members[id].row
+		if other, ok := theirs[row.Id]; !ok || supersedes(row, other) {
+			newer = append(newer, row)
+		}
+	}
+	return newer
+}
+
+// syncRegions sends a digest and recent changes to the speaker of each other
+// region, when this instance speaks for its own.
+func (p *Prober) syncRegions() {
+	if p.speaker(p.self.Region, 0) != p.self.ID && !p.self.Leaving {
+		return
+	}
+	for _, region := range p.otherRegions() {
+		// A region that does not answer is tried through another instance.
+		target := p.speaker(region, p.attempts[region]/2)
+		if target == "" {
+			continue
+		}
+		p.attempts[region]++
+		p.send(target, &wire.Probe{
+			Type:    wire.Probe_DIGEST,
+			Digest:  p.digest(),
+			Updates: p.takeRegionUpdates(region),
+		})
+	}
+}
+
+func (p *Prober) otherRegions() []redwingshunt.RegionID {
+	regions := redwingshunt.NewSet[redwingshunt.RegionID]()
+	for _, m := range p.members {
+		if region := redwingshunt.RegionID(m.row.Region); region != p.self.Region {
+			regions.Add(region)
+		}
+	}
+	return regions.Sorted()
+}
+
+// speaker returns the live instance of a region that speaks for it; skip
+// passes over that many.
+func (p *Prober) speaker(region redwingshunt.RegionID, skip int) redwingshunt.InstanceID {
+	var candidates []redwingshunt.InstanceID
+	for _, i := range p.Live() {
+		if i.Region == region && !i.Leaving {
+			candidates = append(candidates, i.ID)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[skip%len(candidates)]
+}
+
+// merge takes in a row that another instance told.
+func (p *Prober) merge(now time.Time, row *wire.Member) {
+	if redwingshunt.InstanceID(row.Id) == p.self.ID {
+		p.refute(now, row)
+		return
+	}
+	known, ok := p.members[redwingshunt.InstanceID(row.Id)]
+	if ok && !supersedes(row, known.row) {
+		return
+	}
+	if !ok && row.State == wire.Member_DEAD {
+		return // nothing is lost by not knowing it
+	}
+	if _, err := netip.ParseAddrPort(row.Address); err != nil {
+		return
+	}
+	p.install(now, cloneRow(row))
+}
+
+// refute corrects a row about this instance that says less than the truth.
+func (p *Prober) refute(now time.Time, row *wire.Member) {
+	own := p.members[p.self.ID].row
+	if !supersedes(row, own) {
+		return
+	}
+	if row.Incarnation > uint64(p.self.Incarnation) {
+		// Another process uses this name, or the clock went back over a
+		// restart: continue above it.
+		p.self.Incarnation = redwingshunt.Incarnation(row.Incarnation + 1)
+	}
+	p.version = max(p.version, row.Version) + 1
+	p.install(now, p.selfRow())
+}
+
+func (p *Prober) install(now time.Time, row *wire.Member) {
+	id := redwingshunt.InstanceID(row.Id)
+	m := &member{row: row, changed: now, sends: p.spread()}
+	p.members[id] = m
+	p.changed = true
+	for _, region := range p.otherRegions() {
+		if p.syncQueue[region] == nil {
+			p.syncQueue[region] = redwingshunt.NewSet[redwingshunt.InstanceID]()
+		}
+		p.syncQueue[region].Add(id)
+	}
+}
+
+// spread returns how often a change is passed on: a multiple of the logarithm
+// of the number of instances.
+func (p *Prober) spread() int {
+	const multiple = 4
+	return multiple * bits.Len(uint(len(p.members)+1))
+}
+
+// takeUpdates returns the changes that the next message carries, the least
+// spread ones first.
+func (p *Prober) takeUpdates() []*wire.Member {
+	var hot []*member
+	for _, id := range sortedKeys(p.members) {
+		if p.members[id].sends > 0 {
+			hot = append(hot, p.members[id])
+		}
+	}
+	slices.SortStableFunc(hot, func(a, b *member) int { return cmp.Compare(b.sends, a.sends) })
+	var rows []*wire.Member
+	for _, m := range hot[:min(len(hot), maxUpdates)] {
+		m.sends--
+		rows = append(rows, m.row)
+	}
+	return rows
+}
+
+func (p *Prober) takeRegionUpdates(region redwingshunt.RegionID) []*wire.Member {
+	var rows []*wire.Member
+	for _, id := range p.syncQueue[region].Sorted() {
+		if len(rows) == maxUpdates {
+			break
+		}
+		delete(p.syncQueue[region], id)
+		if m, ok := p.members[id]; ok && m.row.Region != string(region) && m.row.State != wire.Member_SUSPECT {
+			rows = append(rows, m.row)
+		}
+	}
+	return rows
+}
+
+func (p *Prober) send(to redwingshunt.InstanceID, probe *wire.Probe) {
+	p.out = append(p.out, Send{To: to, Probe: probe})
+}
+
+// supersedes reports whether row a is newer than row b of the same instance.
+func supersedes(a, b *wire.Member) bool {
+	return cmp.Or(
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.State, b.State),
+	) > 0
+}
+
+func cloneRow(row *wire.Member) *wire.Member {
+	return &wire.Member{
+		Id: row.Id, Incarnation: row.Incarnation, Version: row.Version, State: row.State,
+		Region: row.Region, Zone: row.Zone, Address: row.Address, Voter: row.Voter, Leaving: row.Leaving,
+	}
+}
+
+func instanceOf(row *wire.Member) redwingshunt.Instance {
+	address, _ := netip.ParseAddrPort(row.Address)
+	return redwingshunt.Instance{
+		ID:          redwingshunt.InstanceID(row.Id),
+		Incarnation: redwingshunt.Incarnation(row.Incarnation),
+		Region:      redwingshunt.RegionID(row.Region),
+		Zone:        redwingshunt.ZoneID(row.Zone),
+		Address:     address,
+		Voter:       row.Voter,
+		Leaving:     row.Leaving,
+	}
+}
+
+func writeRow(hash *xxhash.Digest, row *wire.Member) {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[0:], row.Incarnation)
+	binary.LittleEndian.PutUint64(buffer[8:], row.Version)
+	_, _ = hash.WriteString(row.Id)
+	_, _ = hash.Write(buffer[:])
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
