--- /dev/null
+++ b/authenticator/authenticator.go
@@ -0,0 +1,81 @@
+// Package authenticator finds the client account of a request.
+//
+// A caller sends its bearer key; the document holds the SHA-256 of each key, so
+// neither the document nor a dump gives a key away. The index of hashes is made
+// once for each configuration.
+//
+// # Usage
+//
+//	chain := redwingshunt.Chain(last, authenticator.New().Filter)
+package authenticator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Authenticator sets Exchange.Account.
+type Authenticator struct {
+	index atomic.Pointer[keyIndex]
+}
+
+// keyIndex holds the accounts of one snapshot by the hash of their key.
+type keyIndex struct {
+	snapshot *redwingshunt.Snapshot
+	accounts map[redwingshunt.KeyHash]*redwingshunt.Account
+}
+
+// New returns an authenticator.
+func New() *Authenticator { return &Authenticator{} }
+
+// HashKey returns the hash of a bearer key as the document spells it.
+func HashKey(key string) redwingshunt.KeyHash {
+	sum := sha256.Sum256([]byte(key))
+	return redwingshunt.KeyHash("sha256:" + hex.EncodeToString(sum[:]))
+}
+
+// BearerKey returns the bearer key of a request, or "" when there is none.
+func BearerKey(r *http.Request) string {
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// Filter refuses requests without a known key and names the account of others.
+func (a *Authenticator) Filter(next redwingshunt.Handler) redwingshunt.Handler {
+	return redwingshunt.HandlerFunc(func(ctx context.Context, e *redwingshunt.Exchange) error {
+		if e.Snapshot == nil {
+			return redwingshunt.NotRun(redwingshunt.ReasonNoConfiguration, http.StatusServiceUnavailable,
+				"this instance has no configuration yet").After(redwingshunt.RetrySoon)
+		}
+		key := BearerKey(e.HTTP)
+		account, ok := a.accounts(e.Snapshot)[HashKey(key)]
+		if key == "" || !ok {
+			return redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, http.StatusUnauthorized,
+				"send the key of a client account as Authorization: Bearer KEY")
+		}
+		e.Account = account
+		return next.Serve(ctx, e)
+	})
+}
+
+func (a *Authenticator) accounts(s *redwingshunt.Snapshot) map[redwingshunt.KeyHash]*redwingshunt.Account {
+	if index := a.index.Load(); index != nil && index.snapshot == s {
+		return index.accounts
+	}
+	accounts := make(map[redwingshunt.KeyHash]*redwingshunt.Account, len(s.Document.Accounts))
+	for i := range s.Document.Accounts {
+		account := &s.Document.Accounts[i]
+		accounts[account.Key] = account
+	}
+	a.index.Store(&keyIndex{snapshot: s, accounts: accounts})
+	return accounts
+}
--- /dev/null
+++ b/classifier/classifier.go
@@ -0,0 +1,242 @@
+// Package classifier reads what a caller wants: which service, how much it may
+// cost, and whether it may run more than once.
+//
+// Two shapes of request are understood. Chat completions for a model:
+//
+//	POST /v1/chat/completions   {"model": "assistant", "messages": [...]}
+//
+// and any method, path and body for a plain service:
+//
+//	POST /services/studio-desk/bookings/7
+//
+// # Usage
+//
+//	c := classifier.New(newID)
+//	chain := redwingshunt.Chain(last, c.Filter)
+package classifier
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// The paths on which callers reach services.
+const (
+	PathChat     = "/v1/chat/completions"
+	PathServices = "/services/"
+)
+
+// plainTimeEstimate is the estimate for a plain service that counts time.
+const plainTimeEstimate redwingshunt.Cost = 50_000 // microseconds
+
+// maxKeyLength bounds an idempotency key.
+const maxKeyLength = 255 // bytes
+
+// Classifier sets Exchange.Service and Exchange.Request.
+type Classifier struct {
+	newID func() string
+}
+
+// New returns a classifier that names requests by newID, which returns a
+// different name on each call.
+func New(newID func() string) *Classifier { return &Classifier{newID: newID} }
+
+// Filter reads the request and refuses what it does not understand.
+func (c *Classifier) Filter(next redwingshunt.Handler) redwingshunt.Handler {
+	return redwingshunt.HandlerFunc(func(ctx context.Context, e *redwingshunt.Exchange) error {
+		if err := c.classify(e); err != nil {
+			return err
+		}
+		return next.Serve(ctx, e)
+	})
+}
+
+func (c *Classifier) classify(e *redwingshunt.Exchange) error {
+	if e.HTTP.URL.Path == PathChat {
+		return c.classifyChat(e)
+	}
+	if strings.HasPrefix(e.HTTP.URL.Path, PathServices) {
+		return c.classifyPlain(e)
+	}
+	return redwingshunt.NotRun(redwingshunt.ReasonUnknownService, http.StatusNotFound,
+		"use "+PathChat+" for a model or "+PathServices+"NAME/... for a plain service")
+}
+
+func (c *Classifier) classifyChat(e *redwingshunt.Exchange) error {
+	if e.HTTP.Method != http.MethodPost {
+		return invalid("a chat completion is a POST")
+	}
+	body, err := readBody(e, largestBody(e.Snapshot.Document))
+	if err != nil {
+		return err
+	}
+	chat, err := parseChat(body)
+	if err != nil {
+		return invalid("the body is no chat completion: " + err.Error())
+	}
+	service := findModel(e.Snapshot.Document, chat.Model)
+	if service == nil {
+		return redwingshunt.NotRun(redwingshunt.ReasonUnknownService, http.StatusNotFound,
+			"no service offers the model "+quote(chat.Model))
+	}
+	if int64(len(body)) > service.Body {
+		return tooLarge()
+	}
+	e.Service = service
+	e.Request = c.newRequest(e, PathChat, chat.forUpstream(body))
+	e.Request.Stream = chat.Stream
+	e.Request.Estimate = chat.estimate(len(body))
+	return c.finish(e)
+}
+
+func (c *Classifier) classifyPlain(e *redwingshunt.Exchange) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(e.HTTP.URL.EscapedPath(), PathServices), "/")
+	service := findPlain(e.Snapshot.Document, redwingshunt.ServiceID(name))
+	if service == nil {
+		return redwingshunt.NotRun(redwingshunt.ReasonUnknownService, http.StatusNotFound,
+			"no plain service has the name "+quote(name))
+	}
+	body, err := readBody(e, service.Body)
+	if err != nil {
+		return err
+	}
+	target := "/" + rest
+	if e.HTTP.URL.RawQuery != "" {
+		target += "?" + e.HTTP.URL.RawQuery
+	}
+	e.Service = service
+	e.Request = c.newRequest(e, target, body)
+	e.Request.Estimate = 1
+	if service.Cost == redwingshunt.CostTime {
+		e.Request.Estimate = plainTimeEstimate
+	}
+	return c.finish(e)
+}
+
+func (c *Classifier) newRequest(e *redwingshunt.Exchange, target string, body []byte) *redwingshunt.Request {
+	return &redwingshunt.Request{
+		ID:      c.newID(),
+		Account: e.Account.Name,
+		Service: e.Service.Name,
+		Method:  e.HTTP.Method,
+		Path:    target,
+		Header:  e.HTTP.Header,
+		Body:    body,
+		Key:     e.HTTP.Header.Get(redwingshunt.HeaderIdempotency),
+	}
+}
+
+// finish decides whether the request runs at most once, and names its content.
+func (c *Classifier) finish(e *redwingshunt.Exchange) error {
+	r := e.Request
+	r.Fingerprint = fingerprint(r)
+	r.Once = slices.ContainsFunc(e.Snapshot.Document.Once, func(rule redwingshunt.OnceRule) bool {
+		return matches(rule, r)
+	})
+	switch {
+	case len(r.Key) > maxKeyLength:
+		return invalid("the idempotency key is longer than 255 bytes")
+	case r.Once && r.Key == "":
+		return redwingshunt.NotRun(redwingshunt.ReasonKeyMissing, http.StatusBadRequest,
+			"this request runs at most once: send an "+redwingshunt.HeaderIdempotency+" header")
+	}
+	return nil
+}
+
+// matches reports whether a rule marks the request as non-idempotent.
+func matches(rule redwingshunt.OnceRule, r *redwingshunt.Request) bool {
+	if rule.Service != r.Service {
+		return false
+	}
+	if len(rule.Methods) > 0 && !slices.Contains(rule.Methods, r.Method) {
+		return false
+	}
+	if len(rule.Methods) == 0 && isSafe(r.Method) {
+		return false
+	}
+	if rule.Path == "" || rule.Path == "*" {
+		return true
+	}
+	target, _, _ := strings.Cut(r.Path, "?")
+	ok, err := path.Match(rule.Path, path.Clean(target))
+	return ok && err == nil
+}
+
+func isSafe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func fingerprint(r *redwingshunt.Request) redwingshunt.Fingerprint {
+	hash := sha256.New()
+	for _, part := range []string{string(r.Account), string(r.Service), r.Method, r.Path} {
+		_, _ = io.WriteString(hash, part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(r.Body)
+	return redwingshunt.Fingerprint(hash.Sum(nil)[:len(redwingshunt.Fingerprint{})])
+}
+
+// readBody reads at most limit bytes.
+func readBody(e *redwingshunt.Exchange, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(e.Writer, e.HTTP.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, tooLarge()
+	case err != nil:
+		return nil, invalid("the body could not be read: " + err.Error())
+	}
+	return body, nil
+}
+
+func largestBody(document *redwingshunt.Document) int64 {
+	var largest int64
+	for _, service := range document.Services {
+		if service.Kind == redwingshunt.ServiceEngine {
+			largest = max(largest, service.Body)
+		}
+	}
+	return largest
+}
+
+func findModel(document *redwingshunt.Document, model string) *redwingshunt.Service {
+	for i := range document.Services {
+		service := &document.Services[i]
+		if service.Kind != redwingshunt.ServiceEngine {
+			continue
+		}
+		if service.Model == model || service.Model == "" && string(service.Name) == model {
+			return service
+		}
+	}
+	return nil
+}
+
+func findPlain(document *redwingshunt.Document, name redwingshunt.ServiceID) *redwingshunt.Service {
+	for i := range document.Services {
+		service := &document.Services[i]
+		if service.Kind == redwingshunt.ServicePlain && service.Name == name {
+			return service
+		}
+	}
+	return nil
+}
+
+func invalid(detail string) error {
+	return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest, detail)
+}
+
+func tooLarge() error {
+	return redwingshunt.NotRun(redwingshunt.ReasonTooLarge, http.StatusRequestEntityTooLarge,
+		"the body exceeds the limit of the service")
+}
+
+func quote(s string) string { return "\"" + s + "\"" }
--- /dev/null
+++ b/linker/server.go
@@ -0,0 +1,83 @@
+package linker
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// Exchange receives the frames of one peer and acknowledges them in batches.
+func (l *Linker) Exchange(stream wire.Instances_ExchangeServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if first.GetHello().GetInstance() == "" {
+		return trace.BadParameter("the first frame of a stream carries a hello")
+	}
+	from := redwingshunt.InstanceID(first.GetHello().GetInstance())
+	in := &inbound{stream: stream, wake: make(chan struct{}, 1)}
+	done := make(chan struct{})
+	defer close(done)
+	l.wait.Go(func() { in.acknowledge(done) })
+	for frame := first; ; {
+		in.received(frame.GetSequence())
+		l.counters.received(frame)
+		l.dispatch(from, redwingshunt.Message{
+			Kind:    redwingshunt.MessageKind(frame.GetKind()),
+			Payload: frame.GetPayload(),
+		})
+		if frame, err = stream.Recv(); err != nil {
+			return nil // the sender closed or lost the stream and will dial again
+		}
+	}
+}
+
+// inbound is the receiving end of one stream.
+type inbound struct {
+	stream wire.Instances_ExchangeServer
+	last   atomic.Uint64
+	wake   chan struct{}
+}
+
+func (in *inbound) received(sequence uint64) {
+	in.last.Store(sequence)
+	select {
+	case in.wake <- struct{}{}:
+	default:
+	}
+}
+
+// acknowledge confirms frames soon after they came, several at once.
+func (in *inbound) acknowledge(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-in.wake:
+		}
+		delay := time.NewTimer(acknowledgeDelay)
+		select {
+		case <-done:
+			delay.Stop()
+			return
+		case <-delay.C:
+		}
+		if err := in.stream.Send(&wire.Acknowledgement{Sequence: in.last.Load()}); err != nil {
+			return
+		}
+	}
+}
+
+// identify returns the instance that is known at a link address.
+func (l *Linker) identify(address netip.AddrPort) (redwingshunt.InstanceID, bool) {
+	if l.options.Identify == nil {
+		return "", false
+	}
+	return l.options.Identify(address)
+}
--- a/outcome.go
+++ b/outcome.go
@@ -46,6 +46,10 @@
 	ReasonTruncated       Reason = "truncated"        // the answer ended early and could not be resumed
 )
 
+// RetrySoon is the Retry-After of refusals that end as soon as the fleet has
+// settled, such as a missing leader.
+const RetrySoon = time.Second
+
 // OutcomeError is the error that ends a request. Every error that leaves a
 // filter of the chain is one, or is treated as OutcomeMayHaveRun.
 type OutcomeError struct {
