Parse documents and settings strictly, with all findings placed

A document that half parses would be in force everywhere within seconds, so unknown and repeated keys, wrong types, ranges and references to nothing are all findings, reported together with file, line, column and path of keys. Fields are tables over generic decoders; there is no code per field.

Ruled out: decoding by struct tags with KnownFields, which stops at the first fault and knows no place; anchors, since a section is submitted alone. Findings leave out a path that is not known.

--- a/document.go
+++ b/document.go
@@ -72,13 +72,13 @@
 type Service struct {
 	Name    ServiceID     `yaml:"name"`
 	Kind    ServiceKind   `yaml:"kind"`
-	Model   string        `yaml:"model"`   // model name in chat completions; the service name when empty
-	Cost    CostUnit      `yaml:"cost"`    // tokens for an engine, requests for a plain service when empty
-	Cached  int           `yaml:"cached"`  // percent of a prompt token that a cached one costs
-	Body    int64         `yaml:"body"`    // largest request body in bytes
-	Wait    time.Duration `yaml:"wait"`    // longest wait for an upstream
-	Stall   time.Duration `yaml:"stall"`   // longest silence of an upstream within an answer
-	Retries int           `yaml:"retries"` // attempts after the first for an idempotent request
+	Model   string        `yaml:"model,omitempty"` // model name in chat completions; the service name when empty
+	Cost    CostUnit      `yaml:"cost"`            // tokens for an engine, requests for a plain service when empty
+	Cached  int           `yaml:"cached"`          // percent of a prompt token that a cached one costs
+	Body    int64         `yaml:"body"`            // largest request body in bytes
+	Wait    time.Duration `yaml:"wait"`            // longest wait for an upstream
+	Stall   time.Duration `yaml:"stall"`           // longest silence of an upstream within an answer
+	Retries int           `yaml:"retries"`         // attempts after the first for an idempotent request
 }
 
 // Account is a client account and its share of every service.
--- a/finding.go
+++ b/finding.go
@@ -15,11 +15,16 @@
 }
 
 // String returns the finding in one line: file:line:column: path: text.
+// A part that is not known is left out.
 func (f Finding) String() string {
-	if f.Line == 0 {
-		return fmt.Sprintf("%s: %s: %s", f.File, f.Path, f.Text)
+	place := f.File
+	if f.Line != 0 {
+		place = fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
 	}
-	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Path, f.Text)
+	if f.Path != "" {
+		place += ": " + f.Path
+	}
+	return place + ": " + f.Text
 }
 
 // Findings are all the faults of one text, reported together.
--- /dev/null
+++ b/parser/document.go
@@ -0,0 +1,161 @@
+package parser
+
+// The fields of the document with their bounds and defaults.
+
+import (
+	"path"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// The defaults of the document. Sizes are bytes.
+const (
+	defaultBody    = 4 << 20
+	defaultWait    = 60 * time.Second
+	defaultStall   = 30 * time.Second
+	defaultRetries = 2
+	defaultQueue   = 512
+	defaultBytes   = 64 << 20
+	defaultGap     = time.Second
+	defaultGroups  = 1
+	defaultKeep    = 24 * time.Hour
+	defaultSpace   = 256 << 20
+	defaultBudget  = 10 // percent
+	defaultLosses  = 2
+)
+
+const day = 24 * time.Hour
+
+var documentObject = object(documentFields()...)
+
+func documentFields() []field[redwingshunt.Document] {
+	type document = redwingshunt.Document
+	service := redwingshunt.Service{
+		Body: defaultBody, Wait: defaultWait, Stall: defaultStall, Retries: defaultRetries,
+	}
+	account := redwingshunt.Account{Share: 1, Queue: defaultQueue, Bytes: defaultBytes}
+	return []field[document]{
+		optional("teams", func(d *document) *[]redwingshunt.Team { return &d.Teams }, list(redwingshunt.Team{}, teamObject)),
+		required("regions", func(d *document) *[]redwingshunt.Region { return &d.Regions }, filled(list(redwingshunt.Region{}, regionObject))),
+		required("services", func(d *document) *[]redwingshunt.Service { return &d.Services }, filled(list(service, readService))),
+		required("accounts", func(d *document) *[]redwingshunt.Account { return &d.Accounts }, list(account, accountObject)),
+		optional("once", func(d *document) *[]redwingshunt.OnceRule { return &d.Once }, list(redwingshunt.OnceRule{}, onceObject)),
+		optional("fleet", func(d *document) *redwingshunt.FleetConfiguration { return &d.Fleet }, fleetObject),
+	}
+}
+
+var teamObject = object(
+	required("name", func(t *redwingshunt.Team) *redwingshunt.TeamID { return &t.Name }, name[redwingshunt.TeamID]()),
+	required("key", func(t *redwingshunt.Team) *redwingshunt.KeyHash { return &t.Key }, hash),
+	required("edits", func(t *redwingshunt.Team) *[]redwingshunt.Section { return &t.Edits },
+		filled(list(redwingshunt.Section(""), oneOf(redwingshunt.Sections()...)))),
+)
+
+var regionObject = object(
+	required("name", func(r *redwingshunt.Region) *redwingshunt.RegionID { return &r.Name }, name[redwingshunt.RegionID]()),
+	required("zones", func(r *redwingshunt.Region) *[]redwingshunt.ZoneID { return &r.Zones },
+		filled(list(redwingshunt.ZoneID(""), name[redwingshunt.ZoneID]()))),
+)
+
+var serviceObject = object(
+	required("name", func(s *redwingshunt.Service) *redwingshunt.ServiceID { return &s.Name }, name[redwingshunt.ServiceID]()),
+	required("kind", func(s *redwingshunt.Service) *redwingshunt.ServiceKind { return &s.Kind },
+		oneOf(redwingshunt.ServiceEngine, redwingshunt.ServicePlain)),
+	optional("model", func(s *redwingshunt.Service) *string { return &s.Model }, phrase[string]("the name of a model")),
+	optional("cost", func(s *redwingshunt.Service) *redwingshunt.CostUnit { return &s.Cost },
+		oneOf(redwingshunt.CostTokens, redwingshunt.CostRequests, redwingshunt.CostTime)),
+	optional("cached", func(s *redwingshunt.Service) *int { return &s.Cached }, integer[int](0, 100)),
+	optional("body", func(s *redwingshunt.Service) *int64 { return &s.Body }, size(1<<10, 1<<30)),
+	optional("wait", func(s *redwingshunt.Service) *time.Duration { return &s.Wait }, duration(time.Second, time.Hour)),
+	optional("stall", func(s *redwingshunt.Service) *time.Duration { return &s.Stall }, duration(time.Second, time.Hour)),
+	optional("retries", func(s *redwingshunt.Service) *int { return &s.Retries }, integer[int](0, 10)),
+)
+
+// readService decodes a service and fills in the defaults that depend on its kind.
+func readService(r *reader, path string, node *yaml.Node, into *redwingshunt.Service) {
+	serviceObject(r, path, node, into)
+	if into.Model == "" && into.Kind == redwingshunt.ServiceEngine {
+		into.Model = string(into.Name)
+	}
+	if into.Cost != "" {
+		return
+	}
+	into.Cost = redwingshunt.CostRequests
+	if into.Kind == redwingshunt.ServiceEngine {
+		into.Cost = redwingshunt.CostTokens
+	}
+}
+
+var accountObject = object(
+	required("name", func(a *redwingshunt.Account) *redwingshunt.AccountID { return &a.Name }, name[redwingshunt.AccountID]()),
+	required("key", func(a *redwingshunt.Account) *redwingshunt.KeyHash { return &a.Key }, hash),
+	optional("share", func(a *redwingshunt.Account) *redwingshunt.Share { return &a.Share }, integer[redwingshunt.Share](1, 1_000_000)),
+	required("home", func(a *redwingshunt.Account) *redwingshunt.RegionID { return &a.Home }, name[redwingshunt.RegionID]()),
+	optional("queue", func(a *redwingshunt.Account) *int { return &a.Queue }, integer[int](1, 100_000)),
+	optional("bytes", func(a *redwingshunt.Account) *int64 { return &a.Bytes }, size(1<<10, 1<<36)),
+	optional("parallel", func(a *redwingshunt.Account) *int { return &a.Parallel }, integer[int](0, 1_000_000)),
+)
+
+var onceObject = object(
+	required("service", func(o *redwingshunt.OnceRule) *redwingshunt.ServiceID { return &o.Service }, name[redwingshunt.ServiceID]()),
+	optional("methods", func(o *redwingshunt.OnceRule) *[]string { return &o.Methods },
+		list("", text[string]("an HTTP method in capitals, as POST", methodPattern.MatchString))),
+	required("path", func(o *redwingshunt.OnceRule) *string { return &o.Path },
+		text[string]("* or a pattern of a path, as /bookings/*", acceptPattern)),
+)
+
+// acceptPattern reports whether a pattern may stand in a once rule.
+func acceptPattern(pattern string) bool {
+	_, err := path.Match(pattern, "/")
+	return err == nil && (pattern == "*" || path.IsAbs(pattern))
+}
+
+var fleetObject = object(
+	optional("gap", func(f *redwingshunt.FleetConfiguration) *time.Duration { return &f.Gap }, duration(100*time.Millisecond, time.Hour)),
+	optional("groups", func(f *redwingshunt.FleetConfiguration) *int { return &f.Groups }, integer[int](1, 64)),
+	optional("keep", func(f *redwingshunt.FleetConfiguration) *time.Duration { return &f.Keep }, duration(time.Minute, 30*day)),
+	optional("space", func(f *redwingshunt.FleetConfiguration) *int64 { return &f.Space }, size(1<<20, 1<<40)),
+	optional("budget", func(f *redwingshunt.FleetConfiguration) *int { return &f.Budget }, integer[int](0, 100)),
+	optional("losses", func(f *redwingshunt.FleetConfiguration) *int { return &f.Losses }, integer[int](1, 10)),
+)
+
+// emptyDocument is a document with the defaults of the fleet.
+func emptyDocument() redwingshunt.Document {
+	return redwingshunt.Document{Fleet: redwingshunt.FleetConfiguration{
+		Gap: defaultGap, Groups: defaultGroups, Keep: defaultKeep,
+		Space: defaultSpace, Budget: defaultBudget, Losses: defaultLosses,
+	}}
+}
+
+// resetSection gives a section the value that it has when it is left out.
+func resetSection(document *redwingshunt.Document, section redwingshunt.Section) {
+	empty := emptyDocument()
+	switch section {
+	case redwingshunt.SectionTeams:
+		document.Teams = empty.Teams
+	case redwingshunt.SectionRegions:
+		document.Regions = empty.Regions
+	case redwingshunt.SectionServices:
+		document.Services = empty.Services
+	case redwingshunt.SectionAccounts:
+		document.Accounts = empty.Accounts
+	case redwingshunt.SectionOnce:
+		document.Once = empty.Once
+	case redwingshunt.SectionFleet:
+		document.Fleet = empty.Fleet
+	}
+}
+
+// sectionObject decodes a mapping that holds the one section.
+func sectionObject(section redwingshunt.Section) decoder[redwingshunt.Document] {
+	for _, f := range documentFields() {
+		if f.name == string(section) {
+			f.required = true
+			return object(f)
+		}
+	}
+	return documentObject
+}
--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,155 @@
+package parser
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+var update = flag.Bool("update", false, "write expected.txt of the cases anew")
+
+// TestMain gives the property test a fixed seed, unless the command names one.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// read parses a case by the prefix of its name.
+func read(t *testing.T, name string, text []byte) redwingshunt.Findings {
+	t.Helper()
+	kind, _, _ := strings.Cut(name, "-")
+	switch kind {
+	case "document":
+		_, findings := Document("input.yaml", text)
+		return findings
+	case "settings":
+		_, findings := Settings("input.yaml", text)
+		return findings
+	case "section":
+		_, findings := Section("input.yaml", redwingshunt.SectionAccounts, text, example(t, "three.yaml"))
+		return findings
+	default:
+		t.Fatalf("%s: no such kind of case", name)
+		return nil
+	}
+}
+
+func example(t *testing.T, name string) *redwingshunt.Document {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "examples", name))
+	is.New(t).NoErr(err)
+	document, findings := Document(name, text)
+	is.New(t).NoErr(findings.Err())
+	return document
+}
+
+// TestCases compares all findings of bad texts with testdata/*/expected.txt.
+func TestCases(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/*/input.yaml")
+	is.New(t).NoErr(err)
+	is.New(t).True(len(inputs) >= 3)
+	for _, input := range inputs {
+		folder := filepath.Dir(input)
+		t.Run(filepath.Base(folder), func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile(input)
+			is.NoErr(err)
+			got := read(t, filepath.Base(folder), text).Error() + "\n"
+			if *update {
+				is.NoErr(os.WriteFile(filepath.Join(folder, "expected.txt"), []byte(got), 0o644))
+			}
+			want, err := os.ReadFile(filepath.Join(folder, "expected.txt"))
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
+
+// TestExamples reads every example and, for documents, what Encode makes of it.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"saddlery.yaml", "tuition.yaml", "three.yaml"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			document := example(t, name)
+			text, err := Encode(document, "")
+			is.NoErr(err)
+			again, findings := Document(name, text)
+			is.NoErr(findings.Err())
+			is.Equal(again, document)
+			for _, section := range redwingshunt.Sections() {
+				text, err := Encode(document, section)
+				is.NoErr(err)
+				merged, findings := Section(name, section, text, document)
+				is.NoErr(findings.Err())
+				is.Equal(merged, document)
+			}
+		})
+	}
+	for _, name := range []string{"node-a.yaml", "node-b.yaml", "node-c.yaml"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile(filepath.Join("..", "examples", name))
+			is.NoErr(err)
+			settings, findings := Settings(name, text)
+			is.NoErr(findings.Err())
+			is.Equal(settings.Drain, 30*time.Second)
+			is.Equal(settings.Link.Port(), uint16(8081))
+		})
+	}
+}
+
+// TestDefaults reads a document that gives no more than it must.
+func TestDefaults(t *testing.T) {
+	is := is.New(t)
+	document, findings := Document("-", []byte("regions: [{name: r, zones: [z]}]\n"+
+		"services: [{name: chat, kind: engine}, {name: desk, kind: plain}]\naccounts: []\n"))
+	is.NoErr(findings.Err())
+	is.Equal(document.Services[0], redwingshunt.Service{
+		Name: "chat", Kind: redwingshunt.ServiceEngine, Model: "chat", Cost: redwingshunt.CostTokens,
+		Body: 4 << 20, Wait: time.Minute, Stall: 30 * time.Second, Retries: 2,
+	})
+	is.Equal(document.Services[1].Cost, redwingshunt.CostRequests)
+	is.Equal(document.Fleet, redwingshunt.FleetConfiguration{
+		Gap: time.Second, Groups: 1, Keep: 24 * time.Hour, Space: 256 << 20, Budget: 10, Losses: 2,
+	})
+}
+
+// TestSectionKeepsWhole checks that a merge leaves the original alone.
+func TestSectionKeepsWhole(t *testing.T) {
+	is := is.New(t)
+	whole := example(t, "three.yaml")
+	merged, findings := Section("-", redwingshunt.SectionFleet, []byte("fleet: {gap: 5s}"), whole)
+	is.NoErr(findings.Err())
+	is.Equal(merged.Fleet.Gap, 5*time.Second)
+	is.Equal(merged.Accounts, whole.Accounts)
+	is.Equal(whole.Fleet.Gap, time.Second)
+}
+
+// TestDamage changes and cuts the bytes of a good document: no text may make
+// the parser panic, or give it neither a document nor findings.
+func TestDamage(t *testing.T) {
+	good, err := os.ReadFile(filepath.Join("..", "examples", "three.yaml"))
+	is.New(t).NoErr(err)
+	rapid.Check(t, func(t *rapid.T) {
+		text := append([]byte(nil), good...)
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			place := rapid.IntRange(0, len(text)-1).Draw(t, "place")
+			text[place] = rapid.SampledFrom([]byte("\n :-{}[]&*!#'\"\x00\xff09az")).Draw(t, "byte")
+		}
+		text = text[:rapid.IntRange(0, len(text)).Draw(t, "length")]
+		document, findings := Document("-", text)
+		if (document == nil) != (len(findings) > 0) {
+			t.Fatalf("document %v with findings %v", document, findings)
+		}
+	})
+}
--- /dev/null
+++ b/parser/reader.go
@@ -0,0 +1,237 @@
+package parser
+
+// The machinery that decodes YAML nodes by tables of fields. A decoder reads
+// one node into a value and reports what is wrong with it:
+//
+//	var point = object(
+//		required("x", func(p *Point) *int { return &p.X }, integer[int](0, 9)),
+//		optional("y", func(p *Point) *int { return &p.Y }, integer[int](0, 9)),
+//	)
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// maxFindings bounds the findings of one text.
+const maxFindings = 200
+
+// reporter notes a fault of the value at a path.
+type reporter func(path, format string, args ...any)
+
+// decoder reads a node into a value. What it can't read keeps its default.
+type decoder[V any] func(r *reader, path string, node *yaml.Node, into *V)
+
+// field is one key of a mapping that is read into a T.
+type field[T any] struct {
+	name     string
+	required bool
+	decode   decoder[T]
+}
+
+// reader collects findings and remembers where each path stands.
+type reader struct {
+	file     string
+	findings redwingshunt.Findings
+	places   map[string]*yaml.Node
+}
+
+func newReader(file string) *reader {
+	return &reader{file: file, places: make(map[string]*yaml.Node)}
+}
+
+// report notes a fault at the place of a path, or of the nearest path around it.
+func (r *reader) report(path, format string, args ...any) {
+	finding := redwingshunt.Finding{File: r.file, Path: path, Text: fmt.Sprintf(format, args...)}
+	if node := r.place(path); node != nil {
+		finding.Line, finding.Column = node.Line, node.Column
+	}
+	r.findings = append(r.findings, finding)
+}
+
+// place returns the node of a path, or of the nearest path around it.
+func (r *reader) place(path string) *yaml.Node {
+	for path != "" {
+		if node := r.places[path]; node != nil {
+			return node
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return nil
+}
+
+// sorted returns the findings in the order of the text, bounded in number.
+func (r *reader) sorted() redwingshunt.Findings {
+	slices.SortStableFunc(r.findings, func(a, b redwingshunt.Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	if more := len(r.findings) - maxFindings; more > 0 {
+		rest := redwingshunt.Finding{File: r.file, Text: fmt.Sprintf("%d more findings are not shown", more)}
+		r.findings = append(r.findings[:maxFindings], rest)
+	}
+	return r.findings
+}
+
+// root returns the top mapping of a text, or nil after a finding.
+func (r *reader) root(text []byte) *yaml.Node {
+	if len(text) > maxText {
+		r.report("", "the text has %d bytes; at most %d are read", len(text), maxText)
+		return nil
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	var first, second yaml.Node
+	if err := decoder.Decode(&first); errors.Is(err, io.EOF) {
+		r.report("", "the text is empty")
+		return nil
+	} else if err != nil {
+		r.syntax(err)
+		return nil
+	}
+	if err := decoder.Decode(&second); err == nil {
+		r.places[""] = &second
+		r.findings = append(r.findings, redwingshunt.Finding{
+			File: r.file, Line: second.Line, Column: second.Column, Text: "a second YAML document follows; only one is read",
+		})
+	} else if !errors.Is(err, io.EOF) {
+		r.syntax(err)
+	}
+	return first.Content[0]
+}
+
+// syntaxLine finds the line in an error of the YAML library.
+var syntaxLine = regexp.MustCompile(`line (\d+): `)
+
+// syntax reports an error of the YAML library at its line.
+func (r *reader) syntax(err error) {
+	finding := redwingshunt.Finding{File: r.file, Text: strings.TrimPrefix(err.Error(), "yaml: ")}
+	if match := syntaxLine.FindStringSubmatch(finding.Text); match != nil {
+		finding.Line, _ = strconv.Atoi(match[1])
+		finding.Column = 1
+		finding.Text = strings.Replace(finding.Text, match[0], "", 1)
+	}
+	finding.Text = "is not YAML near here: " + finding.Text
+	r.findings = append(r.findings, finding)
+}
+
+// required is a key that must be given.
+func required[T, V any](name string, at func(*T) *V, decode decoder[V]) field[T] {
+	f := optional(name, at, decode)
+	f.required = true
+	return f
+}
+
+// optional is a key that may be left out; its value is then the default.
+func optional[T, V any](name string, at func(*T) *V, decode decoder[V]) field[T] {
+	return field[T]{name: name, decode: func(r *reader, path string, node *yaml.Node, into *T) {
+		decode(r, path, node, at(into))
+	}}
+}
+
+// object decodes a mapping with known keys.
+func object[T any](fields ...field[T]) decoder[T] {
+	return func(r *reader, path string, node *yaml.Node, into *T) {
+		if !r.is(path, node, yaml.MappingNode, "a mapping of keys") {
+			return
+		}
+		seen := make(redwingshunt.Set[string])
+		for i := 0; i+1 < len(node.Content); i += 2 {
+			decodeKey(r, path, node.Content[i], node.Content[i+1], fields, seen, into)
+		}
+		for _, f := range fields {
+			if f.required && !seen.Has(f.name) {
+				r.report(join(path, f.name), "is missing")
+			}
+		}
+	}
+}
+
+// decodeKey decodes one entry of a mapping by its field.
+func decodeKey[T any](r *reader, path string, key, value *yaml.Node, fields []field[T], seen redwingshunt.Set[string], into *T) {
+	full := join(path, key.Value)
+	index := slices.IndexFunc(fields, func(f field[T]) bool { return f.name == key.Value })
+	switch {
+	case index < 0:
+		r.places[full] = key
+		r.report(full, "is not a key here; %s", suggest(key.Value, names(fields)))
+	case seen.Has(key.Value):
+		first := r.places[full].Line
+		r.places[full] = key
+		r.report(full, "is given twice; the first is in line %d", first)
+	default:
+		seen.Add(key.Value)
+		r.places[full] = value
+		fields[index].decode(r, full, value, into)
+	}
+}
+
+// list decodes a sequence; each item starts from initial.
+func list[V any](initial V, item decoder[V]) decoder[[]V] {
+	return func(r *reader, path string, node *yaml.Node, into *[]V) {
+		if !r.is(path, node, yaml.SequenceNode, "a list") {
+			return
+		}
+		*into = nil
+		if len(node.Content) > 0 {
+			*into = make([]V, len(node.Content))
+		}
+		for i, child := range node.Content {
+			full := fmt.Sprintf("%s[%d]", path, i)
+			r.places[full] = child
+			(*into)[i] = initial
+			item(r, full, child, &(*into)[i])
+		}
+	}
+}
+
+// filled decodes a list that holds at least one item.
+func filled[V any](decode decoder[[]V]) decoder[[]V] {
+	return func(r *reader, path string, node *yaml.Node, into *[]V) {
+		decode(r, path, node, into)
+		if node.Kind == yaml.SequenceNode && len(node.Content) == 0 {
+			r.report(path, "must hold at least one")
+		}
+	}
+}
+
+// is reports a node of another kind than wanted.
+func (r *reader) is(path string, node *yaml.Node, kind yaml.Kind, wanted string) bool {
+	switch {
+	case node.Kind == yaml.AliasNode || node.Anchor != "":
+		r.report(path, "anchors and aliases are not read; write the value out")
+	case node.Kind == yaml.ScalarNode && node.Tag == "!!null":
+		r.report(path, "is empty; give %s or remove the key", wanted)
+	case node.Kind != kind:
+		r.report(path, "must be %s", wanted)
+	default:
+		return true
+	}
+	return false
+}
+
+// names lists the keys of a mapping.
+func names[T any](fields []field[T]) []string {
+	all := make([]string, len(fields))
+	for i, f := range fields {
+		all[i] = f.name
+	}
+	return all
+}
+
+// join appends a key to a path.
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
--- /dev/null
+++ b/parser/scalar.go
@@ -0,0 +1,177 @@
+package parser
+
+import (
+	"log/slog"
+	"math"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// namePattern is the form of the names that fleet and operators give.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
+
+// hashPattern is the form of a KeyHash.
+var hashPattern = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+
+// methodPattern is the form of an HTTP method.
+var methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
+
+// scalar decodes a node by a function of its text. The function returns what
+// was expected when it can't read the text.
+func scalar[V any](wanted string, read func(node *yaml.Node) (V, bool)) decoder[V] {
+	return func(r *reader, path string, node *yaml.Node, into *V) {
+		if !r.is(path, node, yaml.ScalarNode, wanted) {
+			return
+		}
+		value, ok := read(node)
+		if !ok {
+			r.report(path, "is %q; must be %s", shorten(node.Value), wanted)
+			return
+		}
+		*into = value
+	}
+}
+
+// text decodes text that a function accepts.
+func text[V ~string](wanted string, accept func(string) bool) decoder[V] {
+	return scalar(wanted, func(node *yaml.Node) (V, bool) {
+		return V(node.Value), node.Tag == "!!str" && accept(node.Value)
+	})
+}
+
+// name decodes a name that fleet or operators give.
+func name[V ~string]() decoder[V] {
+	return text[V]("a name of at most 63 of a-z, 0-9, dot, dash and underscore (quote a number)", namePattern.MatchString)
+}
+
+// phrase decodes any text that is neither empty nor long.
+func phrase[V ~string](wanted string) decoder[V] {
+	const longest = 1024 // bytes
+	return text[V](wanted, func(s string) bool { return s != "" && len(s) <= longest })
+}
+
+// hash decodes the hash of a bearer key. A wrong value is not repeated in the
+// finding, for it may be the key itself.
+func hash(r *reader, path string, node *yaml.Node, into *redwingshunt.KeyHash) {
+	if !hashPattern.MatchString(node.Value) || node.Kind != yaml.ScalarNode {
+		r.report(path, "must be sha256: and 64 lower-case hex digits, as redwingshunt keygen prints it")
+		return
+	}
+	*into = redwingshunt.KeyHash(node.Value)
+}
+
+// oneOf decodes one of a few words.
+func oneOf[V ~string](words ...V) decoder[V] {
+	return func(r *reader, path string, node *yaml.Node, into *V) {
+		if !r.is(path, node, yaml.ScalarNode, "a word") {
+			return
+		}
+		if !slices.Contains(words, V(node.Value)) {
+			r.report(path, "is %q; %s", shorten(node.Value), suggest(node.Value, words))
+			return
+		}
+		*into = V(node.Value)
+	}
+}
+
+// integer decodes a whole number within bounds.
+func integer[V ~int | ~uint32](least, most int64) decoder[V] {
+	wanted := "a whole number from " + strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(most, 10)
+	return scalar(wanted, func(node *yaml.Node) (V, bool) {
+		value, err := strconv.ParseInt(node.Value, 10, 64)
+		return V(value), err == nil && node.Tag == "!!int" && value >= least && value <= most
+	})
+}
+
+// boolean decodes true or false.
+func boolean() decoder[bool] {
+	return scalar("true or false", func(node *yaml.Node) (bool, bool) {
+		return node.Value == "true", node.Tag == "!!bool" && (node.Value == "true" || node.Value == "false")
+	})
+}
+
+// duration decodes a time with its unit within bounds.
+func duration(least, most time.Duration) decoder[time.Duration] {
+	wanted := "a time with its unit, as 30s, from " + least.String() + " to " + most.String()
+	return scalar(wanted, func(node *yaml.Node) (time.Duration, bool) {
+		value, err := time.ParseDuration(node.Value)
+		return value, err == nil && value >= least && value <= most
+	})
+}
+
+// sizeUnits are the units of a size and their bytes.
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"TiB", 1 << 40}}
+
+// size decodes an amount of bytes within bounds.
+func size(least, most int64) decoder[int64] {
+	wanted := "a size in bytes or as 4MiB, from " + formatSize(least) + " to " + formatSize(most)
+	return scalar(wanted, func(node *yaml.Node) (int64, bool) {
+		value, ok := parseSize(node.Value)
+		return value, ok && value >= least && value <= most
+	})
+}
+
+// parseSize reads a size, as 4MiB or 4194304.
+func parseSize(s string) (int64, bool) {
+	unit := int64(1)
+	for _, u := range sizeUnits {
+		if digits, ok := strings.CutSuffix(s, u.suffix); ok {
+			s, unit = digits, u.bytes
+		}
+	}
+	value, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || value < 0 || value > math.MaxInt64/unit {
+		return 0, false
+	}
+	return value * unit, true
+}
+
+// formatSize writes a size in its largest whole unit.
+func formatSize(bytes int64) string {
+	for _, u := range slices.Backward(sizeUnits) {
+		if bytes >= u.bytes && bytes%u.bytes == 0 {
+			return strconv.FormatInt(bytes/u.bytes, 10) + u.suffix
+		}
+	}
+	return strconv.FormatInt(bytes, 10)
+}
+
+// address decodes an IP number with a port.
+func address() decoder[netip.AddrPort] {
+	return scalar("an IP number with a port, as 10.0.0.1:8080 (host names are not read)", func(node *yaml.Node) (netip.AddrPort, bool) {
+		value, err := netip.ParseAddrPort(node.Value)
+		return value, err == nil && value.Port() != 0
+	})
+}
+
+// level decodes a level of the log.
+func level(r *reader, path string, node *yaml.Node, into *slog.Level) {
+	levels := map[string]slog.Level{
+		"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+	}
+	word := ""
+	oneOf("debug", "info", "warn", "error")(r, path, node, &word)
+	if word != "" {
+		*into = levels[word]
+	}
+}
+
+// shorten bounds a value that a finding repeats.
+func shorten(s string) string {
+	const longest = 60 // bytes
+	if len(s) <= longest {
+		return s
+	}
+	return s[:longest] + "..."
+}
--- /dev/null
+++ b/parser/settings.go
@@ -0,0 +1,99 @@
+package parser
+
+// The fields of the settings with their bounds and defaults, and the checks
+// between them.
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// defaultDrain limits a graceful shutdown.
+const defaultDrain = 30 * time.Second
+
+// maxVoters bounds the voters of a log.
+const maxVoters = 7
+
+// settings shortens the table below.
+type settings = redwingshunt.Settings
+
+var settingsObject = object(
+	required("name", func(s *settings) *redwingshunt.InstanceID { return &s.Name }, name[redwingshunt.InstanceID]()),
+	required("region", func(s *settings) *redwingshunt.RegionID { return &s.Region }, name[redwingshunt.RegionID]()),
+	required("zone", func(s *settings) *redwingshunt.ZoneID { return &s.Zone }, name[redwingshunt.ZoneID]()),
+	required("listen", func(s *settings) *netip.AddrPort { return &s.Listen }, address()),
+	required("link", func(s *settings) *netip.AddrPort { return &s.Link }, address()),
+	required("admin", func(s *settings) *netip.AddrPort { return &s.Admin }, address()),
+	optional("metrics", func(s *settings) *netip.AddrPort { return &s.Metrics }, address()),
+	optional("peers", func(s *settings) *[]netip.AddrPort { return &s.Peers }, list(netip.AddrPort{}, address())),
+	optional("voters", func(s *settings) *[]redwingshunt.InstanceID { return &s.Voters },
+		list(redwingshunt.InstanceID(""), name[redwingshunt.InstanceID]())),
+	optional("data", func(s *settings) *string { return &s.Data }, phrase[string]("the path of a folder")),
+	optional("document", func(s *settings) *string { return &s.Document }, phrase[string]("the path of a document")),
+	optional("bootstrap", func(s *settings) *redwingshunt.KeyHash { return &s.Bootstrap }, hash),
+	optional("drain", func(s *settings) *time.Duration { return &s.Drain }, duration(time.Second, time.Hour)),
+	optional("log", func(s *settings) *slog.Level { return &s.Log }, level),
+	optional("tls", func(s *settings) *redwingshunt.TLSFiles { return &s.TLS }, tlsObject),
+	optional("plain", func(s *settings) *bool { return &s.Plain }, boolean()),
+)
+
+var tlsObject = object(
+	required("cert", func(t *redwingshunt.TLSFiles) *string { return &t.Cert }, phrase[string]("the path of a PEM file")),
+	required("key", func(t *redwingshunt.TLSFiles) *string { return &t.Key }, phrase[string]("the path of a PEM file")),
+	required("authority", func(t *redwingshunt.TLSFiles) *string { return &t.Authority }, phrase[string]("the path of a PEM file")),
+)
+
+// emptySettings are settings with the defaults.
+func emptySettings() settings {
+	return settings{Drain: defaultDrain, Log: slog.LevelInfo}
+}
+
+// checkSettings reports what is wrong between the keys.
+func checkSettings(s *settings, report reporter) {
+	checkAddresses(s, report)
+	checkVoters(s, report)
+	switch {
+	case s.TLS.Enabled() && s.Plain:
+		report("plain", "contradicts tls; remove one of them")
+	case !s.TLS.Enabled() && !s.Plain:
+		report("tls", "is missing; give cert, key and authority, or say plain: true to run without encryption")
+	}
+	if s.Document != "" && len(s.Voters) > 0 {
+		report("document", "contradicts voters, who keep the document themselves; submit the first one with the bootstrap key")
+	}
+}
+
+// checkAddresses reports addresses that collide or that nobody could dial.
+func checkAddresses(s *settings, report reporter) {
+	paths := []string{"listen", "link", "admin", "metrics"}
+	own := []netip.AddrPort{s.Listen, s.Link, s.Admin, s.Metrics}
+	unique(own, func(i int) string { return paths[i] }, formatAddress, report)
+	if s.Link.IsValid() && s.Link.Addr().IsUnspecified() {
+		report("link", "is %s; must be an address that other instances can dial", s.Link)
+	}
+	unique(s.Peers, at("peers[%d]"), formatAddress, report)
+}
+
+// formatAddress returns an address as text, empty when there is none.
+func formatAddress(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// checkVoters reports voters that could form no quorum.
+func checkVoters(s *settings, report reporter) {
+	unique(s.Voters, at("voters[%d]"), same, report)
+	if n := len(s.Voters); n > 0 && (n%2 == 0 || n > maxVoters) {
+		report("voters", "are %d; must be an odd number up to %d", n, maxVoters)
+	}
+	if slices.Contains(s.Voters, s.Name) && s.Data == "" {
+		report("data", fmt.Sprintf("is missing; %s is a voter and needs a folder on a disk", s.Name))
+	}
+}
--- /dev/null
+++ b/parser/suggest.go
@@ -0,0 +1,58 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+)
+
+// suggest names the known name nearest to a wrong one, or all of them.
+func suggest[V ~string](wrong string, known []V) string {
+	best, least := "", 3
+	for _, name := range known {
+		if d := distance(wrong, string(name)); d < least && d < len(wrong) {
+			best, least = string(name), d
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %s?", best)
+	}
+	return expectOne(known)
+}
+
+// expectOne lists the values that are expected.
+func expectOne[V ~string](known []V) string {
+	const most = 20
+	if len(known) == 0 {
+		return "there are none"
+	}
+	words := make([]string, 0, most)
+	for _, name := range known[:min(len(known), most)] {
+		words = append(words, string(name))
+	}
+	if len(known) > most {
+		words = append(words, "...")
+	}
+	return "expected one of " + strings.Join(words, ", ")
+}
+
+// distance is the number of insertions, deletions and replacements that turn a
+// into b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			replace := diagonal
+			if a[i] != b[j] {
+				replace++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(replace, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,38 @@
+package redwingshunt
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+)
+
+// Settings are what one instance reads at its start. In YAML every key is the
+// lower-case field name. What the fleet shares stands in the Document instead.
+type Settings struct {
+	Name      InstanceID       // unique in the fleet
+	Region    RegionID         // where the instance runs
+	Zone      ZoneID           // availability zone within the region
+	Listen    netip.AddrPort   // where callers and upstreams connect
+	Link      netip.AddrPort   // where other instances connect
+	Admin     netip.AddrPort   // administration API
+	Metrics   netip.AddrPort   // scrape endpoint; part of Admin when invalid
+	Peers     []netip.AddrPort // link addresses of some other instances
+	Voters    []InstanceID     // initial voters; read only when Data is new
+	Data      string           // data folder; empty without a disk
+	Document  string           // path of a first document, for trials without voters
+	Bootstrap KeyHash          // key that may submit the first document
+	Drain     time.Duration    // limit of a graceful shutdown
+	Log       slog.Level
+	TLS       TLSFiles
+	Plain     bool // plain text is allowed; never set together with TLS
+}
+
+// TLSFiles are paths of PEM files.
+type TLSFiles struct {
+	Cert      string // certificate of the instance and its chain
+	Key       string // private key of the certificate
+	Authority string // certificates that other instances must be signed by
+}
+
+// Enabled reports whether any file is named.
+func (t TLSFiles) Enabled() bool { return t != TLSFiles{} }
