--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,208 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt/connector"
+)
+
+// network opens connections and can make all open ones silent.
+type network struct {
+	mu   sync.Mutex
+	open []*conn
+}
+
+type conn struct {
+	net.Conn
+	silent atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *network) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	inner, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open = append(n.open, c)
+	return c, nil
+}
+
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.open {
+		c.silent.Store(true)
+	}
+}
+
+// Read drops what comes on a silent connection and waits until it is closed.
+func (c *conn) Read(p []byte) (int, error) {
+	count, err := c.Conn.Read(p)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return count, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// await returns once a number of probes was answered.
+func await(c *connector.Connector, answered int) {
+	for !strings.Contains(fmt.Sprintf("%+v", c.Dump()), fmt.Sprintf("Answered:%d", answered)) {
+		runtime.Gosched()
+	}
+}
+
+func get(ctx context.Context, c *connector.Connector, url string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := c.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+// TestSilentConnections makes the open connections silent, twice in a row, with
+// several in the pool. The request that meets one ends with ErrSilent, and the
+// next one is served.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	var gate sync.WaitGroup
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			gate.Done()
+			gate.Wait()
+		}
+		_, _ = w.Write([]byte("hello"))
+	}))
+	defer upstream.Close()
+	n := &network{}
+	c := connector.New(connector.Options{Dial: n.dial})
+	defer c.CloseIdleConnections()
+	for round := range 2 {
+		const pool = 4
+		gate.Add(pool)
+		var wait sync.WaitGroup
+		for range pool {
+			wait.Go(func() { _, _ = get(t.Context(), c, upstream.URL+"/together") })
+		}
+		wait.Wait()
+		await(c, 1+2*round) // one to open, one on a new connection after the silence
+		n.silence()
+		_, err := get(t.Context(), c, upstream.URL)
+		is.True(errors.Is(err, connector.ErrSilent))
+		for range pool {
+			text, err := get(t.Context(), c, upstream.URL)
+			is.NoErr(err) // no other connection of the pool is tried
+			is.Equal(text, "hello")
+		}
+	}
+}
+
+// TestSilentStream makes the connection silent in the middle of an answer.
+func TestSilentStream(t *testing.T) {
+	is := is.New(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("first\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer upstream.Close()
+	n := &network{}
+	c := connector.New(connector.Options{Dial: n.dial})
+	defer c.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, upstream.URL, nil)
+	is.NoErr(err)
+	response, err := c.RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	line, err := reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "first\n")
+	await(c, 1)
+	n.silence()
+	_, err = reader.ReadString('\n')
+	is.True(errors.Is(err, connector.ErrSilent))
+}
+
+// TestSlowUpstream answers only after the request was asked about, which must
+// not end it.
+func TestSlowUpstream(t *testing.T) {
+	is := is.New(t)
+	var probes atomic.Int64
+	asked := make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-asked
+		_, _ = w.Write([]byte("late"))
+	})
+	upstream := httptest.NewUnstartedServer(handler)
+	upstream.Config.DisableGeneralOptionsHandler = true
+	upstream.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodOptions {
+			handler(w, r)
+			return
+		}
+		if probes.Add(1) == 2 { // the first one opens the connection
+			close(asked)
+		}
+	})
+	upstream.Start()
+	defer upstream.Close()
+	c := connector.New(connector.Options{Dial: (&net.Dialer{}).DialContext})
+	defer c.CloseIdleConnections()
+	text, err := get(t.Context(), c, upstream.URL)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(text, "late"))
+}
+
+// BenchmarkSilent measures how long the next request takes when the open
+// connections have gone silent.
+func BenchmarkSilent(b *testing.B) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer upstream.Close()
+	n := &network{}
+	c := connector.New(connector.Options{Dial: n.dial})
+	for i := 0; b.Loop(); i++ {
+		_, _ = get(b.Context(), c, upstream.URL)
+		await(c, 1+2*i)
+		n.silence()
+		if _, err := get(b.Context(), c, upstream.URL); err != nil {
+			_, _ = get(b.Context(), c, upstream.URL)
+		}
+	}
+}
