Serve a request from a caller to an upstream through any instance

Upstreams announce themselves to any instance, which passes the announcement on.

Closing the links used to wait for the acknowledging ends of streams that only the stop of the server ends; they now end with the linker.

--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,171 @@
+// Package announcer takes the announcements of upstreams over HTTP.
+//
+// An upstream announces itself to any instance, renews before its time to live
+// has passed, reports its load with each renewal, and leaves when it stops:
+//
+//	POST   /v1/upstreams                 announce, renew, report load
+//	DELETE /v1/upstreams/{service}/{id}  leave
+//
+// Nothing in the fleet lists upstreams by hand.
+//
+// # Usage
+//
+//	handler := announcer.New(announcer.Options{Directory: directory, Self: members.Self})
+//	router.PathPrefix("/v1/upstreams").Handler(handler)
+package announcer
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/authenticator"
+	"github.com/redwingshunt/redwingshunt/responder"
+)
+
+// The limits of an announcement.
+const (
+	largestAnnouncement = 16 << 10 // bytes
+	shortestTTL         = time.Second
+	longestTTL          = time.Minute
+	defaultTTL          = 6 * time.Second
+	mostSlots           = 4096
+	longestName         = 128 // bytes
+)
+
+// Announcement is the JSON body of POST /v1/upstreams.
+type Announcement struct {
+	ID      redwingshunt.UpstreamID `json:"id"`
+	Service redwingshunt.ServiceID  `json:"service"`
+	Region  redwingshunt.RegionID   `json:"region"`  // that of the receiving instance when empty
+	Zone    redwingshunt.ZoneID     `json:"zone"`    // that of the receiving instance when empty
+	Address netip.AddrPort          `json:"address"` // IP number and port
+	Slots   int                     `json:"slots"`   // requests that it runs at once
+	Version string                  `json:"version"`
+	TTL     int64                   `json:"ttl"` // milliseconds until the announcement is forgotten
+	Load    Load                    `json:"load"`
+}
+
+// Load is the load that an upstream reports.
+type Load struct {
+	Running int `json:"running"` // requests in the batch
+	Waiting int `json:"waiting"` // requests admitted and not yet in the batch
+}
+
+// Receipt is the JSON answer to an announcement.
+type Receipt struct {
+	TTL   int64 `json:"ttl"`   // milliseconds
+	Renew int64 `json:"renew"` // milliseconds after which to announce again
+}
+
+// Options configure the handler.
+type Options struct {
+	Directory     redwingshunt.Directory
+	Configuration redwingshunt.Configuration
+	Self          func() redwingshunt.Instance
+	Now           func() time.Time
+}
+
+type handler struct {
+	options Options
+}
+
+// New returns the handler of announcements.
+func New(options Options) http.Handler {
+	h := &handler{options: options}
+	router := mux.NewRouter()
+	router.Path("/v1/upstreams").Methods(http.MethodPost).HandlerFunc(h.announce)
+	router.Path("/v1/upstreams/{service}/{id}").Methods(http.MethodDelete).HandlerFunc(h.leave)
+	return router
+}
+
+func (h *handler) announce(w http.ResponseWriter, r *http.Request) {
+	var a Announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, largestAnnouncement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&a); err != nil {
+		refuse(w, http.StatusBadRequest, "the announcement does not parse: "+err.Error())
+		return
+	}
+	if problem := h.complete(&a); problem != "" {
+		refuse(w, http.StatusBadRequest, problem)
+		return
+	}
+	if status, problem := h.authorize(r, a.Service); status != http.StatusOK {
+		refuse(w, status, problem)
+		return
+	}
+	ttl := time.Duration(a.TTL) * time.Millisecond
+	h.options.Directory.Announce(redwingshunt.Upstream{
+		ID: a.ID, Service: a.Service, Region: a.Region, Zone: a.Zone,
+		Address: a.Address, Slots: a.Slots, Version: a.Version,
+	}, redwingshunt.LoadReport{
+		Running: a.Load.Running, Waiting: a.Load.Waiting, At: h.options.Now(),
+	}, ttl)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Receipt{TTL: a.TTL, Renew: a.TTL / 3})
+}
+
+func (h *handler) leave(w http.ResponseWriter, r *http.Request) {
+	service := redwingshunt.ServiceID(mux.Vars(r)["service"])
+	if status, problem := h.authorize(r, service); status != http.StatusOK {
+		refuse(w, status, problem)
+		return
+	}
+	h.options.Directory.Leave(redwingshunt.UpstreamKey{
+		Service: service, ID: redwingshunt.UpstreamID(mux.Vars(r)["id"]),
+	})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// complete fills in what may be left out and returns what is wrong.
+func (h *handler) complete(a *Announcement) string {
+	self := h.options.Self()
+	if a.Region == "" {
+		a.Region, a.Zone = self.Region, self.Zone
+	}
+	if a.TTL == 0 {
+		a.TTL = defaultTTL.Milliseconds()
+	}
+	ttl := time.Duration(a.TTL) * time.Millisecond
+	switch {
+	case a.ID == "" || len(a.ID) > longestName:
+		return "id is a name of at most 128 bytes"
+	case !a.Address.IsValid() || a.Address.Addr().IsUnspecified():
+		return "address is an IP number and a port, as in 10.0.0.7:8000"
+	case a.Slots < 1 || a.Slots > mostSlots:
+		return "slots is from 1 to 4096"
+	case ttl < shortestTTL || ttl > longestTTL:
+		return "ttl is from 1000 to 60000 milliseconds"
+	case a.Load.Running < 0 || a.Load.Waiting < 0:
+		return "load is not negative"
+	}
+	return ""
+}
+
+// authorize checks that the service exists and, where the document gives the
+// service a key, that the upstream knows it.
+func (h *handler) authorize(r *http.Request, name redwingshunt.ServiceID) (int, string) {
+	snapshot := h.options.Configuration.Current()
+	if snapshot == nil {
+		return http.StatusServiceUnavailable, "this instance has no configuration yet"
+	}
+	for _, service := range snapshot.Document.Services {
+		if service.Name != name {
+			continue
+		}
+		if service.Key != "" && authenticator.HashKey(authenticator.BearerKey(r)) != service.Key {
+			return http.StatusUnauthorized, "send the key of the service as Authorization: Bearer KEY"
+		}
+		return http.StatusOK, ""
+	}
+	return http.StatusNotFound, "the document has no service " + string(name)
+}
+
+func refuse(w http.ResponseWriter, status int, problem string) {
+	responder.Write(w, redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, status, problem), "")
+}
--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -138,6 +138,7 @@
 func (c *Classifier) finish(e *redwingshunt.Exchange) error {
 	r := e.Request
 	r.Fingerprint = fingerprint(r)
+	r.Deadline = e.Arrived.Add(e.Service.Wait)
 	r.Once = slices.ContainsFunc(e.Snapshot.Document.Once, func(rule redwingshunt.OnceRule) bool {
 		return matches(rule, r)
 	})
--- a/cmd/redwingshuntd/main.go
+++ b/cmd/redwingshuntd/main.go
@@ -1,6 +1,14 @@
-// Command redwingshuntd is one instance of the router fleet.
+// Command redwingshuntd is one instance of the router fleet. It reads its
+// settings from a YAML file, serves until it is told to stop by SIGTERM or
+// SIGINT, and then shuts down gracefully; a second signal ends that early.
+//
+//	redwingshuntd --settings node-a.yaml
 package main
 
-import _ "net"
+import (
+	"os"
 
-func main() {}
+	"github.com/redwingshunt/redwingshunt/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,153 @@
+package daemon
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/linker"
+	"github.com/redwingshunt/redwingshunt/prober"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// probeInterval is how often the membership protocol is told the time.
+const probeInterval = 100 * time.Millisecond
+
+// memberTable drives the prober and is the redwingshunt.Members of the daemon.
+type memberTable struct {
+	self   atomic.Pointer[redwingshunt.Instance]
+	live   atomic.Pointer[[]redwingshunt.Instance]
+	linker *linker.Linker
+
+	mu      sync.Mutex
+	prober  *prober.Prober
+	changes []func()
+}
+
+func newMemberTable(self redwingshunt.Instance, seeds []netip.AddrPort) *memberTable {
+	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == self.Address })
+	t := &memberTable{
+		prober: prober.New(self, seeds, prober.Defaults(), uint64(self.Incarnation)),
+	}
+	t.self.Store(&self)
+	t.refresh()
+	return t
+}
+
+// attach connects the table to the links. It is called once, before run.
+func (t *memberTable) attach(l *linker.Linker) {
+	t.linker = l
+	l.Handle(redwingshunt.KindMembership, func(from redwingshunt.InstanceID, payload []byte) {
+		probe := new(wire.Probe)
+		if proto.Unmarshal(payload, probe) == nil {
+			t.step(prober.Received{From: from, Probe: probe})
+		}
+	})
+}
+
+// onChange registers a function that is called after each change of Live.
+func (t *memberTable) onChange(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changes = append(t.changes, f)
+}
+
+func (t *memberTable) run(done <-chan struct{}) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		t.step(prober.Tick{})
+		select {
+		case <-ticker.C:
+		case <-done:
+			return
+		}
+	}
+}
+
+func (t *memberTable) step(event prober.Event) {
+	t.mu.Lock()
+	actions := t.prober.Step(time.Now(), event)
+	if slices.Contains(actions, prober.Action(prober.Changed{})) {
+		t.refresh()
+	}
+	changes := t.changes
+	t.mu.Unlock()
+	for _, action := range actions {
+		t.carry(action, changes)
+	}
+}
+
+// carry executes an action. It is called without the lock, which find needs.
+func (t *memberTable) carry(action prober.Action, changes []func()) {
+	switch a := action.(type) {
+	case prober.Send:
+		t.linker.Send(a.To, membershipMessage(a.Probe))
+	case prober.SendAddress:
+		t.linker.SendAddress(a.Address, membershipMessage(a.Probe))
+	case prober.Changed:
+		for _, f := range changes {
+			f()
+		}
+	}
+}
+
+func membershipMessage(probe *wire.Probe) redwingshunt.Message {
+	payload, err := proto.Marshal(probe)
+	if err != nil {
+		payload = nil // cannot happen: all strings come from valid UTF-8
+	}
+	return redwingshunt.Message{Kind: redwingshunt.KindMembership, Payload: payload}
+}
+
+func (t *memberTable) refresh() {
+	live := t.prober.Live()
+	t.live.Store(&live)
+	for _, i := range live {
+		if i.ID == t.self.Load().ID {
+			t.self.Store(&i)
+		}
+	}
+}
+
+// Self returns this instance.
+func (t *memberTable) Self() redwingshunt.Instance { return *t.self.Load() }
+
+// Live returns all live instances, ordered by name.
+func (t *memberTable) Live() []redwingshunt.Instance { return *t.live.Load() }
+
+// find returns an instance by name, dead ones included.
+func (t *memberTable) find(id redwingshunt.InstanceID) (redwingshunt.Instance, bool) {
+	for _, i := range t.Live() {
+		if i.ID == id {
+			return i, true
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.prober.Find(id)
+}
+
+// identify returns the live instance at a link address.
+func (t *memberTable) identify(address netip.AddrPort) (redwingshunt.InstanceID, bool) {
+	for _, i := range t.Live() {
+		if i.Address == address {
+			return i.ID, true
+		}
+	}
+	return "", false
+}
+
+// leave begins a graceful shutdown.
+func (t *memberTable) leave() { t.step(prober.Leave{}) }
+
+// lost tells the prober about a broken link.
+func (t *memberTable) lost(id redwingshunt.InstanceID) { t.step(prober.LinkLost{Instance: id}) }
+
+// Dump returns the view of the fleet.
+func (t *memberTable) Dump() any { return t.Live() }
--- /dev/null
+++ b/daemon/shutdown.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"time"
+)
+
+// shutdown leaves the fleet without cutting a request: it tells the others,
+// refuses new requests, and waits for running ones up to the drain limit.
+func (d *Daemon) shutdown() {
+	d.logger.Info("shutting down", "running", d.listener.Running(), "limit", d.settings.Drain.String())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain)
+	defer cancel()
+	if d.options.Abort != nil {
+		go func() {
+			select {
+			case <-d.options.Abort:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+	}
+	d.members.leave()
+	d.listener.Stop()
+	pause(ctx, noticeDelay)
+	if err := d.listener.Shutdown(ctx); err != nil {
+		d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
+		_ = d.listener.Close()
+	}
+	d.dispatcher.Close()
+	d.linker.Close()
+	d.grpc.Stop()
+	_ = d.admin.Close()
+	d.logger.Info("stopped")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/dispatcher/attempt.go
@@ -0,0 +1,221 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/accountant"
+)
+
+// errStalled cancels an attempt that made no progress.
+var errStalled = errors.New("no progress within the stall limit of the service")
+
+// attempt is one run of a request on one upstream.
+type attempt struct {
+	dispatcher *Dispatcher
+	exchange   *redwingshunt.Exchange
+	grant      redwingshunt.Grant
+	meter      *accountant.Meter
+	start      time.Time
+	first      time.Duration
+	connected  atomic.Bool // a connection was there, so bytes may have left
+	stall      *time.Timer
+}
+
+// attempt runs the request on the granted upstream and gives the slot back.
+func (d *Dispatcher) attempt(e *redwingshunt.Exchange, grant redwingshunt.Grant) error {
+	a := &attempt{dispatcher: d, exchange: e, grant: grant, start: time.Now()}
+	a.meter = accountant.NewMeter(e.Service, func(delta redwingshunt.Cost) {
+		d.options.Scheduler.Charge(grant, delta)
+	})
+	err := a.run()
+	elapsed := time.Since(a.start)
+	result := redwingshunt.Result{First: a.first, Total: elapsed}
+	if err == nil || redwingshunt.OutcomeOf(err).Outcome != redwingshunt.OutcomeNotRun {
+		result.Cost = a.meter.Total(elapsed)
+	}
+	result.Lost = lost(err)
+	d.options.Scheduler.Release(grant, result)
+	return err
+}
+
+// lost reports whether an error says that the upstream failed.
+func lost(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch redwingshunt.OutcomeOf(err).Reason {
+	case redwingshunt.ReasonUpstreamFailed, redwingshunt.ReasonStalled, redwingshunt.ReasonTruncated:
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *attempt) run() error {
+	ctx, cancel := context.WithCancelCause(a.exchange.HTTP.Context())
+	defer cancel(nil)
+	a.stall = time.AfterFunc(a.exchange.Service.Stall, func() { cancel(errStalled) })
+	defer a.stall.Stop()
+
+	response, err := a.transport().RoundTrip(a.request(ctx))
+	if err != nil {
+		return a.failure(ctx, err)
+	}
+	defer response.Body.Close()
+	a.progress()
+	if err := a.checkID(response); err != nil {
+		return err
+	}
+	if notBegun(response) {
+		return redwingshunt.NotRun(redwingshunt.ReasonUpstreamRefused, http.StatusServiceUnavailable,
+			"the upstream refused the request before it began").After(redwingshunt.RetrySoon)
+	}
+	if isEventStream(response) {
+		return a.copyStream(ctx, response)
+	}
+	return a.copyWhole(ctx, response)
+}
+
+func (a *attempt) transport() *http.Transport {
+	if a.exchange.Request.Once {
+		return a.dispatcher.fresh
+	}
+	return a.dispatcher.reuse
+}
+
+// request builds the request to the upstream.
+func (a *attempt) request(ctx context.Context) *http.Request {
+	r := a.exchange.Request
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+	}
+	out, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace),
+		r.Method, "http://"+a.grant.Upstream.Address.String()+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		// The target was parsed once already, as a part of the caller's URL.
+		out = &http.Request{Method: r.Method}
+	}
+	copyHeader(out.Header, r.Header)
+	out.Header.Del("Authorization")
+	out.Header.Set(redwingshunt.HeaderRequest, r.ID)
+	return out
+}
+
+// progress notes that the upstream is alive.
+func (a *attempt) progress() {
+	if a.first == 0 {
+		a.first = time.Since(a.start)
+	}
+	a.stall.Reset(a.exchange.Service.Stall)
+}
+
+// checkID drops an answer that names another request.
+func (a *attempt) checkID(response *http.Response) error {
+	id := response.Header.Get(redwingshunt.HeaderRequest)
+	if id == "" || id == a.exchange.Request.ID {
+		return nil
+	}
+	a.dispatcher.crossed.Add(1)
+	return redwingshunt.MayHaveRun(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway,
+		"the upstream answered another request")
+}
+
+// failure classifies an error of the transport. Nothing ran when there never
+// was a connection.
+func (a *attempt) failure(ctx context.Context, err error) error {
+	outcome := redwingshunt.MayHaveRun
+	if !a.connected.Load() {
+		outcome = redwingshunt.NotRun
+	}
+	switch {
+	case a.exchange.HTTP.Context().Err() != nil:
+		return outcome(redwingshunt.ReasonCancelled, statusClientClosed, "the caller went away")
+	case errors.Is(context.Cause(ctx), errStalled):
+		return outcome(redwingshunt.ReasonStalled, http.StatusGatewayTimeout, errStalled.Error())
+	default:
+		return outcome(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway, err.Error())
+	}
+}
+
+// statusClientClosed is the customary status in logs for a caller that left.
+const statusClientClosed = 499
+
+// copyWhole holds an answer back until it is whole, up to a limit, so that a
+// failure in its middle can still be repeated elsewhere.
+func (a *attempt) copyWhole(ctx context.Context, response *http.Response) error {
+	reader := &progressReader{attempt: a, reader: response.Body}
+	body, err := io.ReadAll(io.LimitReader(reader, largestBuffered))
+	if err != nil {
+		return a.failure(ctx, err)
+	}
+	a.meter.Body(body)
+	e := a.exchange
+	header := e.Writer.Header()
+	copyHeader(header, response.Header)
+	header.Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
+	e.Started = true
+	e.Writer.WriteHeader(response.StatusCode)
+	if _, err := e.Writer.Write(body); err != nil {
+		return a.failure(ctx, err)
+	}
+	if len(body) < largestBuffered {
+		return nil
+	}
+	if _, err := io.CopyBuffer(e.Writer, reader, make([]byte, copyBuffer)); err != nil {
+		return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, err.Error())
+	}
+	return nil
+}
+
+// progressReader notes progress on each read.
+type progressReader struct {
+	attempt *attempt
+	reader  io.Reader
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		r.attempt.progress()
+	}
+	return n, err
+}
+
+// notBegun reports whether the upstream says that it did not start.
+func notBegun(response *http.Response) bool {
+	return response.StatusCode >= http.StatusBadRequest &&
+		strings.EqualFold(response.Header.Get(redwingshunt.HeaderBegun), "no")
+}
+
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, connection := range from["Connection"] {
+		for name := range strings.SplitSeq(connection, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
--- /dev/null
+++ b/dispatcher/stream.go
@@ -0,0 +1,88 @@
+package dispatcher
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// copyStream passes server-sent events on one by one. A stream is whole when
+// its last event says so; one that ends before is reported as truncated.
+func (a *attempt) copyStream(ctx context.Context, response *http.Response) error {
+	scanner := bufio.NewScanner(&progressReader{attempt: a, reader: response.Body})
+	scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
+	scanner.Split(splitEvents)
+	for scanner.Scan() {
+		event := scanner.Bytes()
+		data, ok := eventData(event)
+		if ok {
+			a.meter.Event(data)
+		}
+		a.startStream(response)
+		if err := a.writeEvent(event); err != nil {
+			return a.failure(ctx, err)
+		}
+		if a.meter.Done() {
+			return nil
+		}
+	}
+	if a.exchange.HTTP.Context().Err() != nil {
+		return a.failure(ctx, context.Canceled)
+	}
+	detail := "the stream ended before its last event"
+	if err := scanner.Err(); err != nil {
+		detail += ": " + err.Error()
+	}
+	return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, detail)
+}
+
+// startStream sends the header of the answer once there is something to send.
+func (a *attempt) startStream(response *http.Response) {
+	if a.exchange.Started {
+		return
+	}
+	header := a.exchange.Writer.Header()
+	copyHeader(header, response.Header)
+	// The outcome of a stream is known at its end only.
+	header.Set("Trailer", redwingshunt.HeaderOutcome)
+	a.exchange.Started = true
+	a.exchange.Writer.WriteHeader(response.StatusCode)
+}
+
+func (a *attempt) writeEvent(event []byte) error {
+	if a.meter.Done() {
+		a.exchange.Writer.Header().Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
+	}
+	if _, err := a.exchange.Writer.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.exchange.Writer).Flush()
+}
+
+// splitEvents is a bufio.SplitFunc for server-sent events; each ends with an
+// empty line, which is kept. An event cut off by the end of the stream is
+// dropped.
+func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
+	for _, end := range []string{"\n\n", "\r\n\r\n"} {
+		if i := bytes.Index(data, []byte(end)); i >= 0 {
+			return i + len(end), data[:i+len(end)], nil
+		}
+	}
+	if atEOF {
+		return len(data), nil, nil
+	}
+	return 0, nil, nil
+}
+
+// eventData returns the data of a server-sent event.
+func eventData(event []byte) ([]byte, bool) {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			return bytes.TrimSpace(data), true
+		}
+	}
+	return nil, false
+}
--- a/document.go
+++ b/document.go
@@ -72,6 +72,7 @@
 type Service struct {
 	Name    ServiceID     `yaml:"name"`
 	Kind    ServiceKind   `yaml:"kind"`
+	Key     KeyHash       `yaml:"key,omitempty"`   // key that upstreams announce with; empty when they need none
 	Model   string        `yaml:"model,omitempty"` // model name in chat completions; the service name when empty
 	Cost    CostUnit      `yaml:"cost"`            // tokens for an engine, requests for a plain service when empty
 	Cached  int           `yaml:"cached"`          // percent of a prompt token that a cached one costs
--- a/exchange.go
+++ b/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // Exchange is one request of a caller on its way through the chain. Each filter
@@ -10,6 +11,7 @@
 type Exchange struct {
 	Writer   http.ResponseWriter
 	HTTP     *http.Request
+	Arrived  time.Time
 	Snapshot *Snapshot // configuration in force when the request arrived
 	Account  *Account  // set by the authenticator
 	Service  *Service  // set by the classifier
--- a/linker/server.go
+++ b/linker/server.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"context"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -22,9 +23,11 @@
 	}
 	from := redwingshunt.InstanceID(first.GetHello().GetInstance())
 	in := &inbound{stream: stream, wake: make(chan struct{}, 1)}
-	done := make(chan struct{})
-	defer close(done)
-	l.wait.Go(func() { in.acknowledge(done) })
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	stop := context.AfterFunc(l.ctx, cancel)
+	defer stop()
+	l.wait.Go(func() { in.acknowledge(ctx.Done()) })
 	for frame := first; ; {
 		in.received(frame.GetSequence())
 		l.counters.received(frame)
--- /dev/null
+++ b/mimic/mimic.go
@@ -0,0 +1,198 @@
+// Package mimic is a stand-in for upstreams: a model engine that speaks chat
+// completions, and a plain service. It serves trials, tests and the demo.
+//
+// The engine runs a fixed number of requests at once, spends time before the
+// first token and between tokens, reports usage, echoes the request ID, and
+// announces itself to instances as a real upstream does. It counts the runs of
+// each request, and can be told to fail.
+//
+// # Usage
+//
+//	m := mimic.New(mimic.Options{ID: "gpu-1", Service: "assistant", Slots: 8, Token: 10 * time.Millisecond})
+//	address, err := m.Start("127.0.0.1:0")
+//	m.Announce("127.0.0.1:8080")
+//	defer m.Stop()
+package mimic
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/gravitational/trace"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/announcer"
+)
+
+// renewal is how often a stand-in renews its announcement.
+const renewal = time.Second
+
+// Options configure a stand-in.
+type Options struct {
+	ID      redwingshunt.UpstreamID
+	Service redwingshunt.ServiceID
+	Region  redwingshunt.RegionID
+	Zone    redwingshunt.ZoneID
+	Slots   int
+	First   time.Duration // before the first token, or for a whole plain request
+	Token   time.Duration // between tokens
+	Poison  string        // a body that holds it kills the upstream; empty for none
+}
+
+// Mimic is one stand-in upstream.
+type Mimic struct {
+	options  Options
+	server   *http.Server
+	address  netip.AddrPort
+	slots    chan struct{}
+	running  atomic.Int64
+	waiting  atomic.Int64
+	cancel   context.CancelFunc
+	ctx      context.Context
+	wait     sync.WaitGroup
+	client   *http.Client
+	stopping sync.Once
+
+	mu        sync.Mutex
+	runs      map[string]int // by request ID
+	bodies    map[string]int // by body
+	cancelled int
+	refuse    bool
+}
+
+// New returns a stand-in that does not listen yet.
+func New(options Options) *Mimic {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Mimic{
+		options: options,
+		slots:   make(chan struct{}, options.Slots),
+		ctx:     ctx,
+		cancel:  cancel,
+		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
+		runs:    make(map[string]int),
+		bodies:  make(map[string]int),
+	}
+}
+
+// Start listens on an IP number and port and returns the address.
+func (m *Mimic) Start(listen string) (netip.AddrPort, error) {
+	var config net.ListenConfig
+	socket, err := config.Listen(m.ctx, "tcp", listen)
+	if err != nil {
+		return netip.AddrPort{}, trace.Wrap(err)
+	}
+	m.address, err = netip.ParseAddrPort(socket.Addr().String())
+	if err != nil {
+		return netip.AddrPort{}, trace.Wrap(err)
+	}
+	router := mux.NewRouter()
+	router.Path("/v1/chat/completions").HandlerFunc(m.serve(m.chat))
+	router.PathPrefix("/").HandlerFunc(m.serve(m.plain))
+	m.server = &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
+	m.wait.Go(func() { _ = m.server.Serve(socket) })
+	return m.address, nil
+}
+
+// Announce keeps the stand-in announced to the instance that listens at the
+// address, until Leave or Stop.
+func (m *Mimic) Announce(instance string) {
+	m.announce(instance)
+	m.wait.Go(func() {
+		ticker := time.NewTicker(renewal)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				m.announce(instance)
+			case <-m.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+func (m *Mimic) announce(instance string) {
+	body, err := json.Marshal(announcer.Announcement{
+		ID: m.options.ID, Service: m.options.Service,
+		Region: m.options.Region, Zone: m.options.Zone,
+		Address: m.address, Slots: m.options.Slots,
+		Load: announcer.Load{Running: int(m.running.Load()), Waiting: int(m.waiting.Load())},
+	})
+	if err != nil {
+		return
+	}
+	m.call(http.MethodPost, "http://"+instance+"/v1/upstreams", body)
+}
+
+// call talks to an instance; a failure is mended by the next renewal.
+func (m *Mimic) call(method, url string, body []byte) {
+	request, err := http.NewRequestWithContext(m.ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	response, err := m.client.Do(request)
+	if err != nil {
+		return
+	}
+	response.Body.Close()
+}
+
+// Leave tells an instance that the upstream takes no new work.
+func (m *Mimic) Leave(instance string) {
+	m.call(http.MethodDelete,
+		"http://"+instance+"/v1/upstreams/"+string(m.options.Service)+"/"+string(m.options.ID), nil)
+}
+
+// Stop ends the stand-in at once, as a crash does.
+func (m *Mimic) Stop() {
+	m.stopping.Do(func() {
+		m.cancel()
+		if m.server != nil {
+			m.server.Close()
+		}
+		m.client.CloseIdleConnections()
+	})
+}
+
+// Wait returns when everything that Stop ended is gone.
+func (m *Mimic) Wait() { m.wait.Wait() }
+
+// Refuse makes the stand-in say of each request that it has not begun.
+func (m *Mimic) Refuse(refuse bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuse = refuse
+}
+
+// Runs returns how often a request with this body was begun.
+func (m *Mimic) Runs(body string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bodies[body]
+}
+
+// Requests returns how many requests were begun.
+func (m *Mimic) Requests() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := 0
+	for _, n := range m.runs {
+		total += n
+	}
+	return total
+}
+
+// Cancelled returns how many requests were cancelled by the router.
+func (m *Mimic) Cancelled() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cancelled
+}
--- a/parser/document.go
+++ b/parser/document.go
@@ -64,6 +64,7 @@
 	required("name", func(s *redwingshunt.Service) *redwingshunt.ServiceID { return &s.Name }, name[redwingshunt.ServiceID]()),
 	required("kind", func(s *redwingshunt.Service) *redwingshunt.ServiceKind { return &s.Kind },
 		oneOf(redwingshunt.ServiceEngine, redwingshunt.ServicePlain)),
+	optional("key", func(s *redwingshunt.Service) *redwingshunt.KeyHash { return &s.Key }, hash),
 	optional("model", func(s *redwingshunt.Service) *string { return &s.Model }, phrase[string]("the name of a model")),
 	optional("cost", func(s *redwingshunt.Service) *redwingshunt.CostUnit { return &s.Cost },
 		oneOf(redwingshunt.CostTokens, redwingshunt.CostRequests, redwingshunt.CostTime)),
--- /dev/null
+++ b/responder/responder.go
@@ -0,0 +1,116 @@
+// Package responder tells callers how their request ended.
+//
+// An error of the chain becomes a JSON body and headers that say what the
+// caller may believe. Once a byte of an answer has gone out, a stream ends with
+// an error event instead, and any other answer is cut off, so that a part is
+// never taken for the whole.
+//
+// # Usage
+//
+//	r := responder.New(logger)
+//	chain := redwingshunt.Chain(last, r.Filter, others...)
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Body is the JSON form of an outcome other than complete.
+type Body struct {
+	Error ErrorBody `json:"error"`
+}
+
+// ErrorBody names outcome and reason for programs and people.
+type ErrorBody struct {
+	Outcome redwingshunt.Outcome `json:"outcome"`
+	Reason  redwingshunt.Reason  `json:"reason"`
+	Message string               `json:"message"`
+	Request string               `json:"request,omitempty"` // ID of the request
+}
+
+// Responder ends the chain for requests that failed.
+type Responder struct {
+	logger *slog.Logger
+}
+
+// New returns a responder that logs each failure.
+func New(logger *slog.Logger) *Responder { return &Responder{logger: logger} }
+
+// Filter turns errors into answers. It returns no error but
+// http.ErrAbortHandler, which asks the listener to cut the connection.
+func (r *Responder) Filter(next redwingshunt.Handler) redwingshunt.Handler {
+	return redwingshunt.HandlerFunc(func(ctx context.Context, e *redwingshunt.Exchange) error {
+		err := next.Serve(ctx, e)
+		if err == nil {
+			return nil
+		}
+		outcome := redwingshunt.OutcomeOf(err)
+		r.log(e, outcome)
+		switch {
+		case !e.Started:
+			Write(e.Writer, outcome, requestID(e))
+			return nil
+		case e.Request.Stream:
+			writeEvent(e.Writer, outcome, requestID(e))
+			return nil
+		default:
+			return http.ErrAbortHandler
+		}
+	})
+}
+
+func (r *Responder) log(e *redwingshunt.Exchange, outcome *redwingshunt.OutcomeError) {
+	account := ""
+	if e.Account != nil {
+		account = string(e.Account.Name)
+	}
+	r.logger.Info("request failed", "request", requestID(e), "account", account,
+		"outcome", string(outcome.Outcome), "reason", string(outcome.Reason), "detail", outcome.Detail)
+}
+
+func requestID(e *redwingshunt.Exchange) string {
+	if e.Request == nil {
+		return ""
+	}
+	return e.Request.ID
+}
+
+// Write sends an outcome as the whole answer.
+func Write(w http.ResponseWriter, outcome *redwingshunt.OutcomeError, request string) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(redwingshunt.HeaderOutcome, string(outcome.Outcome))
+	header.Set(redwingshunt.HeaderReason, string(outcome.Reason))
+	if outcome.RetryAfter > 0 {
+		seconds := int64((outcome.RetryAfter + time.Second - 1) / time.Second)
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(outcome.Status)
+	_, _ = w.Write(append(encode(outcome, request), '\n'))
+}
+
+// writeEvent ends a stream that has begun.
+func writeEvent(w http.ResponseWriter, outcome *redwingshunt.OutcomeError, request string) {
+	w.Header().Set(redwingshunt.HeaderOutcome, string(outcome.Outcome))
+	_, _ = w.Write([]byte("event: error\ndata: "))
+	_, _ = w.Write(encode(outcome, request))
+	_, _ = w.Write([]byte("\n\n"))
+	_ = http.NewResponseController(w).Flush()
+}
+
+func encode(outcome *redwingshunt.OutcomeError, request string) []byte {
+	body, err := json.Marshal(Body{Error: ErrorBody{
+		Outcome: outcome.Outcome, Reason: outcome.Reason, Message: outcome.Detail, Request: request,
+	}})
+	if err != nil {
+		return []byte(`{"error":{"outcome":"` + string(outcome.Outcome) + `"}}`)
+	}
+	return body
+}
