Serve the administration API with access by team and section

Parts plug in as they land; a route without its part says so. Bases travel as ETag and If-Match and submission IDs as Idempotency-Key, the customary headers, so that curl can do all that the command line does. The OpenAPI file is compared with the route table and the Go types in both directions.

The bootstrap key counts only until a document with teams is in force: a key in a settings file that stayed valid would be a way around the teams.

--- /dev/null
+++ b/administrator/administrator_test.go
@@ -0,0 +1,267 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/parser"
+)
+
+// fake is an instance whose parts answer what the test sets.
+type fake struct {
+	snapshot  *redwingshunt.Snapshot
+	receipt   redwingshunt.Receipt
+	err       error
+	submitted redwingshunt.Submission
+	drained   bool
+}
+
+func (f *fake) Self() redwingshunt.Instance     { return redwingshunt.Instance{ID: "node-a"} }
+func (f *fake) Live() []redwingshunt.Instance   { return []redwingshunt.Instance{f.Self()} }
+func (f *fake) Current() *redwingshunt.Snapshot { return f.snapshot }
+func (f *fake) Watch() <-chan struct{}          { return nil }
+func (f *fake) Dump() any                       { return map[string]int{"depth": 3} }
+func (f *fake) Drain()                          { f.drained = true }
+func (f *fake) Submit(_ context.Context, s redwingshunt.Submission) (redwingshunt.Receipt, error) {
+	f.submitted = s
+	return f.receipt, f.err
+}
+
+func (f *fake) Replace(_ context.Context, _, _ redwingshunt.InstanceID, step func(string)) error {
+	step("added node-d as a learner")
+	return f.err
+}
+
+// large is a part of a dump beyond the bound.
+type large struct{}
+
+func (large) Dump() any { return strings.Repeat("x", maxPart) }
+
+// newFake returns an instance with the example document in force.
+func newFake(t *testing.T) *fake {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "examples", "saddlery.yaml"))
+	is.New(t).NoErr(err)
+	document, findings := parser.Document("saddlery.yaml", text)
+	is.New(t).NoErr(findings.Err())
+	return &fake{snapshot: &redwingshunt.Snapshot{
+		Revision: 7, Document: document,
+		Sections: map[redwingshunt.Section]redwingshunt.Revision{redwingshunt.SectionAccounts: 5},
+	}}
+}
+
+func (f *fake) handler() http.Handler {
+	return New(Parts{
+		Members: f, Configuration: f, Submitter: f, Drainer: f, Repairer: f,
+		Bootstrap: HashKey("EXAMPLE-KEY-bootstrap"),
+		Dumpers:   map[string]redwingshunt.Dumper{"scheduler": f, "log": large{}},
+	})
+}
+
+// call sends one request with the example key of a team.
+func (f *fake) call(method, path, team, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if team != "" {
+		r.Header.Set("Authorization", "Bearer EXAMPLE-KEY-"+team)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.handler().ServeHTTP(w, r)
+	return w
+}
+
+func TestAccess(t *testing.T) {
+	tests := map[string]struct {
+		method, path, team string
+		empty              bool // without a document
+		want               int
+	}{
+		"anyone reads the health":                {"GET", "/v1/healthz", "", false, 200},
+		"the health without a document":          {"GET", "/v1/healthz", "", true, 503},
+		"nobody reads without a key":             {"GET", "/v1/status", "", false, 401},
+		"nobody reads with a wrong key":          {"GET", "/v1/status", "nobody", false, 401},
+		"an account is no team":                  {"GET", "/v1/status", "fitters-north", false, 401},
+		"a team reads":                           {"GET", "/v1/status", "booking-team", false, 200},
+		"a team reads any section":               {"GET", "/v1/document/accounts", "booking-team", false, 200},
+		"a team edits its section":               {"PUT", "/v1/document/once", "booking-team", false, 200},
+		"a team edits no other section":          {"PUT", "/v1/document/accounts", "booking-team", false, 403},
+		"a part of the sections is not all":      {"PUT", "/v1/document", "platform", false, 403},
+		"a team that edits no fleet may no dump": {"GET", "/v1/dump", "booking-team", false, 403},
+		"an operator drains":                     {"POST", "/v1/drain", "platform", false, 202},
+		"no drain for others":                    {"POST", "/v1/drain", "assistant-team", false, 403},
+		"bootstrap submits the first document":   {"PUT", "/v1/document", "bootstrap", true, 200},
+		"bootstrap ends with the document":       {"PUT", "/v1/document", "bootstrap", false, 401},
+		"no document to show":                    {"GET", "/v1/document", "bootstrap", true, 404},
+		"no such section":                        {"GET", "/v1/document/colours", "platform", false, 400},
+		"no such route":                          {"GET", "/v2/status", "platform", false, 404},
+		"no such method":                         {"DELETE", "/v1/document", "platform", false, 405},
+		"a part that is not there":               {"GET", "/v1/history", "platform", false, 501},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(t)
+			f.receipt = redwingshunt.Receipt{Accepted: true, Revision: 8}
+			if test.empty {
+				f.snapshot = nil
+			}
+			answer := f.call(test.method, test.path, test.team, "", "If-Match", `"5"`, "Idempotency-Key", "k")
+			is.Equal(answer.Code, test.want)
+			if answer.Code < 400 || answer.Code == 503 {
+				return
+			}
+			var problem Problem
+			is.NoErr(json.Unmarshal(answer.Body.Bytes(), &problem))
+			is.Equal(problem.Status, test.want)
+			is.True(problem.Reason != "" && problem.Detail != "" && problem.Next != "")
+			is.Equal(f.submitted, redwingshunt.Submission{}) // a refused call changes nothing
+			is.True(!f.drained)
+		})
+	}
+}
+
+func TestSubmit(t *testing.T) {
+	tests := map[string]struct {
+		receipt redwingshunt.Receipt
+		err     error
+		path    string
+		base    string
+		id      string
+		want    int
+		reason  Reason
+	}{
+		"accepted":      {redwingshunt.Receipt{Accepted: true}, nil, "", `"5"`, "k", 200, ""},
+		"dry run":       {redwingshunt.Receipt{}, nil, "?dry=true", `"5"`, "k", 200, ""},
+		"findings":      {redwingshunt.Receipt{Findings: redwingshunt.Findings{{Text: "x"}}}, nil, "", `"5"`, "k", 422, ReasonFindings},
+		"conflict":      {redwingshunt.Receipt{Conflict: "revision 6"}, nil, "", `"5"`, "k", 412, ReasonConflict},
+		"not committed": {redwingshunt.Receipt{}, redwingshunt.ErrNotCommitted, "", `"5"`, "k", 503, ReasonNotCommitted},
+		"unknown":       {redwingshunt.Receipt{}, redwingshunt.ErrUnknown, "", `"5"`, "k", 504, ReasonUnknown},
+		"failed":        {redwingshunt.Receipt{}, errors.New("disk"), "", `"5"`, "k", 500, ReasonFailed},
+		"without base":  {redwingshunt.Receipt{Accepted: true}, nil, "", "", "k", 428, ReasonInvalid},
+		"wrong base":    {redwingshunt.Receipt{Accepted: true}, nil, "", "W/x", "k", 400, ReasonInvalid},
+		"without ID":    {redwingshunt.Receipt{Accepted: true}, nil, "", `"5"`, "", 400, ReasonInvalid},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake(t)
+			f.receipt, f.err = test.receipt, test.err
+			answer := f.call("PUT", "/v1/document/accounts"+test.path, "customer-office", "accounts: []", "If-Match", test.base, "Idempotency-Key", test.id)
+			is.Equal(answer.Code, test.want)
+			var problem Problem
+			is.NoErr(json.Unmarshal(answer.Body.Bytes(), &problem))
+			is.Equal(problem.Reason, test.reason)
+			if test.want == 200 {
+				is.Equal(f.submitted, redwingshunt.Submission{
+					ID: "k", Team: "customer-office", Section: redwingshunt.SectionAccounts, Base: 5,
+					Text: []byte("accounts: []"), DryRun: test.path != "",
+				})
+			}
+		})
+	}
+}
+
+// TestDump checks that a dump is bounded and tells no key that was used.
+func TestDump(t *testing.T) {
+	is := is.New(t)
+	answer := newFake(t).call("GET", "/v1/dump", "platform", "")
+	is.Equal(answer.Code, 200)
+	is.True(answer.Body.Len() < 1<<16)
+	is.True(!strings.Contains(answer.Body.String(), "EXAMPLE-KEY"))
+	var dump Dump
+	is.NoErr(json.Unmarshal(answer.Body.Bytes(), &dump))
+	is.Equal(string(dump.Parts["scheduler"]), `{"depth":3}`)
+	is.True(strings.Contains(string(dump.Parts["log"]), "too large"))
+	is.Equal(dump.Status.Revision, redwingshunt.Revision(7))
+}
+
+func TestDocumentCarriesBase(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	is.Equal(f.call("GET", "/v1/document", "platform", "").Header().Get("ETag"), `"7"`)
+	is.Equal(f.call("GET", "/v1/document/accounts", "platform", "").Header().Get("ETag"), `"5"`)
+}
+
+func TestReplaceTellsStepsAndFailure(t *testing.T) {
+	is := is.New(t)
+	f := newFake(t)
+	f.err = redwingshunt.ErrNotCommitted
+	answer := f.call("POST", "/v1/voters/replace", "platform", `{"lost": "node-b", "with": "node-d"}`)
+	lines := strings.Split(strings.TrimSpace(answer.Body.String()), "\n")
+	is.Equal(len(lines), 2)
+	var first, last Step
+	is.NoErr(json.Unmarshal([]byte(lines[0]), &first))
+	is.NoErr(json.Unmarshal([]byte(lines[1]), &last))
+	is.Equal(first.Text, "added node-d as a learner")
+	is.Equal(last.Problem.Reason, ReasonNotCommitted)
+	is.Equal(f.call("POST", "/v1/voters/replace", "platform", `{"lost": "node-b", "with": "node-b"}`).Code, 400)
+}
+
+// openAPI is what the test reads of docs/openapi.yaml.
+type openAPI struct {
+	Paths      map[string]map[string]yaml.Node `yaml:"paths"`
+	Components struct {
+		Schemas map[string]struct {
+			Properties map[string]any `yaml:"properties"`
+		} `yaml:"schemas"`
+	} `yaml:"components"`
+}
+
+// TestOpenAPI compares docs/openapi.yaml with the routes and the types, both ways.
+func TestOpenAPI(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile(filepath.Join("..", "docs", "openapi.yaml"))
+	is.NoErr(err)
+	var api openAPI
+	is.NoErr(yaml.Unmarshal(text, &api))
+	described := make(redwingshunt.Set[string])
+	for path, methods := range api.Paths {
+		for method, node := range methods {
+			if method == "parameters" {
+				continue
+			}
+			var operation struct {
+				Access string `yaml:"x-access"`
+			}
+			is.NoErr(node.Decode(&operation))
+			described.Add(strings.ToUpper(method) + " " + path + " " + operation.Access)
+		}
+	}
+	routed := make(redwingshunt.Set[string])
+	for _, r := range (&server{}).routes() {
+		routed.Add(r.method + " " + r.path + " " + string(r.access))
+	}
+	is.Equal(described.Sorted(), routed.Sorted())
+
+	types := []any{
+		Health{}, Status{}, InstanceStatus{}, LogStatus{}, Change{}, AccountStatus{}, UpstreamStatus{}, Dump{},
+		Replacement{}, Step{}, Draining{}, Problem{}, redwingshunt.Receipt{}, redwingshunt.Finding{},
+	}
+	is.Equal(len(api.Components.Schemas), len(types))
+	for _, value := range types {
+		kind := reflect.TypeOf(value)
+		fields, properties := make(redwingshunt.Set[string]), make(redwingshunt.Set[string])
+		for i := range kind.NumField() {
+			name, _, _ := strings.Cut(kind.Field(i).Tag.Get("json"), ",")
+			fields.Add(name)
+		}
+		for name := range api.Components.Schemas[kind.Name()].Properties {
+			properties.Add(name)
+		}
+		is.Equal(properties.Sorted(), fields.Sorted()) // schema and type differ
+	}
+}
--- /dev/null
+++ b/administrator/change.go
@@ -0,0 +1,142 @@
+package administrator
+
+// The routes that change something.
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	maxDocument   = 8 << 20          // bytes of a submitted text
+	maxCall       = 64 << 10         // bytes of any other body
+	submitTimeout = 15 * time.Second // limit of a submission
+	maxID         = 128              // bytes of a submission ID
+)
+
+// putDocument submits a section or the whole document.
+func (s *server) putDocument(w http.ResponseWriter, r *http.Request) error {
+	if s.parts.Submitter == nil {
+		return notAvailable("submitter; its document is a file named in the settings")
+	}
+	submission, err := readSubmission(w, r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout)
+	defer cancel()
+	receipt, err := s.parts.Submitter.Submit(ctx, submission)
+	if err != nil {
+		return err
+	}
+	if problem := refusal(receipt, submission.DryRun); problem != nil {
+		return problem
+	}
+	writeJSON(w, http.StatusOK, receipt)
+	return nil
+}
+
+// readSubmission reads the submission out of a request.
+func readSubmission(w http.ResponseWriter, r *http.Request) (redwingshunt.Submission, error) {
+	base, err := readBase(r)
+	if err != nil {
+		return redwingshunt.Submission{}, err
+	}
+	id := r.Header.Get("Idempotency-Key")
+	if id == "" || len(id) > maxID {
+		return redwingshunt.Submission{}, invalid("the header Idempotency-Key is missing or too long",
+			"give each submission an ID of its own, and a resend the same")
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
+	if err != nil {
+		return redwingshunt.Submission{}, err
+	}
+	return redwingshunt.Submission{
+		ID: id, Team: teamOf(r).Name, Section: redwingshunt.Section(mux.Vars(r)["section"]),
+		Base: base, Text: text, DryRun: r.URL.Query().Get("dry") == "true",
+	}, nil
+}
+
+// readBase returns the revision in the header If-Match.
+func readBase(r *http.Request) (redwingshunt.Revision, error) {
+	text := r.Header.Get("If-Match")
+	if text == "" {
+		return 0, &Problem{
+			Status: http.StatusPreconditionRequired, Reason: ReasonInvalid,
+			Detail: "the header If-Match is missing",
+			Next:   `give the ETag of the text that was edited, or "0" for the first document`,
+		}
+	}
+	base, err := strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
+	if err != nil {
+		return 0, invalid("If-Match is "+strconv.Quote(text), "give the ETag of the text that was edited")
+	}
+	return redwingshunt.Revision(base), nil
+}
+
+// refusal returns the problem of a receipt that is not accepted, or nil.
+func refusal(receipt redwingshunt.Receipt, dry bool) *Problem {
+	switch {
+	case len(receipt.Findings) > 0:
+		return &Problem{
+			Status: http.StatusUnprocessableEntity, Reason: ReasonFindings,
+			Detail: "the text has " + strconv.Itoa(len(receipt.Findings)) + " findings",
+			Next:   "correct the text and submit it again", Receipt: &receipt,
+		}
+	case receipt.Accepted, dry && receipt.Conflict == "":
+		return nil
+	}
+	return &Problem{
+		Status: http.StatusPreconditionFailed, Reason: ReasonConflict,
+		Detail: "the section changed since the base: " + receipt.Conflict,
+		Next:   "see redwingshunt diff, merge the change into the text and submit it again", Receipt: &receipt,
+	}
+}
+
+func (s *server) postDrain(w http.ResponseWriter, _ *http.Request) error {
+	if s.parts.Drainer == nil {
+		return notAvailable("graceful shutdown")
+	}
+	s.parts.Drainer.Drain()
+	writeJSON(w, http.StatusAccepted, Draining{Draining: true})
+	return nil
+}
+
+// postReplace answers with one Step a line while the replacement goes on.
+func (s *server) postReplace(w http.ResponseWriter, r *http.Request) error {
+	if s.parts.Repairer == nil {
+		return notAvailable("durable log")
+	}
+	var replacement Replacement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCall))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&replacement); err != nil {
+		return invalid(err.Error(), `send {"lost": NAME, "with": NAME}`)
+	}
+	if replacement.With == "" || replacement.With == replacement.Lost {
+		return invalid("the replacement is missing or the lost voter itself", "name an instance with an empty data folder")
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	steps := json.NewEncoder(w)
+	flush := http.NewResponseController(w).Flush
+	err := s.parts.Repairer.Replace(r.Context(), replacement.Lost, replacement.With, func(text string) {
+		_ = steps.Encode(Step{Text: text}) // the replacement goes on without the caller
+		_ = flush()
+	})
+	last := Step{Done: err == nil}
+	if err != nil {
+		last.Problem = problemOf(err)
+	}
+	_ = steps.Encode(last)
+	return nil
+}
--- /dev/null
+++ b/administrator/problem.go
@@ -0,0 +1,109 @@
+package administrator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Reason is the machine-readable cause of a problem.
+type Reason string
+
+// The reasons of the administration API.
+const (
+	ReasonNoRoute         Reason = "no-route"         // no such path or method
+	ReasonUnauthorized    Reason = "unauthorized"     // no team has this key
+	ReasonForbidden       Reason = "forbidden"        // the team may not do this
+	ReasonNotAvailable    Reason = "not-available"    // the instance lacks the part
+	ReasonNoConfiguration Reason = "no-configuration" // there is no document yet
+	ReasonInvalid         Reason = "invalid"          // the call is malformed
+	ReasonTooLarge        Reason = "too-large"        // the body exceeds the limit
+	ReasonFindings        Reason = "findings"         // the text has findings
+	ReasonConflict        Reason = "conflict"         // the section changed since the base
+	ReasonNotCommitted    Reason = "not-committed"    // the change never takes effect
+	ReasonUnknown         Reason = "unknown"          // the change may still take effect
+	ReasonFailed          Reason = "failed"           // anything else
+)
+
+// Problem is the body of every answer other than a success.
+type Problem struct {
+	Status  int                   `json:"status"` // of HTTP
+	Reason  Reason                `json:"reason"`
+	Detail  string                `json:"detail"`            // one sentence
+	Next    string                `json:"next"`              // what to do next
+	Receipt *redwingshunt.Receipt `json:"receipt,omitempty"` // of a refused submission
+}
+
+// Error returns reason and detail in one line.
+func (p *Problem) Error() string { return fmt.Sprintf("%s: %s", p.Reason, p.Detail) }
+
+// notAvailable returns the problem of a missing part.
+func notAvailable(part string) *Problem {
+	return &Problem{
+		Status: http.StatusNotImplemented, Reason: ReasonNotAvailable,
+		Detail: fmt.Sprintf("this instance has no %s", part),
+		Next:   "ask an instance that has one, such as a voter",
+	}
+}
+
+// invalid returns the problem of a malformed call.
+func invalid(detail, next string) *Problem {
+	return &Problem{Status: http.StatusBadRequest, Reason: ReasonInvalid, Detail: detail, Next: next}
+}
+
+// problemOf returns the problem that an error stands for.
+func problemOf(err error) *Problem {
+	var problem *Problem
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &problem):
+		return problem
+	case errors.As(err, &tooLarge):
+		return &Problem{
+			Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge,
+			Detail: fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit), Next: "submit the sections one by one",
+		}
+	case errors.Is(err, redwingshunt.ErrNotCommitted):
+		return &Problem{
+			Status: http.StatusServiceUnavailable, Reason: ReasonNotCommitted,
+			Detail: err.Error(), Next: "nothing was changed; see redwingshunt status for the leader, then try again",
+		}
+	case errors.Is(err, redwingshunt.ErrUnknown):
+		return &Problem{
+			Status: http.StatusGatewayTimeout, Reason: ReasonUnknown,
+			Detail: err.Error(), Next: "resend with the same submission ID: it is never applied twice",
+		}
+	}
+	return &Problem{
+		Status: http.StatusInternalServerError, Reason: ReasonFailed,
+		Detail: err.Error(), Next: "see the log of the instance",
+	}
+}
+
+// handler answers with a problem when a function fails.
+type handler func(w http.ResponseWriter, r *http.Request) error
+
+// ServeHTTP implements http.Handler.
+func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	err := h(w, r)
+	if err == nil {
+		return
+	}
+	problem := problemOf(err)
+	if problem.Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(1)) // seconds
+	}
+	writeJSON(w, problem.Status, problem)
+}
+
+// writeJSON answers with a value.
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the caller went away
+}
--- /dev/null
+++ b/administrator/types.go
@@ -0,0 +1,129 @@
+package administrator
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Duration is a time.Duration that stands in JSON as text, as in "1.5s".
+type Duration struct{ time.Duration }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// Health answers GET /v1/healthz.
+type Health struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"` // why the instance does not serve callers
+}
+
+// Status answers GET /v1/status.
+type Status struct {
+	Instance    redwingshunt.InstanceID                        `json:"instance"`
+	Incarnation redwingshunt.Incarnation                       `json:"incarnation"`
+	Region      redwingshunt.RegionID                          `json:"region"`
+	Zone        redwingshunt.ZoneID                            `json:"zone"`
+	Version     string                                         `json:"version"`
+	Health      Health                                         `json:"health"`
+	Revision    redwingshunt.Revision                          `json:"revision"` // in force on this instance
+	Since       time.Time                                      `json:"since"`    // when that revision was committed
+	Sections    map[redwingshunt.Section]redwingshunt.Revision `json:"sections"`
+	Logs        []LogStatus                                    `json:"logs"`
+	Fleet       []InstanceStatus                               `json:"fleet"`
+}
+
+// InstanceStatus is what one instance knows of another.
+type InstanceStatus struct {
+	Instance redwingshunt.InstanceID `json:"instance"`
+	Region   redwingshunt.RegionID   `json:"region"`
+	Zone     redwingshunt.ZoneID     `json:"zone"`
+	Link     string                  `json:"link"` // address for links
+	Voter    bool                    `json:"voter"`
+	Leaving  bool                    `json:"leaving"`
+	Revision redwingshunt.Revision   `json:"revision"` // last one heard of; zero when unknown
+}
+
+// LogStatus is the state of one replicated log on this instance.
+type LogStatus struct {
+	Group     redwingshunt.GroupID      `json:"group"`
+	Leader    redwingshunt.InstanceID   `json:"leader"` // empty when unknown
+	Term      uint64                    `json:"term"`
+	Committed uint64                    `json:"committed"` // index
+	Applied   uint64                    `json:"applied"`   // index
+	Voters    []redwingshunt.InstanceID `json:"voters"`
+	Learners  []redwingshunt.InstanceID `json:"learners"`
+}
+
+// Change is one accepted change of the document.
+type Change struct {
+	Revision redwingshunt.Revision `json:"revision"`
+	Section  redwingshunt.Section  `json:"section,omitempty"` // empty for the whole document
+	Team     redwingshunt.TeamID   `json:"team"`
+	At       time.Time             `json:"at"`
+	ID       string                `json:"id"` // of the submission
+}
+
+// AccountStatus tells how one account is served by one service.
+type AccountStatus struct {
+	Account  redwingshunt.AccountID `json:"account"`
+	Service  redwingshunt.ServiceID `json:"service"`
+	Share    redwingshunt.Share     `json:"share"`
+	Received redwingshunt.Cost      `json:"received"` // service received, in the unit of the service
+	Gap      redwingshunt.Cost      `json:"gap"`      // behind the most served backlogged account, a share
+	Backlog  int                    `json:"backlog"`  // requests that wait
+	Running  int                    `json:"running"`
+	Wait     Duration               `json:"wait"` // of the request that has waited longest
+}
+
+// UpstreamStatus is what this instance knows of one upstream.
+type UpstreamStatus struct {
+	ID      redwingshunt.UpstreamID `json:"id"`
+	Service redwingshunt.ServiceID  `json:"service"`
+	Region  redwingshunt.RegionID   `json:"region"`
+	Zone    redwingshunt.ZoneID     `json:"zone"`
+	Address string                  `json:"address"`
+	Version string                  `json:"version,omitempty"`
+	Slots   int                     `json:"slots"`
+	Window  int                     `json:"window"`  // requests that the fleet lets run at once
+	Running int                     `json:"running"` // as the upstream reported last
+	Waiting int                     `json:"waiting"` // as the upstream reported last
+	Health  string                  `json:"health"`  // alive, leaving or ejected
+}
+
+// DumpVersion numbers the form of a dump.
+const DumpVersion = 1
+
+// Dump is the state of one process.
+type Dump struct {
+	Version int                        `json:"version"` // DumpVersion
+	At      time.Time                  `json:"at"`
+	Status  Status                     `json:"status"`
+	Parts   map[string]json.RawMessage `json:"parts"`
+}
+
+// Replacement asks for one voter in place of another.
+type Replacement struct {
+	Lost redwingshunt.InstanceID `json:"lost"` // empty to only add
+	With redwingshunt.InstanceID `json:"with"`
+}
+
+// Step is one line of the answer to a replacement. The last one has Done or
+// Problem set.
+type Step struct {
+	Text    string   `json:"text,omitempty"`
+	Done    bool     `json:"done,omitempty"`
+	Problem *Problem `json:"problem,omitempty"`
+}
+
+// Draining answers POST /v1/drain.
+type Draining struct {
+	Draining bool `json:"draining"`
+}
--- a/finding.go
+++ b/finding.go
@@ -7,11 +7,11 @@
 
 // Finding is one fault in a settings file or a document, with its place.
 type Finding struct {
-	File   string // name of the file, or "-" for standard input
-	Line   int    // from 1; zero when the fault has no line
-	Column int    // from 1
-	Path   string // path of keys, as in accounts[3].share
-	Text   string // what is wrong and what is expected
+	File   string `json:"file"`             // name of the file, or "-" for standard input
+	Line   int    `json:"line,omitempty"`   // from 1; zero when the fault has no line
+	Column int    `json:"column,omitempty"` // from 1
+	Path   string `json:"path"`             // path of keys, as in accounts[3].share
+	Text   string `json:"text"`             // what is wrong and what is expected
 }
 
 // String returns the finding in one line: file:line:column: path: text.
