--- a/administrator/change.go
+++ b/administrator/change.go
@@ -89,7 +89,7 @@
 	case len(receipt.Findings) > 0:
 		return &Problem{
 			Status: http.StatusUnprocessableEntity, Reason: ReasonFindings,
-			Detail: "the text has " + strconv.Itoa(len(receipt.Findings)) + " findings",
+			Detail: "findings in the text: " + strconv.Itoa(len(receipt.Findings)),
 			Next:   "correct the text and submit it again", Receipt: &receipt,
 		}
 	case receipt.Accepted, dry && receipt.Conflict == "":
--- a/administrator/read.go
+++ b/administrator/read.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -217,5 +218,22 @@
 		return notAvailable("durable state")
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	return s.parts.Archiver.Backup(r.Context(), w)
+	out := &startedWriter{writer: w}
+	err := s.parts.Archiver.Backup(r.Context(), out)
+	if err != nil && out.started {
+		panic(http.ErrAbortHandler) // the caller sees a broken answer, not a short one
+	}
+	return err
+}
+
+// startedWriter remembers whether anything was written.
+type startedWriter struct {
+	writer  io.Writer
+	started bool
+}
+
+// Write implements io.Writer.
+func (s *startedWriter) Write(p []byte) (int, error) {
+	s.started = true
+	return s.writer.Write(p)
 }
--- /dev/null
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -0,0 +1,282 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/parser"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// fake is an instance that keeps its document in memory.
+type fake struct {
+	t        *testing.T
+	id       redwingshunt.InstanceID
+	leader   redwingshunt.InstanceID
+	snapshot *redwingshunt.Snapshot
+	changes  []administrator.Change
+	unknown  int // submissions that are committed and answered with ErrUnknown
+	receipts map[string]redwingshunt.Receipt
+}
+
+func (f *fake) Self() redwingshunt.Instance {
+	return redwingshunt.Instance{ID: f.id, Region: "north", Zone: "north-a"}
+}
+func (f *fake) Live() []redwingshunt.Instance   { return []redwingshunt.Instance{f.Self()} }
+func (f *fake) Current() *redwingshunt.Snapshot { return f.snapshot }
+func (f *fake) Watch() <-chan struct{}          { return nil }
+func (f *fake) Dump() any                       { return map[string]int{"abc": int(f.snapshot.Revision)} }
+
+func (f *fake) Submit(_ context.Context, s redwingshunt.Submission) (redwingshunt.Receipt, error) {
+	if receipt, ok := f.receipts[s.ID]; ok {
+		receipt.Repeated = true
+		return receipt, nil
+	}
+	receipt := redwingshunt.Receipt{Revision: f.snapshot.Revision}
+	if s.Base != f.snapshot.Revision {
+		receipt.Conflict = "revision 3 by customer-office"
+		return receipt, nil
+	}
+	document, findings := parser.Section("submission", s.Section, s.Text, f.snapshot.Document)
+	if len(findings) > 0 || s.DryRun {
+		receipt.Findings = findings
+		return receipt, nil
+	}
+	f.snapshot = &redwingshunt.Snapshot{Revision: f.snapshot.Revision + 1, Document: document, Sections: f.snapshot.Sections}
+	receipt.Accepted, receipt.Revision = true, f.snapshot.Revision
+	f.changes = append(f.changes, administrator.Change{
+		Revision: f.snapshot.Revision, Section: s.Section, Team: s.Team, ID: s.ID, At: time.Unix(1796353200, 0),
+	})
+	f.receipts[s.ID] = receipt
+	if f.unknown > 0 {
+		f.unknown--
+		return redwingshunt.Receipt{}, redwingshunt.ErrUnknown
+	}
+	return receipt, nil
+}
+
+func (f *fake) Changes(context.Context, int) ([]administrator.Change, error) { return f.changes, nil }
+
+func (f *fake) Text(context.Context, redwingshunt.Revision) ([]byte, error) {
+	return parser.Encode(f.snapshot.Document, "")
+}
+
+func (f *fake) Logs() []administrator.LogStatus {
+	return []administrator.LogStatus{{Leader: f.leader, Term: 4, Committed: 9, Applied: 9, Voters: []redwingshunt.InstanceID{"node-a"}}}
+}
+
+func (f *fake) Accounts() []administrator.AccountStatus {
+	return []administrator.AccountStatus{
+		{Account: "alpha", Service: "assistant", Share: 2, Received: 48000, Backlog: 12, Running: 4, Wait: administrator.Duration{Duration: 1200 * time.Millisecond}},
+		{Account: "beta", Service: "assistant", Share: 1, Received: 23900, Gap: 100, Backlog: 3, Running: 2},
+	}
+}
+
+func (f *fake) Upstreams() []administrator.UpstreamStatus {
+	return []administrator.UpstreamStatus{{
+		ID: "engine-1", Service: "assistant", Zone: "north-a", Address: "127.0.0.9:9000", Slots: 8, Window: 6, Running: 6, Health: "alive",
+	}}
+}
+
+func (f *fake) Replace(_ context.Context, lost, with redwingshunt.InstanceID, step func(string)) error {
+	step(fmt.Sprintf("%s has caught up", with))
+	step(fmt.Sprintf("%s is removed", lost))
+	return nil
+}
+
+func (f *fake) Backup(_ context.Context, w io.Writer) error {
+	_, err := io.WriteString(w, "state")
+	return err
+}
+
+// start serves the administration API of a fake on a loopback address.
+func start(t *testing.T, id redwingshunt.InstanceID) (*fake, string) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "..", "examples", "three.yaml"))
+	is.New(t).NoErr(err)
+	document, findings := parser.Document("three.yaml", text)
+	is.New(t).NoErr(findings.Err())
+	f := &fake{
+		t: t, id: id, leader: "node-a", receipts: make(map[string]redwingshunt.Receipt),
+		snapshot: &redwingshunt.Snapshot{Revision: 2, Document: document, Sections: map[redwingshunt.Section]redwingshunt.Revision{"accounts": 2}},
+	}
+	server := httptest.NewServer(administrator.New(administrator.Parts{
+		Version: "test", Members: f, Configuration: f, Log: f, Submitter: f, History: f, Accounts: f, Upstreams: f,
+		Repairer: f, Archiver: f, Dumpers: map[string]redwingshunt.Dumper{"suspects": f},
+	}))
+	t.Cleanup(server.Close)
+	return f, server.URL
+}
+
+// command runs one command line and returns what it printed.
+func command(input string, environment map[string]string, arguments ...string) (code ExitCode, out, faults string) {
+	var stdout, stderr bytes.Buffer
+	console := &Console{
+		In: strings.NewReader(input), Out: &stdout, Err: &stderr,
+		Getenv: func(name string) string { return environment[name] },
+	}
+	code = Main(context.Background(), console, arguments)
+	return code, stdout.String(), stderr.String()
+}
+
+const accountsText = "# base: %d\naccounts:\n  - {name: alpha, share: %s, home: north, key: \"sha256:%064d\"}\n"
+
+// TestVerbs runs every verb against an instance and compares what it prints
+// with testdata/verbs.txt.
+func TestVerbs(t *testing.T) {
+	is := is.New(t)
+	_, address := start(t, "node-a")
+	other, second := start(t, "node-b")
+	other.leader = "node-b"
+	other.snapshot.Revision = 1
+	environment := map[string]string{envAdmin: address, envKey: "EXAMPLE-KEY-platform"}
+	backup := filepath.Join(t.TempDir(), "backup")
+	good, bad := fmt.Sprintf(accountsText, 2, "3", 1), fmt.Sprintf(accountsText, 2, "0", 1)
+	steps := []struct{ line, input string }{
+		{"frobnicate", ""},
+		{"help exits", ""},
+		{"check -", bad},
+		{"check --section accounts --whole ../../../examples/three.yaml -", bad},
+		{"check --section accounts --whole ../../../examples/three.yaml --json -", bad},
+		{"check --wrong", ""},
+		{"status", ""},
+		{"status --json", ""},
+		{"status --wait 9 --limit 1ms", ""},
+		{"status --wait 2", ""},
+		{"show --section accounts", ""},
+		{"show --section colours", ""},
+		{"diff -", good},
+		{"submit --dry -", good},
+		{"submit --id bad -", bad},
+		{"submit -", "accounts: []"},
+		{"submit --id first -", good},
+		{"submit --id first --json -", good},
+		{"submit --id second -", good},
+		{"history", ""},
+		{"accounts", ""},
+		{"accounts --account beta --json", ""},
+		{"upstreams", ""},
+		{"top --count 1", ""},
+		{"dump --part suspects", ""},
+		{"dump --part none", ""},
+		{"dump --compare --admin " + address + " --admin " + second, ""},
+		{"drain", ""},
+		{"repair --lost node-b node-d", ""},
+		{"repair node-d --json", ""},
+		{"backup " + backup, ""},
+		{"status --key wrong", ""},
+		{"status --admin localhost:80", ""},
+	}
+	var all strings.Builder
+	for _, step := range steps {
+		code, out, faults := command(step.input, environment, strings.Fields(step.line)...)
+		fmt.Fprintf(&all, "$ redwingshunt %s\n%s%s(exit code %d)\n\n", step.line, out, faults, code)
+	}
+	got := strings.NewReplacer(address, "ADDRESS-A", second, "ADDRESS-B", backup, "BACKUP", clearScreen, "").Replace(all.String())
+	golden(t, filepath.Join("testdata", "verbs.txt"), got)
+	saved, err := os.ReadFile(backup)
+	is.NoErr(err)
+	is.Equal(string(saved), "state")
+}
+
+// golden compares a text with a file, or writes the file with -update.
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
+
+// TestResend loses the answer of a submission: it is resent, takes effect once,
+// and the first answer comes back.
+func TestResend(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, "node-a")
+	f.unknown = 1
+	code, out, faults := command(fmt.Sprintf(accountsText, 2, "3", 1), nil, "submit", "--admin", address, "--key", "EXAMPLE-KEY-platform", "-")
+	is.Equal(code, ExitDone)
+	is.Equal(out, "accepted as revision 3\n")
+	is.True(strings.Contains(faults, "resending"))
+	is.Equal(len(f.changes), 1)
+}
+
+// TestDoubt gives up while the outcome is unknown: the exit code says so, and
+// the ID to resend with is told.
+func TestDoubt(t *testing.T) {
+	is := is.New(t)
+	f, address := start(t, "node-a")
+	f.unknown = 1
+	code, _, faults := command(fmt.Sprintf(accountsText, 2, "3", 1), nil,
+		"submit", "--admin", address, "--key", "EXAMPLE-KEY-platform", "--id", "mine", "--limit", "100ms", "-")
+	is.Equal(code, ExitUnknown)
+	is.True(strings.Contains(faults, "--id mine"))
+}
+
+// TestUsageNamesOptions compares the options of each verb with its usage.
+func TestUsageNamesOptions(t *testing.T) {
+	for _, setup := range lookupTable() {
+		t.Run(setup.Name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.HasPrefix(setup.Usage, "Usage: redwingshunt "+setup.Name))
+			described := make(redwingshunt.Set[string])
+			for _, line := range strings.Split(setup.Usage, "\n") {
+				if fields := strings.Fields(line); strings.HasPrefix(line, "  --") {
+					described.Add(fields[0])
+				}
+			}
+			is.Equal(described.Sorted(), redwingshunt.NewSet(optionNames(setup.Options)...).Sorted())
+			code, out, _ := command("", nil, setup.Name, "--help")
+			is.Equal(code, ExitDone)
+			is.Equal(out, setup.Usage)
+		})
+	}
+}
+
+// TestReference compares docs/CLI.md with the usage texts.
+func TestReference(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# The command line\n\nThis page is written by `go test ./cmd/redwingshunt/commander -update`.\n\n```\n" + mainUsage() + "```\n\n")
+	b.WriteString("```\n" + exitsUsage + "```\n")
+	for _, setup := range lookupTable() {
+		fmt.Fprintf(&b, "\n## %s\n\n```\n%s```\n", setup.Name, setup.Usage)
+	}
+	golden(t, filepath.Join("..", "..", "..", "docs", "CLI.md"), b.String())
+}
+
+func TestDiffLines(t *testing.T) {
+	tests := map[string]struct{ before, after, want string }{
+		"same":    {"a b c", "a b c", ""},
+		"insert":  {"a c", "a b c", "+b"},
+		"delete":  {"a b c", "a c", "-b"},
+		"replace": {"a b c d", "a x c y", "-b +x -d +y"},
+		"empty":   {"", "a", "+a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got []string
+			for _, change := range diffLines(strings.Fields(test.before), strings.Fields(test.after)) {
+				got = append(got, string(change.sign)+change.text)
+			}
+			is.Equal(strings.Join(got, " "), test.want)
+		})
+	}
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/compare.go
@@ -0,0 +1,116 @@
+package commander
+
+// Comparison of dumps. What all instances should agree on is written as facts,
+// each a subject with a value; a subject with more than one value among the dumps
+// is a disagreement.
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+)
+
+// disagreement is a subject on which instances differ.
+type disagreement struct {
+	Subject string                               `json:"subject"`
+	Values  map[string][]redwingshunt.InstanceID `json:"values"` // instances by the value that they hold
+}
+
+// String returns the disagreement in one line.
+func (d disagreement) String() string {
+	values := make([]string, 0, len(d.Values))
+	for _, value := range sortedKeys(d.Values) {
+		names := make([]string, len(d.Values[value]))
+		for i, name := range d.Values[value] {
+			names[i] = string(name)
+		}
+		values = append(values, value+" on "+strings.Join(names, " "))
+	}
+	return d.Subject + ": " + strings.Join(values, "; ")
+}
+
+// sortedKeys returns the keys of a map in ascending order.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make(redwingshunt.Set[K], len(m))
+	for key := range m {
+		keys.Add(key)
+	}
+	return keys.Sorted()
+}
+
+// agreedParts are the parts of a dump of which every entry should be the same
+// on all instances: limits of the upstreams and suspect requests.
+var agreedParts = []string{"windows", "suspects"}
+
+// compareDumps returns the disagreements, ordered by subject.
+func compareDumps(dumps []administrator.Dump) []disagreement {
+	values := make(map[string]map[string][]redwingshunt.InstanceID)
+	for _, dump := range dumps {
+		for subject, value := range facts(dump) {
+			if values[subject] == nil {
+				values[subject] = make(map[string][]redwingshunt.InstanceID)
+			}
+			values[subject][value] = append(values[subject][value], dump.Status.Instance)
+		}
+	}
+	found := []disagreement{}
+	for _, subject := range sortedKeys(values) {
+		if len(values[subject]) > 1 {
+			found = append(found, disagreement{Subject: subject, Values: values[subject]})
+		}
+	}
+	return found
+}
+
+// facts returns what one instance holds about what all should agree on.
+func facts(dump administrator.Dump) map[string]string {
+	all := map[string]string{
+		"revision": dump.Status.Revision.String(),
+		"version":  dump.Status.Version,
+		"live":     liveNames(dump.Status.Fleet),
+	}
+	for section, revision := range dump.Status.Sections {
+		all["section "+string(section)] = revision.String()
+	}
+	for _, l := range dump.Status.Logs {
+		subject := fmt.Sprintf("log %d ", l.Group)
+		all[subject+"voters"] = fmt.Sprint(l.Voters)
+		if l.Leader != "" {
+			all[subject+"leader"] = fmt.Sprintf("%s in term %d", l.Leader, l.Term)
+		}
+	}
+	for _, part := range agreedParts {
+		for key, value := range entries(dump.Parts[part]) {
+			all[part+" "+key] = value
+		}
+	}
+	return all
+}
+
+// entries returns the entries of a JSON object as text; none for anything else.
+func entries(part json.RawMessage) map[string]string {
+	var object map[string]json.RawMessage
+	if len(part) == 0 || json.Unmarshal(part, &object) != nil {
+		return nil
+	}
+	all := make(map[string]string, len(object))
+	for key, value := range object {
+		all[key] = string(value)
+	}
+	return all
+}
+
+// liveNames lists the live instances as one text.
+func liveNames(fleet []administrator.InstanceStatus) string {
+	names := make([]string, len(fleet))
+	for i, member := range fleet {
+		names[i] = string(member.Instance)
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/options.go
@@ -0,0 +1,146 @@
+package commander
+
+// Options that several verbs share.
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/redwingshunt/redwingshunt/requester"
+)
+
+// The environment variables that stand in for options.
+const (
+	envAdmin     = "REDWINGSHUNT_ADMIN"     // addresses, separated by blanks
+	envKey       = "REDWINGSHUNT_KEY"       // bearer key
+	envAuthority = "REDWINGSHUNT_AUTHORITY" // path of a PEM file
+)
+
+// ConnectOptions name instances and the key that they are asked with.
+type ConnectOptions struct {
+	Admin     []string `long:"admin"`
+	Key       string   `long:"key"`
+	Authority string   `long:"authority"`
+}
+
+// OutputOptions choose the form of the answer.
+type OutputOptions struct {
+	JSON bool `long:"json"`
+}
+
+// connectUsage is the part of a usage text on ConnectOptions.
+const connectUsage = `
+  --admin ADDRESS   administration API of an instance, as https://10.0.0.1:8082;
+                    may be repeated; otherwise $REDWINGSHUNT_ADMIN
+  --key KEY         key of a team, @FILE to read it; otherwise $REDWINGSHUNT_KEY
+  --authority FILE  PEM file that the instance's certificate is signed by;
+                    otherwise $REDWINGSHUNT_AUTHORITY, or that of the system
+`
+
+// outputUsage is the part of a usage text on OutputOptions.
+const outputUsage = `  --json            print one JSON value on one line
+`
+
+// parse reads options into a struct and returns the other arguments, of which
+// there must be between least and most.
+func parse(verb string, options any, arguments []string, least, most int) ([]string, error) {
+	parser := flags.NewParser(options, flags.PassDoubleDash)
+	rest, err := parser.ParseArgs(arguments)
+	switch {
+	case err != nil:
+		return nil, usageFault(verb, "%s", strings.ReplaceAll(err.Error(), "`", "'"))
+	case len(rest) < least:
+		return nil, usageFault(verb, "an argument is missing")
+	case len(rest) > most:
+		return nil, usageFault(verb, "%q is one argument too many", rest[most])
+	}
+	return rest, nil
+}
+
+// client returns a client for the instances that options or environment name.
+func (o ConnectOptions) client(console *Console, verb string) (*requester.Client, error) {
+	addresses := o.Admin
+	if len(addresses) == 0 {
+		addresses = strings.Fields(console.Getenv(envAdmin))
+	}
+	if len(addresses) == 0 {
+		return nil, usageFault(verb, "no instance is named; give --admin ADDRESS or set %s", envAdmin)
+	}
+	targets, err := requester.ParseTargets(addresses)
+	if err != nil {
+		return nil, usageFault(verb, "%s", trace.UserMessage(err))
+	}
+	key, err := o.readKey(console)
+	if err != nil {
+		return nil, err
+	}
+	config, err := o.readAuthority(console)
+	if err != nil {
+		return nil, err
+	}
+	return requester.New(requester.Options{Targets: targets, Key: key, TLS: config}), nil
+}
+
+// readKey returns the bearer key.
+func (o ConnectOptions) readKey(console *Console) (string, error) {
+	key := o.Key
+	if key == "" {
+		key = console.Getenv(envKey)
+	}
+	path, isFile := strings.CutPrefix(key, "@")
+	if !isFile {
+		return key, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", &Fault{Code: ExitUsage, Text: err.Error(), Next: "give the path of a file that holds the key"}
+	}
+	return strings.TrimSpace(string(text)), nil
+}
+
+// readAuthority returns the TLS settings, nil for those of the system.
+func (o ConnectOptions) readAuthority(console *Console) (*tls.Config, error) {
+	path := o.Authority
+	if path == "" {
+		path = console.Getenv(envAuthority)
+	}
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Fault{Code: ExitUsage, Text: err.Error(), Next: "give the path of a PEM file of the authority"}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, &Fault{Code: ExitUsage, Text: path + " holds no certificate", Next: "give the authority's certificate, not its key"}
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
+// askEach asks each instance of a client. One that does not answer is told and
+// left out, unless none answers.
+func askEach[T any](console *Console, client *requester.Client, ask func(each *requester.Client) (T, error)) ([]T, error) {
+	var answers []T
+	var faults []error
+	for _, each := range client.Each() {
+		answer, err := ask(each)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		answers = append(answers, answer)
+	}
+	if len(answers) == 0 {
+		return nil, faults[len(faults)-1]
+	}
+	for _, err := range faults {
+		console.Progress("%v", err)
+	}
+	return answers, nil
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/table.go
@@ -0,0 +1,70 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+)
+
+// Verb is one parsed command line.
+type Verb interface {
+	Run(ctx context.Context, console *Console) error
+}
+
+// VerbSetup describes a verb to the lookup table.
+type VerbSetup struct {
+	Name    string
+	Summary string // one line
+	Usage   string // the whole help
+	Options any    // pointer to the zero value of its options, for completion
+	Parse   func(console *Console, arguments []string) (Verb, error)
+}
+
+// lookupTable lists the verbs in the order of their help. It is a function, so
+// that the verb help can read it.
+func lookupTable() []VerbSetup {
+	return []VerbSetup{
+		VerbDemoSetup,
+		VerbCheckSetup,
+		VerbKeygenSetup,
+		VerbSubmitSetup,
+		VerbShowSetup,
+		VerbDiffSetup,
+		VerbHistorySetup,
+		VerbStatusSetup,
+		VerbAccountsSetup,
+		VerbUpstreamsSetup,
+		VerbTopSetup,
+		VerbDumpSetup,
+		VerbDrainSetup,
+		VerbRepairSetup,
+		VerbBackupSetup,
+		VerbHelpSetup,
+		VerbVersionSetup,
+		VerbCompletionSetup,
+	}
+}
+
+// lookup returns the setup of a verb, or nil.
+func lookup(name string) *VerbSetup {
+	for _, setup := range lookupTable() {
+		if setup.Name == name {
+			return &setup
+		}
+	}
+	return nil
+}
+
+// mainUsage lists all verbs.
+func mainUsage() string {
+	var b strings.Builder
+	b.WriteString("Usage: redwingshunt VERB [OPTION]... [ARGUMENT]...\n\nVerbs:\n")
+	for _, setup := range lookupTable() {
+		fmt.Fprintf(&b, "  %-11s %s\n", setup.Name, setup.Summary)
+	}
+	b.WriteString(`
+redwingshunt help VERB describes one verb; redwingshunt help exits lists the
+exit codes, redwingshunt help connect the ways to name an instance and a key.
+`)
+	return b.String()
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_backup.go
@@ -0,0 +1,81 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/google/renameio/v2"
+	"github.com/gravitational/trace"
+)
+
+// VerbBackupSetup is the verb backup.
+var VerbBackupSetup = VerbSetup{
+	Name:    "backup",
+	Summary: "copies the committed state into a file",
+	Options: &VerbBackupOptions{},
+	Parse:   parseVerbBackup,
+	Usage: `Usage: redwingshunt backup [OPTION]... FILE
+Copies the committed state of the fleet, the document and the claims, into a file.
+FILE appears only when it is whole and synced.
+
+Options:
+` + outputUsage + connectUsage,
+}
+
+// VerbBackupOptions are the options of backup.
+type VerbBackupOptions struct {
+	OutputOptions
+	ConnectOptions
+}
+
+// VerbBackup copies the state.
+type VerbBackup struct {
+	options VerbBackupOptions
+	file    string
+}
+
+// backedUp is the answer of backup.
+type backedUp struct {
+	File  string `json:"file"`
+	Bytes int64  `json:"bytes"`
+}
+
+// backupMode lets the owner alone read a backup, for it holds answers to callers.
+const backupMode = 0o600
+
+func parseVerbBackup(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbBackup{}
+	rest, err := parse("backup", &v.options, arguments, 1, 1)
+	if err != nil {
+		return nil, err
+	}
+	v.file = rest[0]
+	return v, nil
+}
+
+// Run writes the file.
+func (v *VerbBackup) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "backup")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	file, err := renameio.NewPendingFile(v.file, renameio.WithPermissions(backupMode))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = file.Cleanup() }() // nothing is left to clean after a success
+	console.Progress("reading the state of %s", client.Target())
+	answer := backedUp{File: v.file}
+	if answer.Bytes, err = client.Backup(ctx, file); err != nil {
+		return err
+	}
+	if err := file.CloseAtomicallyReplace(); err != nil {
+		return trace.Wrap(err)
+	}
+	if v.options.JSON {
+		return console.JSON(answer)
+	}
+	fmt.Fprintf(console.Out, "wrote %d bytes to %s\n", answer.Bytes, answer.File)
+	return nil
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_diff.go
@@ -0,0 +1,193 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/parser"
+)
+
+// VerbDiffSetup is the verb diff.
+var VerbDiffSetup = VerbSetup{
+	Name:    "diff",
+	Summary: "compares a file with the document in force, or two revisions",
+	Options: &VerbDiffOptions{},
+	Parse:   parseVerbDiff,
+	Usage: `Usage: redwingshunt diff [OPTION]... [FILE]
+Prints what a file would change in the document in force, or what changed between
+two revisions. Lines that go begin with -, lines that come with +. Defaults are
+written out on both sides, so that only what has an effect is shown. The exit code
+is 1 when there is a difference.
+
+Options:
+  --from N          an earlier revision in place of the one in force
+  --to N            a later revision in place of FILE
+` + outputUsage + connectUsage + `
+Examples:
+  redwingshunt diff accounts.yaml
+  redwingshunt diff --from 11 --to 12
+`,
+}
+
+// VerbDiffOptions are the options of diff.
+type VerbDiffOptions struct {
+	OutputOptions
+	ConnectOptions
+	From uint64 `long:"from"`
+	To   uint64 `long:"to"`
+}
+
+// VerbDiff compares texts.
+type VerbDiff struct {
+	options VerbDiffOptions
+	file    string
+}
+
+// difference is the answer of diff.
+type difference struct {
+	Removed []string `json:"removed"`
+	Added   []string `json:"added"`
+}
+
+func parseVerbDiff(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbDiff{}
+	rest, err := parse("diff", &v.options, arguments, 0, 1)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) == 1 {
+		v.file = rest[0]
+	}
+	if (v.file == "") == (v.options.To == 0) {
+		return nil, usageFault("diff", "give either FILE or --to")
+	}
+	return v, nil
+}
+
+// Run prints the difference.
+func (v *VerbDiff) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "diff")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	before, _, err := client.Document(ctx, "", redwingshunt.Revision(v.options.From))
+	if err != nil {
+		return err
+	}
+	var after []byte
+	if v.file == "" {
+		after, _, err = client.Document(ctx, "", redwingshunt.Revision(v.options.To))
+	} else {
+		after, err = v.merge(console, before)
+	}
+	if err != nil {
+		return err
+	}
+	return v.print(console, diffLines(splitLines(before), splitLines(after)))
+}
+
+// merge returns the document in force as the file would change it.
+func (v *VerbDiff) merge(console *Console, before []byte) ([]byte, error) {
+	text, err := readFile(console, v.file)
+	if err != nil {
+		return nil, err
+	}
+	whole, findings := parser.Document("in force", before)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	section := onlySection(text)
+	if section == "" {
+		whole, findings = parser.Document(v.file, text)
+	} else {
+		whole, findings = parser.Section(v.file, section, text, whole)
+	}
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return parser.Encode(whole, "")
+}
+
+// print prints the changed lines.
+func (v *VerbDiff) print(console *Console, changes []lineChange) error {
+	answer := difference{Removed: []string{}, Added: []string{}}
+	for _, change := range changes {
+		if change.sign == '-' {
+			answer.Removed = append(answer.Removed, change.text)
+		} else {
+			answer.Added = append(answer.Added, change.text)
+		}
+		if !v.options.JSON {
+			fmt.Fprintf(console.Out, "%c%s\n", change.sign, change.text)
+		}
+	}
+	if v.options.JSON {
+		if err := console.JSON(answer); err != nil {
+			return err
+		}
+	}
+	if len(changes) > 0 {
+		return errQuiet
+	}
+	return nil
+}
+
+// lineChange is a line that goes or comes.
+type lineChange struct {
+	sign byte // - or +
+	text string
+}
+
+// splitLines returns the lines of a text without their ends.
+func splitLines(text []byte) []string {
+	return strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+}
+
+// diffLines returns the lines that go and come on the shortest way from a to b.
+// What both begin and end with is skipped before the rest is compared.
+func diffLines(a, b []string) []lineChange {
+	for len(a) > 0 && len(b) > 0 && a[0] == b[0] {
+		a, b = a[1:], b[1:]
+	}
+	for len(a) > 0 && len(b) > 0 && a[len(a)-1] == b[len(b)-1] {
+		a, b = a[:len(a)-1], b[:len(b)-1]
+	}
+	common := commonLengths(a, b)
+	var changes []lineChange
+	i, j := 0, 0
+	for i < len(a) || j < len(b) {
+		switch {
+		case i < len(a) && j < len(b) && a[i] == b[j]:
+			i, j = i+1, j+1
+		case j == len(b) || i < len(a) && common[i+1][j] >= common[i][j+1]:
+			changes = append(changes, lineChange{'-', a[i]})
+			i++
+		default:
+			changes = append(changes, lineChange{'+', b[j]})
+			j++
+		}
+	}
+	return changes
+}
+
+// commonLengths returns the length of the longest common subsequence of a[i:]
+// and b[j:] at [i][j].
+func commonLengths(a, b []string) [][]int32 {
+	lengths := make([][]int32, len(a)+1)
+	for i := range lengths {
+		lengths[i] = make([]int32, len(b)+1)
+	}
+	for i := len(a) - 1; i >= 0; i-- {
+		for j := len(b) - 1; j >= 0; j-- {
+			if a[i] == b[j] {
+				lengths[i][j] = lengths[i+1][j+1] + 1
+			} else {
+				lengths[i][j] = max(lengths[i+1][j], lengths[i][j+1])
+			}
+		}
+	}
+	return lengths
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_repair.go
@@ -0,0 +1,79 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// VerbRepairSetup is the verb repair.
+var VerbRepairSetup = VerbSetup{
+	Name:    "repair",
+	Summary: "replaces a lost voter by another instance",
+	Options: &VerbRepairOptions{},
+	Parse:   parseVerbRepair,
+	Usage: `Usage: redwingshunt repair [OPTION]... WITH
+Makes the instance WITH a voter: it is added, catches up, gets a vote, and then the
+lost voter is removed. WITH must run with an empty data folder. The command may be
+given again after it was interrupted; it goes on where it stopped.
+
+Options:
+  --lost NAME       voter that is removed at the end; without it WITH is added
+` + outputUsage + connectUsage + `
+Example:
+  redwingshunt repair --lost node-b node-d
+`,
+}
+
+// VerbRepairOptions are the options of repair.
+type VerbRepairOptions struct {
+	OutputOptions
+	ConnectOptions
+	Lost string `long:"lost"`
+}
+
+// VerbRepair replaces a voter.
+type VerbRepair struct {
+	options VerbRepairOptions
+	with    redwingshunt.InstanceID
+}
+
+// repaired is the answer of repair.
+type repaired struct {
+	Lost  redwingshunt.InstanceID `json:"lost,omitempty"`
+	With  redwingshunt.InstanceID `json:"with"`
+	Steps []string                `json:"steps"`
+}
+
+func parseVerbRepair(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbRepair{}
+	rest, err := parse("repair", &v.options, arguments, 1, 1)
+	if err != nil {
+		return nil, err
+	}
+	v.with = redwingshunt.InstanceID(rest[0])
+	return v, nil
+}
+
+// Run replaces the voter and tells each step.
+func (v *VerbRepair) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "repair")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	answer := repaired{Lost: redwingshunt.InstanceID(v.options.Lost), With: v.with, Steps: []string{}}
+	err = client.Replace(ctx, answer.Lost, answer.With, func(text string) {
+		answer.Steps = append(answer.Steps, text)
+		console.Progress("%s", text)
+	})
+	if err != nil {
+		return err
+	}
+	if v.options.JSON {
+		return console.JSON(answer)
+	}
+	fmt.Fprintf(console.Out, "%s is a voter\n", v.with)
+	return nil
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_status.go
@@ -0,0 +1,205 @@
+package commander
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/requester"
+)
+
+// VerbStatusSetup is the verb status.
+var VerbStatusSetup = VerbSetup{
+	Name:    "status",
+	Summary: "shows the fleet and the revision in force, or waits for one",
+	Options: &VerbStatusOptions{},
+	Parse:   parseVerbStatus,
+	Usage: `Usage: redwingshunt status [OPTION]...
+Shows the live instances and the revision in force on each, as far as the
+instances that are asked know it. With --wait it returns once the revision, or a
+later one, is in force on all live instances.
+
+Options:
+  --wait N          wait until revision N is in force everywhere
+  --limit DURATION  how long to wait, 30s unless given
+` + outputUsage + connectUsage + `
+Example:
+  redwingshunt status --wait 12
+`,
+}
+
+// VerbStatusOptions are the options of status.
+type VerbStatusOptions struct {
+	OutputOptions
+	ConnectOptions
+	Wait  uint64        `long:"wait"`
+	Limit time.Duration `long:"limit" default:"30s"`
+}
+
+// VerbStatus shows the fleet.
+type VerbStatus struct {
+	options VerbStatusOptions
+}
+
+// statusPause is the time between two looks at the fleet.
+const statusPause = 200 * time.Millisecond
+
+func parseVerbStatus(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbStatus{}
+	_, err := parse("status", &v.options, arguments, 0, 0)
+	return v, err
+}
+
+// fleetView is what all asked instances know together.
+type fleetView struct {
+	Asked []administrator.Status         `json:"asked"`
+	Fleet []administrator.InstanceStatus `json:"fleet"`
+}
+
+// Run shows the fleet or waits.
+func (v *VerbStatus) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "status")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	view, err := v.look(ctx, console, client)
+	if err != nil {
+		return err
+	}
+	if v.options.Wait != 0 {
+		if view, err = v.wait(ctx, console, client, view); err != nil {
+			return err
+		}
+	}
+	if v.options.JSON {
+		return console.JSON(view)
+	}
+	return view.print(console)
+}
+
+// look asks each instance.
+func (v *VerbStatus) look(ctx context.Context, console *Console, client *requester.Client) (fleetView, error) {
+	view := fleetView{Fleet: []administrator.InstanceStatus{}}
+	answers, err := askEach(console, client, func(each *requester.Client) (administrator.Status, error) {
+		return each.Status(ctx)
+	})
+	for _, status := range answers {
+		view.add(status)
+	}
+	return view, err
+}
+
+// add merges what one instance knows. The newest revision of an instance
+// counts, for revisions only grow.
+func (f *fleetView) add(status administrator.Status) {
+	f.Asked = append(f.Asked, status)
+	for _, member := range status.Fleet {
+		if member.Instance == status.Instance {
+			member.Revision = max(member.Revision, status.Revision)
+		}
+		index, found := slices.BinarySearchFunc(f.Fleet, member.Instance,
+			func(known administrator.InstanceStatus, id redwingshunt.InstanceID) int {
+				return cmp.Compare(known.Instance, id)
+			})
+		if !found {
+			f.Fleet = slices.Insert(f.Fleet, index, member)
+			continue
+		}
+		f.Fleet[index].Revision = max(f.Fleet[index].Revision, member.Revision)
+		f.Fleet[index].Leaving = f.Fleet[index].Leaving || member.Leaving
+	}
+}
+
+// behind lists the instances on which a revision is not known to be in force.
+func (f *fleetView) behind(revision redwingshunt.Revision) []string {
+	var names []string
+	for _, member := range f.Fleet {
+		if member.Revision < revision {
+			names = append(names, string(member.Instance))
+		}
+	}
+	return names
+}
+
+// wait looks again until the revision is in force everywhere.
+func (v *VerbStatus) wait(ctx context.Context, console *Console, client *requester.Client, view fleetView) (fleetView, error) {
+	wanted := redwingshunt.Revision(v.options.Wait)
+	started := time.Now()
+	told := started
+	for len(view.behind(wanted)) > 0 {
+		if time.Since(started) > v.options.Limit {
+			return view, &Fault{
+				Code: ExitFailed, Text: fmt.Sprintf("revision %d is not known to be in force on %s", wanted, strings.Join(view.behind(wanted), ", ")),
+				Next: "ask these instances themselves with --admin, and see their dump",
+			}
+		}
+		if time.Since(told) > time.Second {
+			told = time.Now()
+			console.Progress("waiting for revision %d on %s", wanted, strings.Join(view.behind(wanted), ", "))
+		}
+		select {
+		case <-time.After(statusPause):
+		case <-ctx.Done():
+			return view, ctx.Err()
+		}
+		next, err := v.look(ctx, console, client)
+		if err != nil {
+			return view, err
+		}
+		view = next
+	}
+	return view, nil
+}
+
+// print prints the fleet, then the logs.
+func (f *fleetView) print(console *Console) error {
+	rows := [][]any{{"INSTANCE", "REGION", "ZONE", "LINK", "REVISION", "STATE"}}
+	for _, member := range f.Fleet {
+		rows = append(rows, []any{member.Instance, member.Region, member.Zone, member.Link, f.revision(member), f.state(member)})
+	}
+	if err := console.Table(rows); err != nil {
+		return err
+	}
+	for _, asked := range f.Asked {
+		for _, l := range asked.Logs {
+			leader := l.Leader
+			if leader == "" {
+				leader = "none known"
+			}
+			fmt.Fprintf(console.Out, "log %d on %s: leader %s, term %d, committed %d, applied %d, voters %v\n",
+				l.Group, asked.Instance, leader, l.Term, l.Committed, l.Applied, l.Voters)
+		}
+	}
+	return nil
+}
+
+// revision returns the revision of a member as text.
+func (f *fleetView) revision(member administrator.InstanceStatus) string {
+	if member.Revision == 0 {
+		return "unknown"
+	}
+	return member.Revision.String()
+}
+
+// state sums up a member in words.
+func (f *fleetView) state(member administrator.InstanceStatus) string {
+	words := []string{"live"}
+	if member.Leaving {
+		words[0] = "leaving"
+	}
+	if member.Voter {
+		words = append(words, "voter")
+	}
+	for _, asked := range f.Asked {
+		if asked.Instance == member.Instance && !asked.Health.Ready {
+			words = append(words, "not ready: "+asked.Health.Reason)
+		}
+	}
+	return strings.Join(words, ", ")
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_submit.go
@@ -0,0 +1,209 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/requester"
+)
+
+// VerbSubmitSetup is the verb submit.
+var VerbSubmitSetup = VerbSetup{
+	Name:    "submit",
+	Summary: "submits a section or the whole document",
+	Options: &VerbSubmitOptions{},
+	Parse:   parseVerbSubmit,
+	Usage: `Usage: redwingshunt submit [OPTION]... FILE
+Submits a text and returns once it is committed or refused. A file with one
+section changes that section; any other file is the whole document. FILE may be -
+for the standard input.
+
+The change is refused when the section changed since its base, the revision that
+was edited. Without --base it is read from the line "# base: N" that show prints.
+While it is unknown whether the change was committed, the submission is resent
+with the same ID, which is never applied twice.
+
+Options:
+  --base N          revision that was edited; 0 for the first document
+  --id ID           ID of the submission, to resend an earlier one
+  --dry             check only
+  --limit DURATION  how long to resend, 30s unless given
+` + outputUsage + connectUsage + `
+Examples:
+  redwingshunt submit --base 0 fleet.yaml
+  redwingshunt show --section accounts > accounts.yaml
+  redwingshunt submit accounts.yaml
+`,
+}
+
+// VerbSubmitOptions are the options of submit.
+type VerbSubmitOptions struct {
+	OutputOptions
+	ConnectOptions
+	Base  *uint64       `long:"base"`
+	ID    string        `long:"id"`
+	Dry   bool          `long:"dry"`
+	Limit time.Duration `long:"limit" default:"30s"`
+}
+
+// VerbSubmit submits a text.
+type VerbSubmit struct {
+	options VerbSubmitOptions
+	file    string
+}
+
+// resendPause is the time between two sendings of a submission.
+const resendPause = 500 * time.Millisecond
+
+func parseVerbSubmit(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbSubmit{}
+	rest, err := parse("submit", &v.options, arguments, 1, 1)
+	if err != nil {
+		return nil, err
+	}
+	v.file = rest[0]
+	return v, nil
+}
+
+// Run submits the text and prints the receipt.
+func (v *VerbSubmit) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "submit")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	submission, err := v.submission(console)
+	if err != nil {
+		return err
+	}
+	receipt, err := v.resend(ctx, console, client, submission)
+	if err != nil {
+		return v.refused(console, submission, err)
+	}
+	if v.options.JSON {
+		return console.JSON(receipt)
+	}
+	if v.options.Dry {
+		fmt.Fprintln(console.Out, "no findings; nothing was changed")
+		return nil
+	}
+	fmt.Fprintf(console.Out, "accepted as revision %d\n", receipt.Revision)
+	return nil
+}
+
+// submission reads the file and the base.
+func (v *VerbSubmit) submission(console *Console) (redwingshunt.Submission, error) {
+	text, err := readFile(console, v.file)
+	if err != nil {
+		return redwingshunt.Submission{}, err
+	}
+	base, ok := readBase(text)
+	if v.options.Base != nil {
+		base, ok = *v.options.Base, true
+	}
+	if !ok {
+		return redwingshunt.Submission{}, usageFault("submit", `the base is not known; give --base N, or keep the line "# base: N" of show`)
+	}
+	id := v.options.ID
+	if id == "" {
+		id = rand.Text()
+	}
+	return redwingshunt.Submission{
+		ID: id, Section: onlySection(text), Base: redwingshunt.Revision(base), Text: text, DryRun: v.options.Dry,
+	}, nil
+}
+
+// readBase reads the line that show puts first.
+func readBase(text []byte) (uint64, bool) {
+	line, _, _ := bytes.Cut(text, []byte("\n"))
+	var base uint64
+	n, err := fmt.Sscanf(string(line)+"\n", baseFormat, &base)
+	return base, err == nil && n == 1
+}
+
+// onlySection returns the section of a text that holds one section, or an empty
+// section for any other text.
+func onlySection(text []byte) redwingshunt.Section {
+	var keys map[redwingshunt.Section]yaml.Node
+	if err := yaml.Unmarshal(text, &keys); err != nil || len(keys) != 1 {
+		return ""
+	}
+	for key := range keys {
+		if slices.Contains(redwingshunt.Sections(), key) {
+			return key
+		}
+	}
+	return ""
+}
+
+// resend submits until the outcome is known or the limit is reached.
+func (v *VerbSubmit) resend(ctx context.Context, console *Console, client *requester.Client, s redwingshunt.Submission) (redwingshunt.Receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, v.options.Limit)
+	defer cancel()
+	doubt := false // an earlier sending may have been committed
+	for {
+		receipt, err := client.Submit(ctx, s)
+		if !mayResend(err) {
+			return receipt, err
+		}
+		doubt = doubt || mayBeCommitted(err)
+		console.Progress("not known yet (%v); resending %s", err, s.ID)
+		select {
+		case <-time.After(resendPause):
+			continue
+		case <-ctx.Done():
+		}
+		if doubt {
+			err = &Fault{
+				Code: ExitUnknown, Text: "it is unknown whether the change was committed: " + err.Error(),
+				Next: "resend it with --id " + s.ID + ": it is never applied twice",
+			}
+		}
+		return receipt, err
+	}
+}
+
+// mayResend reports whether another sending may have another outcome.
+func mayResend(err error) bool {
+	var problem *administrator.Problem
+	if errors.As(err, &problem) {
+		return problem.Reason == administrator.ReasonUnknown || problem.Reason == administrator.ReasonNotCommitted
+	}
+	return err != nil
+}
+
+// mayBeCommitted reports whether a failed sending may take effect. An instance
+// that could not be reached may have got the text before the connection broke.
+func mayBeCommitted(err error) bool {
+	var problem *administrator.Problem
+	return !errors.As(err, &problem) || problem.Reason == administrator.ReasonUnknown
+}
+
+// refused prints the findings of a refused submission with the name of the
+// file in front.
+func (v *VerbSubmit) refused(console *Console, s redwingshunt.Submission, err error) error {
+	var problem *administrator.Problem
+	if !errors.As(err, &problem) || problem.Receipt == nil {
+		return err
+	}
+	for i := range problem.Receipt.Findings {
+		problem.Receipt.Findings[i].File = v.file
+	}
+	if v.options.JSON {
+		if err := console.JSON(problem.Receipt); err != nil {
+			return err
+		}
+	} else if len(problem.Receipt.Findings) > 0 {
+		fmt.Fprintln(console.Out, problem.Receipt.Findings.Error())
+	}
+	return &Fault{Code: codeOf(problem), Text: fmt.Sprintf("%s (submission %s)", problem.Detail, s.ID), Next: problem.Next}
+}
--- /dev/null
+++ b/cmd/redwingshunt/commander/verb_top.go
@@ -0,0 +1,134 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/requester"
+)
+
+// VerbTopSetup is the verb top.
+var VerbTopSetup = VerbSetup{
+	Name:    "top",
+	Summary: "shows accounts and upstreams again and again",
+	Options: &VerbTopOptions{},
+	Parse:   parseVerbTop,
+	Usage: `Usage: redwingshunt top [OPTION]...
+Shows the client accounts and upstreams in the terminal and refreshes them. End it
+with an interrupt (control-C). With --json it prints one JSON value a refresh.
+
+Options:
+  --every DURATION  time between refreshes, 1s unless given
+  --count N         refreshes before it ends; without end unless given
+` + outputUsage + connectUsage,
+}
+
+// VerbTopOptions are the options of top.
+type VerbTopOptions struct {
+	OutputOptions
+	ConnectOptions
+	Every time.Duration `long:"every" default:"1s"`
+	Count int           `long:"count"`
+}
+
+// VerbTop refreshes a view.
+type VerbTop struct {
+	options VerbTopOptions
+}
+
+// topView is one refresh.
+type topView struct {
+	Status    administrator.Status           `json:"status"`
+	Accounts  []administrator.AccountStatus  `json:"accounts"`
+	Upstreams []administrator.UpstreamStatus `json:"upstreams"`
+}
+
+const (
+	clearScreen = "\x1b[H\x1b[2J"        // cursor home, erase all
+	minEvery    = 100 * time.Millisecond // least time between refreshes
+)
+
+func parseVerbTop(_ *Console, arguments []string) (Verb, error) {
+	v := &VerbTop{}
+	if _, err := parse("top", &v.options, arguments, 0, 0); err != nil {
+		return nil, err
+	}
+	if v.options.Every < minEvery {
+		return nil, usageFault("top", "--every is %s; must be at least %s", v.options.Every, minEvery)
+	}
+	return v, nil
+}
+
+// Run refreshes until the count is reached or the context ends.
+func (v *VerbTop) Run(ctx context.Context, console *Console) error {
+	client, err := v.options.client(console, "top")
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ticker := time.NewTicker(v.options.Every)
+	defer ticker.Stop()
+	for shown := 1; ; shown++ {
+		if err := v.refresh(ctx, console, client); err != nil {
+			return err
+		}
+		if shown == v.options.Count {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// refresh shows the state once.
+func (v *VerbTop) refresh(ctx context.Context, console *Console, client *requester.Client) error {
+	var view topView
+	var err error
+	if view.Status, err = client.Status(ctx); err != nil {
+		return err
+	}
+	if view.Accounts, err = client.Accounts(ctx); withoutPart(err) != nil {
+		return err
+	}
+	if view.Upstreams, err = client.Upstreams(ctx); withoutPart(err) != nil {
+		return err
+	}
+	if v.options.JSON {
+		return console.JSON(view)
+	}
+	return view.print(console.Out)
+}
+
+// withoutPart takes away the error of an instance that lacks a part.
+func withoutPart(err error) error {
+	var problem *administrator.Problem
+	if errors.As(err, &problem) && problem.Reason == administrator.ReasonNotAvailable {
+		return nil
+	}
+	return err
+}
+
+// print writes the whole view at once, so that it does not flicker.
+func (t topView) print(out io.Writer) error {
+	var page bytes.Buffer
+	console := &Console{Out: &page}
+	fmt.Fprintf(&page, "%s%s in %s/%s, revision %d, %d live instances\n\n", clearScreen,
+		t.Status.Instance, t.Status.Region, t.Status.Zone, t.Status.Revision, len(t.Status.Fleet))
+	if err := printAccounts(console, t.Accounts); err != nil {
+		return err
+	}
+	fmt.Fprintln(&page)
+	if err := printUpstreams(console, t.Upstreams); err != nil {
+		return err
+	}
+	_, err := out.Write(page.Bytes())
+	return err
+}
--- /dev/null
+++ b/requester/requester.go
@@ -0,0 +1,313 @@
+// Package requester calls the administration API of one or more instances.
+//
+// A call goes to the first address that answers. A submission carries an ID, so
+// that trying the next address, or the same one again, never applies it twice.
+//
+// # Usage
+//
+//	targets, err := requester.ParseTargets([]string{"https://10.0.0.1:8082"})
+//	client := requester.New(requester.Options{Targets: targets, Key: key})
+//	status, err := client.Status(ctx)
+//
+// A refusal of the instance is a *administrator.Problem within the error; an
+// instance that could not be reached is an *UnreachableError.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+)
+
+const (
+	connectTimeout = 20 * time.Second // limit of a call until its first byte
+	maxAnswer      = 256 << 20        // bytes of an answer that is kept in memory
+)
+
+// Target is the administration API of one instance.
+type Target struct {
+	Address netip.AddrPort
+	Plain   bool // without TLS
+}
+
+// String returns the target as ParseTargets reads it.
+func (t Target) String() string {
+	if t.Plain {
+		return "http://" + t.Address.String()
+	}
+	return "https://" + t.Address.String()
+}
+
+// ParseTargets reads addresses, as in 10.0.0.1:8082 or https://10.0.0.1:8082.
+// Only an address with http:// in front is called without TLS.
+func ParseTargets(texts []string) ([]Target, error) {
+	targets := make([]Target, 0, len(texts))
+	for _, text := range texts {
+		rest, plain := strings.CutPrefix(text, "http://")
+		address, err := netip.ParseAddrPort(strings.TrimPrefix(rest, "https://"))
+		if err != nil {
+			return nil, trace.BadParameter("%q is no IP number with a port, as https://10.0.0.1:8082", text)
+		}
+		targets = append(targets, Target{Address: address, Plain: plain})
+	}
+	return targets, nil
+}
+
+// UnreachableError says that no instance could be asked.
+type UnreachableError struct {
+	Target Target
+	Err    error // of the last address
+}
+
+// Error returns the address and the cause.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no answer from %s: %v", e.Target, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// Options of a client.
+type Options struct {
+	Targets []Target // tried in this order
+	Key     string   // bearer key of a team
+	TLS     *tls.Config
+}
+
+// Client calls the administration API.
+type Client struct {
+	targets []Target
+	key     string
+	http    *http.Client
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	transport := &http.Transport{TLSClientConfig: o.TLS, ResponseHeaderTimeout: connectTimeout}
+	return &Client{targets: o.Targets, key: o.Key, http: &http.Client{Transport: transport}}
+}
+
+// Close gives idle connections back.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Each returns one client for each target.
+func (c *Client) Each() []*Client {
+	clients := make([]*Client, len(c.targets))
+	for i, target := range c.targets {
+		clients[i] = &Client{targets: []Target{target}, key: c.key, http: c.http}
+	}
+	return clients
+}
+
+// Target returns the first target.
+func (c *Client) Target() Target { return c.targets[0] }
+
+// call is one request of the API.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// do sends a call to the first target that answers, and returns the answer of
+// a success. The caller closes its body.
+func (c *Client) do(ctx context.Context, call call) (*http.Response, error) {
+	var last error
+	for _, target := range c.targets {
+		answer, err := c.send(ctx, target, call)
+		if err == nil {
+			return answer, problemOf(answer)
+		}
+		var inner *url.Error
+		if errors.As(err, &inner) {
+			err = inner.Err // the address is told by the target
+		}
+		last = &UnreachableError{Target: target, Err: err}
+	}
+	if last == nil {
+		return nil, trace.BadParameter("no address of an instance is given")
+	}
+	return nil, last
+}
+
+// send sends a call to one target.
+func (c *Client) send(ctx context.Context, target Target, call call) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, call.method, target.String()+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for name, values := range call.header {
+		request.Header[name] = values
+	}
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	return c.http.Do(request)
+}
+
+// problemOf reads and closes an answer that is no success.
+func problemOf(answer *http.Response) error {
+	if answer.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	defer answer.Body.Close()
+	problem := &administrator.Problem{}
+	if err := json.NewDecoder(answer.Body).Decode(problem); err != nil || problem.Reason == "" {
+		return &administrator.Problem{
+			Status: answer.StatusCode, Reason: administrator.ReasonFailed,
+			Detail: "the answer is " + answer.Status,
+			Next:   "check that the address is the administration API of an instance",
+		}
+	}
+	return problem
+}
+
+// get reads a JSON answer.
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var value T
+	answer, err := c.do(ctx, call{method: http.MethodGet, path: path})
+	if err != nil {
+		return value, err
+	}
+	defer answer.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxAnswer)).Decode(&value); err != nil {
+		return value, trace.Wrap(err, "reading the answer")
+	}
+	return value, nil
+}
+
+// Status returns the state of the instance and the fleet that it knows.
+func (c *Client) Status(ctx context.Context) (administrator.Status, error) {
+	return get[administrator.Status](ctx, c, "/v1/status")
+}
+
+// Dump returns the state of the process.
+func (c *Client) Dump(ctx context.Context) (administrator.Dump, error) {
+	return get[administrator.Dump](ctx, c, "/v1/dump")
+}
+
+// Accounts returns how the client accounts are served.
+func (c *Client) Accounts(ctx context.Context) ([]administrator.AccountStatus, error) {
+	return get[[]administrator.AccountStatus](ctx, c, "/v1/accounts")
+}
+
+// Upstreams returns what is known of the upstreams.
+func (c *Client) Upstreams(ctx context.Context) ([]administrator.UpstreamStatus, error) {
+	return get[[]administrator.UpstreamStatus](ctx, c, "/v1/upstreams")
+}
+
+// History returns the newest changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]administrator.Change, error) {
+	return get[[]administrator.Change](ctx, c, "/v1/history?limit="+strconv.Itoa(limit))
+}
+
+// Document returns the YAML of a section, or of the whole document when the
+// section is empty, and its revision. Revision zero asks for the one in force.
+func (c *Client) Document(ctx context.Context, section redwingshunt.Section, revision redwingshunt.Revision) ([]byte, redwingshunt.Revision, error) {
+	path := documentPath(section)
+	if revision != 0 {
+		path += "?revision=" + revision.String()
+	}
+	answer, err := c.do(ctx, call{method: http.MethodGet, path: path})
+	if err != nil {
+		return nil, 0, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return nil, 0, trace.Wrap(err, "reading the answer")
+	}
+	number, err := strconv.ParseUint(strings.Trim(answer.Header.Get("ETag"), `"`), 10, 64)
+	return text, redwingshunt.Revision(number), trace.Wrap(err, "reading the revision")
+}
+
+// Submit submits a change. Team is set by the instance from the key.
+func (c *Client) Submit(ctx context.Context, s redwingshunt.Submission) (redwingshunt.Receipt, error) {
+	path := documentPath(s.Section)
+	if s.DryRun {
+		path += "?dry=true"
+	}
+	header := http.Header{}
+	header.Set("Content-Type", "application/yaml")
+	header.Set("If-Match", strconv.Quote(s.Base.String()))
+	header.Set("Idempotency-Key", s.ID)
+	var receipt redwingshunt.Receipt
+	answer, err := c.do(ctx, call{method: http.MethodPut, path: path, header: header, body: s.Text})
+	if err != nil {
+		return receipt, err
+	}
+	defer answer.Body.Close()
+	err = json.NewDecoder(answer.Body).Decode(&receipt)
+	return receipt, trace.Wrap(err, "reading the receipt")
+}
+
+// documentPath returns the path of a section or the whole document.
+func documentPath(section redwingshunt.Section) string {
+	if section == "" {
+		return "/v1/document"
+	}
+	return "/v1/document/" + string(section)
+}
+
+// Drain begins a graceful shutdown.
+func (c *Client) Drain(ctx context.Context) error {
+	answer, err := c.do(ctx, call{method: http.MethodPost, path: "/v1/drain"})
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
+
+// Replace replaces a voter and tells each step.
+func (c *Client) Replace(ctx context.Context, lost, with redwingshunt.InstanceID, step func(text string)) error {
+	body, err := json.Marshal(administrator.Replacement{Lost: lost, With: with})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := c.do(ctx, call{method: http.MethodPost, path: "/v1/voters/replace", body: body})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	steps := json.NewDecoder(answer.Body)
+	for {
+		var s administrator.Step
+		if err := steps.Decode(&s); err != nil {
+			return trace.Wrap(err, "the answer ended before the replacement")
+		}
+		switch {
+		case s.Problem != nil:
+			return s.Problem
+		case s.Done:
+			return nil
+		}
+		step(s.Text)
+	}
+}
+
+// Backup copies the committed state to a writer.
+func (c *Client) Backup(ctx context.Context, w io.Writer) (int64, error) {
+	answer, err := c.do(ctx, call{method: http.MethodGet, path: "/v1/backup"})
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	n, err := io.Copy(w, answer.Body)
+	return n, trace.Wrap(err)
+}
