Make and reload the certificates of a fleet

keygen makes an authority and certificates that carry the name and the IP numbers of an instance. Files are looked at during handshakes, at most once a second, so that no timer or signal is needed for a renewal.

crypto/tls tells no IP number in the state of a client's connection, and a check against its ServerName passed any address: a test with a certificate of another address found it. The dialled address is now an argument.

--- /dev/null
+++ b/certifier/keeper.go
@@ -0,0 +1,188 @@
+package certifier
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// checkInterval is the least time between two looks at the files.
+const checkInterval = time.Second
+
+// material is what the files held when they were read last.
+type material struct {
+	certificate *tls.Certificate
+	authority   *x509.CertPool
+}
+
+// stamp tells whether a file has changed.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Keeper holds the certificates of an instance and reads them again when their
+// files have changed. Its methods may be called at the same time.
+type Keeper struct {
+	files redwingshunt.TLSFiles
+	now   func() time.Time
+
+	mu      sync.Mutex
+	current material
+	stamps  [3]stamp
+	checked time.Time
+	err     error // of the last reading
+}
+
+// Open reads the files for the first time.
+func Open(files redwingshunt.TLSFiles, now func() time.Time) (*Keeper, error) {
+	k := &Keeper{files: files, now: now}
+	stamps, err := k.stat()
+	if err != nil {
+		return nil, err
+	}
+	if k.current, err = k.read(); err != nil {
+		return nil, err
+	}
+	k.stamps, k.checked = stamps, now()
+	return k, nil
+}
+
+// Err returns why the files could not be read again; nil when the newest ones
+// are in force.
+func (k *Keeper) Err() error {
+	k.material()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.err
+}
+
+// material returns the certificates in force after a look at the files.
+func (k *Keeper) material() material {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now := k.now(); now.Sub(k.checked) >= checkInterval {
+		k.checked = now
+		k.reload()
+	}
+	return k.current
+}
+
+// reload reads files that have changed. A fault leaves the old ones in force
+// and is tried again at the next look.
+func (k *Keeper) reload() {
+	stamps, err := k.stat()
+	if err == nil && stamps == k.stamps {
+		k.err = nil
+		return
+	}
+	if err == nil {
+		var next material
+		if next, err = k.read(); err == nil {
+			k.current, k.stamps = next, stamps
+		}
+	}
+	k.err = err
+}
+
+// stat looks at the files.
+func (k *Keeper) stat() ([3]stamp, error) {
+	var stamps [3]stamp
+	for i, path := range []string{k.files.Cert, k.files.Key, k.files.Authority} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return stamps, trace.ConvertSystemError(err)
+		}
+		stamps[i] = stamp{modified: info.ModTime(), size: info.Size()}
+	}
+	return stamps, nil
+}
+
+// read reads the files.
+func (k *Keeper) read() (material, error) {
+	certificate, err := tls.LoadX509KeyPair(k.files.Cert, k.files.Key)
+	if err != nil {
+		return material{}, trace.Wrap(err, "%s with %s", k.files.Cert, k.files.Key)
+	}
+	text, err := os.ReadFile(k.files.Authority)
+	if err != nil {
+		return material{}, trace.ConvertSystemError(err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return material{}, trace.BadParameter("%s holds no certificate", k.files.Authority)
+	}
+	return material{certificate: &certificate, authority: pool}, nil
+}
+
+// Server returns the settings of a listener for callers, upstreams and
+// operators, who are known by their keys.
+func (k *Keeper) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return k.material().certificate, nil
+		},
+	}
+}
+
+// LinkServer returns the settings of the listener for links. The other instance
+// must have a certificate of the authority.
+func (k *Keeper) LinkServer() *tls.Config {
+	config := k.Server()
+	config.ClientAuth = tls.RequireAnyClientCert
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		return k.verify(state, x509.ExtKeyUsageClientAuth, "")
+	}
+	return config
+}
+
+// LinkClient returns the settings for dialling the link of an address. The other
+// instance must have a certificate of the authority for that address. The check
+// is made here rather than by crypto/tls, which reads its pool only once; and the
+// address is an argument, for the state of a connection tells no IP number.
+func (k *Keeper) LinkClient(address netip.Addr) *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true, // VerifyConnection checks the chain and the address
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return k.material().certificate, nil
+		},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return k.verify(state, x509.ExtKeyUsageServerAuth, address.String())
+		},
+	}
+}
+
+// verify checks the certificate of a peer against the authority in force. The
+// name is the dialled address, empty for a peer that dialled us.
+func (k *Keeper) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, name string) error {
+	if len(state.PeerCertificates) == 0 {
+		return trace.AccessDenied("the peer has no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: k.material().authority, Intermediates: intermediates, DNSName: name,
+		CurrentTime: k.now(), KeyUsages: []x509.ExtKeyUsage{usage},
+	})
+	return trace.Wrap(err)
+}
+
+// Peer returns the instance that a verified connection leads to; empty when its
+// certificate names none.
+func Peer(state tls.ConnectionState) redwingshunt.InstanceID {
+	if len(state.PeerCertificates) == 0 || len(state.PeerCertificates[0].DNSNames) == 0 {
+		return ""
+	}
+	return redwingshunt.InstanceID(state.PeerCertificates[0].DNSNames[0])
+}
--- a/cmd/redwingshunt/commander/commander_test.go
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -145,6 +145,7 @@
 	other.snapshot.Revision = 1
 	environment := map[string]string{envAdmin: address, envKey: "EXAMPLE-KEY-platform"}
 	backup := filepath.Join(t.TempDir(), "backup")
+	keys := filepath.Join(t.TempDir(), "keys")
 	good, bad := fmt.Sprintf(accountsText, 2, "3", 1), fmt.Sprintf(accountsText, 2, "0", 1)
 	steps := []struct{ line, input string }{
 		{"frobnicate", ""},
@@ -178,6 +179,10 @@
 		{"repair --lost node-b node-d", ""},
 		{"repair node-d --json", ""},
 		{"backup " + backup, ""},
+		{"keygen --hash EXAMPLE-KEY-platform", ""},
+		{"keygen --fleet " + keys, ""},
+		{"keygen --fleet " + keys + " --instance node-a --address 127.0.0.1 --json", ""},
+		{"keygen --instance node-a", ""},
 		{"status --key wrong", ""},
 		{"status --admin localhost:80", ""},
 	}
@@ -186,7 +191,7 @@
 		code, out, faults := command(step.input, environment, strings.Fields(step.line)...)
 		fmt.Fprintf(&all, "$ redwingshunt %s\n%s%s(exit code %d)\n\n", step.line, out, faults, code)
 	}
-	got := strings.NewReplacer(address, "ADDRESS-A", second, "ADDRESS-B", backup, "BACKUP", clearScreen, "").Replace(all.String())
+	got := strings.NewReplacer(address, "ADDRESS-A", second, "ADDRESS-B", backup, "BACKUP", keys, "KEYS", clearScreen, "").Replace(all.String())
 	golden(t, filepath.Join("testdata", "verbs.txt"), got)
 	saved, err := os.ReadFile(backup)
 	is.NoErr(err)
--- a/cmd/redwingshunt/commander/verb_keygen.go
+++ b/cmd/redwingshunt/commander/verb_keygen.go
@@ -4,16 +4,26 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
+	"errors"
 	"fmt"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/gravitational/trace"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/certifier"
 )
 
 // VerbKeygenSetup is the verb keygen.
 var VerbKeygenSetup = VerbSetup{
 	Name:    "keygen",
-	Summary: "makes a bearer key and prints it with its hash",
+	Summary: "makes a bearer key, or the certificates of a fleet",
 	Options: &VerbKeygenOptions{},
 	Parse:   parseVerbKeygen,
 	Usage: `Usage: redwingshunt keygen [OPTION]...
@@ -21,39 +31,85 @@
 to the client account or team; put the hash into the document or the settings.
 The key is kept nowhere.
 
+With --fleet it makes certificates in place of a key: the authority of the fleet,
+unless the folder holds one, and the certificate of an instance, which replaces an
+older one. Keep authority.key off the instances.
+
 Options:
   --hash KEY        print the hash of this key, @FILE to read it
-` + outputUsage,
+  --fleet FOLDER    make certificates in this folder
+  --instance NAME   name of the instance, as in its settings
+  --address IP      IP number of the instance; may be repeated
+  --valid DURATION  how long the certificate is valid, 8760h unless given
+` + outputUsage + `
+Example:
+  redwingshunt keygen --fleet keys --instance node-a --address 10.0.0.1
+`,
 }
 
 // VerbKeygenOptions are the options of keygen.
 type VerbKeygenOptions struct {
 	OutputOptions
-	Hash string `long:"hash"`
+	Hash     string        `long:"hash"`
+	Fleet    string        `long:"fleet"`
+	Instance string        `long:"instance"`
+	Address  []string      `long:"address"`
+	Valid    time.Duration `long:"valid" default:"8760h"`
 }
 
-// VerbKeygen makes a key.
+// VerbKeygen makes a key or certificates.
 type VerbKeygen struct {
-	options VerbKeygenOptions
+	options   VerbKeygenOptions
+	addresses []netip.Addr
 }
 
-// generatedKey is the answer of keygen.
+// generatedKey is the answer of keygen for a key.
 type generatedKey struct {
 	Key  string               `json:"key"`
 	Hash redwingshunt.KeyHash `json:"hash"`
 }
 
-// keyBytes is the length of a random key before it is written as text.
-const keyBytes = 32
+// generatedFiles is the answer of keygen for certificates.
+type generatedFiles struct {
+	Files []string `json:"files"`
+}
+
+const (
+	keyBytes       = 32                        // of a random key before it is written as text
+	authorityValid = 10 * 365 * 24 * time.Hour // of a new authority
+	keyMode        = 0o600                     // of private keys
+	publicMode     = 0o644                     // of certificates
+	folderMode     = 0o700                     // of the folder of certificates
+)
 
 func parseVerbKeygen(_ *Console, arguments []string) (Verb, error) {
 	v := &VerbKeygen{}
-	_, err := parse("keygen", &v.options, arguments, 0, 0)
-	return v, err
+	if _, err := parse("keygen", &v.options, arguments, 0, 0); err != nil {
+		return nil, err
+	}
+	for _, text := range v.options.Address {
+		address, err := netip.ParseAddr(text)
+		if err != nil {
+			return nil, usageFault("keygen", "--address %q is no IP number", text)
+		}
+		v.addresses = append(v.addresses, address)
+	}
+	switch {
+	case v.options.Fleet == "" && (v.options.Instance != "" || len(v.addresses) > 0):
+		return nil, usageFault("keygen", "--instance and --address need --fleet")
+	case (v.options.Instance == "") != (len(v.addresses) == 0):
+		return nil, usageFault("keygen", "give both --instance and --address")
+	case v.options.Fleet != "" && v.options.Hash != "":
+		return nil, usageFault("keygen", "--hash contradicts --fleet")
+	}
+	return v, nil
 }
 
-// Run prints a key and its hash.
+// Run prints a key, or writes certificates and lists the files.
 func (v *VerbKeygen) Run(_ context.Context, console *Console) error {
+	if v.options.Fleet != "" {
+		return v.certify(console)
+	}
 	key, err := ConnectOptions{Key: v.options.Hash}.readKey(&Console{Getenv: func(string) string { return "" }})
 	if err != nil {
 		return err
@@ -70,3 +126,76 @@
 	fmt.Fprintf(console.Out, "key:  %s\nhash: %s\n", generated.Key, generated.Hash)
 	return nil
 }
+
+// certify writes the authority and the certificate of an instance.
+func (v *VerbKeygen) certify(console *Console) error {
+	now := time.Now()
+	answer := generatedFiles{Files: []string{}}
+	authority, err := v.authority(now, &answer)
+	if err != nil {
+		return err
+	}
+	if v.options.Instance != "" {
+		instance := redwingshunt.InstanceID(v.options.Instance)
+		pair, err := authority.Issue(instance, v.addresses, now, v.options.Valid)
+		if err != nil {
+			return err
+		}
+		if err := v.write(v.options.Instance, pair, &answer); err != nil {
+			return err
+		}
+	}
+	if v.options.JSON {
+		return console.JSON(answer)
+	}
+	for _, file := range answer.Files {
+		fmt.Fprintln(console.Out, "wrote", file)
+	}
+	return nil
+}
+
+// authority reads the authority of the folder, or makes one.
+func (v *VerbKeygen) authority(now time.Time, answer *generatedFiles) (*certifier.Authority, error) {
+	const name = "authority"
+	certificate, err := os.ReadFile(v.path(name + ".pem"))
+	if err == nil {
+		key, err := os.ReadFile(v.path(name + ".key"))
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		return certifier.ParseAuthority(certifier.Pair{Certificate: certificate, Key: key})
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if err := os.MkdirAll(v.options.Fleet, folderMode); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	authority, err := certifier.NewAuthority(now, authorityValid)
+	if err != nil {
+		return nil, err
+	}
+	return authority, v.write(name, authority.Pair(), answer)
+}
+
+// path returns a file in the folder.
+func (v *VerbKeygen) path(file string) string { return filepath.Join(v.options.Fleet, file) }
+
+// write writes a certificate and its key, the key first.
+func (v *VerbKeygen) write(name string, pair certifier.Pair, answer *generatedFiles) error {
+	files := []struct {
+		path string
+		text []byte
+		mode fs.FileMode
+	}{
+		{v.path(name + ".key"), pair.Key, keyMode},
+		{v.path(name + ".pem"), pair.Certificate, publicMode},
+	}
+	for _, file := range files {
+		if err := renameio.WriteFile(file.path, file.text, file.mode); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		answer.Files = append(answer.Files, file.path)
+	}
+	return nil
+}
