Observe the parts of an instance as metrics, with a page of alerts

Upstreams are added up by service and zone: one series each would be 4,400 on each of 360 instances. Names on the page and published names are compared both ways. Bearer keys are read and hashed by the authenticator alone.

--- a/administrator/access.go
+++ b/administrator/access.go
@@ -5,16 +5,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"slices"
-	"strings"
 
 	"github.com/gorilla/mux"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/authenticator"
 )
 
 // access is who may use a route.
@@ -39,12 +37,6 @@
 	return team
 }
 
-// HashKey returns the hash of a bearer key, as documents and settings have it.
-func HashKey(key string) redwingshunt.KeyHash {
-	sum := sha256.Sum256([]byte(key))
-	return redwingshunt.KeyHash("sha256:" + hex.EncodeToString(sum[:]))
-}
-
 // guard lets a request through to a route if its key allows that.
 func (s *server) guard(r route) http.Handler {
 	return handler(func(w http.ResponseWriter, request *http.Request) error {
@@ -93,11 +85,11 @@
 
 // authenticate returns the team that holds the bearer key of a request.
 func (s *server) authenticate(r *http.Request) (redwingshunt.Team, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
+	key := authenticator.BearerKey(r)
+	if key == "" {
 		return redwingshunt.Team{}, false
 	}
-	hash := HashKey(key)
+	hash := authenticator.HashKey(key)
 	for _, team := range s.teams() {
 		if subtle.ConstantTimeCompare([]byte(team.Key), []byte(hash)) == 1 {
 			return team, true
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -76,7 +76,7 @@
 
 // LogReader tells the state of the replicated logs on this instance.
 type LogReader interface {
-	// Logs returns one entry a group.
+	// Logs returns one entry a group; none on an instance that is no voter.
 	Logs() []LogStatus
 }
 
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -16,6 +16,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/authenticator"
 	"github.com/redwingshunt/redwingshunt/parser"
 )
 
@@ -65,7 +66,7 @@
 func (f *fake) handler() http.Handler {
 	return New(Parts{
 		Members: f, Configuration: f, Submitter: f, Drainer: f, Repairer: f,
-		Bootstrap: HashKey("EXAMPLE-KEY-bootstrap"),
+		Bootstrap: authenticator.HashKey("EXAMPLE-KEY-bootstrap"),
 		Dumpers:   map[string]redwingshunt.Dumper{"scheduler": f, "log": large{}},
 	})
 }
--- a/cmd/redwingshunt/commander/verb_keygen.go
+++ b/cmd/redwingshunt/commander/verb_keygen.go
@@ -16,7 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/redwingshunt/redwingshunt"
-	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/authenticator"
 	"github.com/redwingshunt/redwingshunt/certifier"
 )
 
@@ -129,12 +129,12 @@
 	if v.options.Hash != "" {
 		noEnvironment := &Console{Getenv: func(string) string { return "" }}
 		key, err := ConnectOptions{Key: v.options.Hash}.readKey(noEnvironment)
-		return generatedKey{Hash: administrator.HashKey(key)}, err
+		return generatedKey{Hash: authenticator.HashKey(key)}, err
 	}
 	random := make([]byte, keyBytes)
 	_, _ = rand.Read(random) // never fails
 	key := base64.RawURLEncoding.EncodeToString(random)
-	return generatedKey{Key: key, Hash: administrator.HashKey(key)}, nil
+	return generatedKey{Key: key, Hash: authenticator.HashKey(key)}, nil
 }
 
 // certify writes the authority and the certificate of an instance.
--- /dev/null
+++ b/observer/observer_test.go
@@ -0,0 +1,172 @@
+package observer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/linker"
+	"github.com/redwingshunt/redwingshunt/reporter"
+)
+
+// fake is an instance with a few parts.
+type fake struct {
+	snapshot *redwingshunt.Snapshot
+	accounts []administrator.AccountStatus
+	traffic  []linker.Traffic
+}
+
+func (f *fake) Self() redwingshunt.Instance {
+	return redwingshunt.Instance{ID: "node-a", Region: "north"}
+}
+func (f *fake) Live() []redwingshunt.Instance {
+	return []redwingshunt.Instance{f.Self(), {ID: "node-b", Region: "north"}}
+}
+func (f *fake) Current() *redwingshunt.Snapshot { return f.snapshot }
+func (f *fake) Watch() <-chan struct{}          { return nil }
+func (f *fake) Accounts() []administrator.AccountStatus {
+	return f.accounts
+}
+
+func (f *fake) Upstreams() []administrator.UpstreamStatus {
+	one := administrator.UpstreamStatus{Service: "chat", Zone: "a", Slots: 8, Window: 6, Health: "alive"}
+	return []administrator.UpstreamStatus{one, one}
+}
+
+func (f *fake) Logs() []administrator.LogStatus {
+	return []administrator.LogStatus{{Leader: "node-a", Term: 3}}
+}
+
+// values returns the counters and gauges of a scope by name and labels.
+func values(scope tally.TestScope) map[string]float64 {
+	all := make(map[string]float64)
+	for name, c := range scope.Snapshot().Counters() {
+		all[name] = float64(c.Value())
+	}
+	for name, g := range scope.Snapshot().Gauges() {
+		all[name] = g.Value()
+	}
+	return all
+}
+
+func TestObserve(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	scope := tally.NewTestScope("", nil)
+	f := &fake{
+		snapshot: &redwingshunt.Snapshot{Revision: 7, At: start},
+		accounts: []administrator.AccountStatus{{Account: "alpha", Service: "chat", Backlog: 5}},
+		traffic:  []linker.Traffic{{Kind: "log", Messages: 2, Bytes: 100, AcrossMessages: 1, AcrossBytes: 40}},
+	}
+	o := New(scope, Sources{
+		Configuration: f, Members: f, Accounts: f, Upstreams: f, Log: f,
+		Traffic: func() []linker.Traffic { return f.traffic },
+	})
+	o.Observe(start.Add(time.Minute))
+	got := values(scope)
+	for name, want := range map[string]float64{
+		"instances+region=north": 2,
+		"ready+":                 1,
+		"revision+":              7,
+		"revision_age_seconds+":  60,
+		"account_backlog+account=alpha,service=chat": 5,
+		"upstream_slots+service=chat,zone=a":         16,
+		"upstreams+health=alive,service=chat":        2,
+		"log_leading+group=0":                        1,
+		"link_bytes+kind=log,way=inside":             100,
+		"link_bytes+kind=log,way=across":             40,
+	} {
+		value, ok := got[name]
+		is.True(ok) // the metric is missing
+		is.Equal(value, want)
+	}
+
+	// Counters go on from the last look; what is gone falls to zero.
+	f.traffic = []linker.Traffic{{Kind: "log", Messages: 5, Bytes: 250, AcrossMessages: 1, AcrossBytes: 40}}
+	f.accounts, f.snapshot = nil, nil
+	o.Observe(start.Add(2 * time.Minute))
+	got = values(scope)
+	is.Equal(got["link_bytes+kind=log,way=inside"], 250.0)
+	is.Equal(got["link_bytes+kind=log,way=across"], 40.0)
+	is.Equal(got["account_backlog+account=alpha,service=chat"], 0.0)
+	is.Equal(got["ready+"], 0.0)
+}
+
+func TestFilter(t *testing.T) {
+	known := func(e *redwingshunt.Exchange) {
+		e.Account = &redwingshunt.Account{Name: "alpha"}
+		e.Service = &redwingshunt.Service{Name: "chat"}
+	}
+	tests := map[string]struct {
+		fill func(e *redwingshunt.Exchange)
+		err  error
+		want []string
+	}{
+		"complete": {known, nil, []string{
+			"requests+account=alpha,outcome=complete", "outcomes+reason=none,service=chat",
+		}},
+		"refused before it is known": {func(*redwingshunt.Exchange) {}, redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, 401, ""), []string{
+			"requests+account=none,outcome=not-run", "outcomes+reason=unauthorized,service=none",
+		}},
+		"an error without an outcome": {known, errors.New("x"), []string{
+			"requests+account=alpha,outcome=may-have-run", "outcomes+reason=upstream-failed,service=chat",
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			scope := tally.NewTestScope("", nil)
+			chain := New(scope, Sources{}).Filter(redwingshunt.HandlerFunc(func(_ context.Context, e *redwingshunt.Exchange) error {
+				test.fill(e)
+				return test.err
+			}))
+			is.Equal(chain.Serve(context.Background(), &redwingshunt.Exchange{}), test.err)
+			for _, name := range test.want {
+				is.Equal(values(scope)[name], 1.0)
+			}
+		})
+	}
+}
+
+// TestAlertsPage compares the names in docs/ALERTS.md with those that an
+// instance with all parts publishes, both ways.
+func TestAlertsPage(t *testing.T) {
+	is := is.New(t)
+	scope, handler, closer := reporter.New()
+	f := &fake{
+		snapshot: &redwingshunt.Snapshot{Revision: 1},
+		accounts: []administrator.AccountStatus{{Account: "alpha", Service: "chat"}},
+		traffic:  []linker.Traffic{{Kind: "log", Dropped: 1, Messages: 1, Bytes: 1}},
+	}
+	o := New(scope, Sources{
+		Configuration: f, Members: f, Accounts: f, Upstreams: f, Log: f,
+		Traffic: func() []linker.Traffic { return f.traffic },
+	})
+	o.Observe(time.Now())
+	o.ended(&redwingshunt.Exchange{}, nil, time.Second)
+	is.NoErr(closer.Close())
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	published := make(redwingshunt.Set[string])
+	for _, match := range regexp.MustCompile(`# TYPE (\S+)`).FindAllStringSubmatch(answer.Body.String(), -1) {
+		published.Add(match[1])
+	}
+	page, err := os.ReadFile(filepath.Join("..", "docs", "ALERTS.md"))
+	is.NoErr(err)
+	described := make(redwingshunt.Set[string])
+	for _, match := range regexp.MustCompile(`\b(redwingshunt|process|go)_\w+`).FindAllString(string(page), -1) {
+		described.Add(match)
+	}
+	is.Equal(described.Sorted(), published.Sorted())
+}
