--- a/cmd/redwingshunt/commander/commander_test.go
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"flag"
 	"fmt"
 	"io"
+	"log"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -17,6 +20,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/certifier"
 	"github.com/redwingshunt/redwingshunt/parser"
 )
 
@@ -114,14 +118,19 @@
 		t: t, id: id, leader: "node-a", receipts: make(map[string]redwingshunt.Receipt),
 		snapshot: &redwingshunt.Snapshot{Revision: 2, Document: document, Sections: map[redwingshunt.Section]redwingshunt.Revision{"accounts": 2}},
 	}
-	server := httptest.NewServer(administrator.New(administrator.Parts{
-		Version: "test", Members: f, Configuration: f, Log: f, Submitter: f, History: f, Accounts: f, Upstreams: f,
-		Repairer: f, Archiver: f, Dumpers: map[string]redwingshunt.Dumper{"suspects": f},
-	}))
+	server := httptest.NewServer(f.handler())
 	t.Cleanup(server.Close)
 	return f, server.URL
 }
 
+// handler returns the administration API of a fake.
+func (f *fake) handler() http.Handler {
+	return administrator.New(administrator.Parts{
+		Version: "test", Members: f, Configuration: f, Log: f, Submitter: f, History: f, Accounts: f, Upstreams: f,
+		Repairer: f, Archiver: f, Dumpers: map[string]redwingshunt.Dumper{"suspects": f},
+	})
+}
+
 // command runs one command line and returns what it printed.
 func command(input string, environment map[string]string, arguments ...string) (code ExitCode, out, faults string) {
 	var stdout, stderr bytes.Buffer
@@ -223,6 +232,35 @@
 	is.Equal(len(f.changes), 1)
 }
 
+// TestTLS asks an instance with a certificate that keygen made: only with the
+// authority, and never in plain text.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	f, _ := start(t, "node-a")
+	folder := t.TempDir()
+	code, _, _ := command("", nil, "keygen", "--fleet", folder, "--instance", "node-a", "--address", "127.0.0.1")
+	is.Equal(code, ExitDone)
+	authority := filepath.Join(folder, "authority.pem")
+	keeper, err := certifier.Open(redwingshunt.TLSFiles{
+		Cert: filepath.Join(folder, "node-a.pem"), Key: filepath.Join(folder, "node-a.key"), Authority: authority,
+	}, time.Now)
+	is.NoErr(err)
+	server := httptest.NewUnstartedServer(f.handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Listener = tls.NewListener(server.Listener, keeper.Server())
+	server.Start()
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	key := []string{"status", "--key", "EXAMPLE-KEY-platform", "--admin"}
+	code, out, _ := command("", nil, append(key, address, "--authority", authority)...)
+	is.Equal(code, ExitDone)
+	is.True(strings.Contains(out, "node-a"))
+	code, _, _ = command("", nil, append(key, address)...)
+	is.Equal(code, ExitUnreachable)
+	code, _, _ = command("", nil, append(key, "http://"+address)...)
+	is.True(code != ExitDone)
+}
+
 // TestDoubt gives up while the outcome is unknown: the exit code says so, and
 // the ID to resend with is told.
 func TestDoubt(t *testing.T) {
