--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -255,7 +255,7 @@
 	case MessageSnapshotReply:
 		c.handleChunkReply(m, p)
 	}
-	if c.role == RoleLeader && !(p.paused && p.transfer != nil) {
+	if c.role == RoleLeader && (!p.paused || p.transfer == nil) {
 		c.replicate(m.From)
 	}
 }
--- a/replicator/stored.go
+++ b/replicator/stored.go
@@ -44,6 +44,9 @@
 	if keep > uint64(len(s.Entries)) {
 		return ErrGap
 	}
-	s.Entries = append(s.Entries[:keep:keep], entries...)
+	if keep < uint64(len(s.Entries)) {
+		s.Entries = s.Entries[:keep:keep]
+	}
+	s.Entries = append(s.Entries, entries...)
 	return nil
 }
