Add the driver of the replicated log

Commands carry session and sequence, so that resends take effect once.

A learner that joined an idle group got nothing until the next command; the leader now sends what a heartbeat reply shows to be missing.

--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -71,7 +71,7 @@
 		j.rotateAt = DefaultRotate
 	}
 	if err := j.open(o); err != nil {
-		j.Close()
+		_ = j.Close()
 		return nil, trace.Wrap(err)
 	}
 	return j, nil
@@ -336,6 +336,29 @@
 	return groups
 }
 
+// Erase empties a folder, which gets a new identity when it is next opened.
+func Erase(files FileSystem) error {
+	lock, err := files.Lock(lockName)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer lock.Close()
+	names, err := files.List()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	slices.Sort(names) // the journal before the snapshots that it names
+	for _, name := range names {
+		if name == lockName {
+			continue
+		}
+		if err := files.Remove(name); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(files.Sync())
+}
+
 // Close releases the folder.
 func (j *Journal) Close() error {
 	if j.file != nil {
--- /dev/null
+++ b/recorder/fake_test.go
@@ -0,0 +1,245 @@
+package recorder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// network is a set of instances and the links between them, with losses,
+// doubled messages, delays and partitions from a fixed seed.
+type network struct {
+	t      *testing.T
+	root   string
+	groups int
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	loss     float64
+	cut      map[redwingshunt.InstanceID]bool
+	handlers map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)
+	bytes    map[redwingshunt.MessageKind]int // of payloads
+	messages int
+	running  map[redwingshunt.InstanceID]*process
+}
+
+// process is a running instance.
+type process struct {
+	*Recorder
+	machines map[redwingshunt.GroupID]*register
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func newNetwork(t *testing.T, seed uint64, names ...redwingshunt.InstanceID) *network {
+	n := &network{
+		t: t, root: t.TempDir(), groups: 2, random: rand.New(rand.NewPCG(seed, 2)),
+		cut:      make(map[redwingshunt.InstanceID]bool),
+		handlers: make(map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)),
+		bytes:    make(map[redwingshunt.MessageKind]int),
+		running:  make(map[redwingshunt.InstanceID]*process),
+	}
+	t.Cleanup(n.haltAll)
+	for _, name := range names {
+		n.start(name)
+	}
+	time.Sleep(10 * time.Second)
+	return n
+}
+
+func (n *network) folder(name redwingshunt.InstanceID) string {
+	if strings.HasPrefix(string(name), "router") {
+		return ""
+	}
+	return filepath.Join(n.root, string(name))
+}
+
+// start begins a process, on its folder unless it is a router.
+func (n *network) start(name redwingshunt.InstanceID) {
+	p := &process{machines: make(map[redwingshunt.GroupID]*register), ended: make(chan error, 1)}
+	r, err := New(Options{
+		Self: name, Members: members{n, name}, Link: link{n, name}, Clock: clock{},
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Folder: n.folder(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
+		Groups: n.groups,
+		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
+			p.machines[g] = &register{}
+			return p.machines[g]
+		},
+	})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	p.Recorder = r
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	n.mu.Lock()
+	n.running[name] = p
+	n.mu.Unlock()
+	go func() {
+		p.ended <- r.Run(ctx)
+		close(p.ended)
+	}()
+}
+
+// halt cuts a process off and stops it, so that it hands nothing over.
+func (n *network) halt(name redwingshunt.InstanceID) {
+	n.isolate(name, true)
+	n.mu.Lock()
+	p := n.running[name]
+	delete(n.running, name)
+	delete(n.handlers, name)
+	n.mu.Unlock()
+	p.stop()
+	<-p.ended
+	n.isolate(name, false)
+}
+
+func (n *network) haltAll() {
+	for name := range n.running {
+		n.halt(name)
+	}
+}
+
+func (n *network) isolate(name redwingshunt.InstanceID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[name] = cut
+}
+
+func (n *network) lose(part float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = part
+}
+
+// leader returns who leads group 1, or "".
+func (n *network) leader() redwingshunt.InstanceID {
+	for name, p := range n.running {
+		if g := p.Status().Groups[1]; g.Role == "leader" && !n.cut[name] {
+			return name
+		}
+	}
+	return ""
+}
+
+// propose sends a command through one instance.
+func (n *network) propose(name redwingshunt.InstanceID, command string, limit time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	n.mu.Lock()
+	p := n.running[name]
+	n.mu.Unlock()
+	answer, err := p.Propose(ctx, 1, []byte(command))
+	return string(answer), err
+}
+
+type link struct {
+	n    *network
+	self redwingshunt.InstanceID
+}
+
+func (l link) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	l.n.bytes[m.Kind] += len(m.Payload)
+	l.n.messages++
+	copies := 1
+	if l.n.random.Float64() < l.n.loss {
+		copies = 2 * l.n.random.IntN(2)
+	}
+	for range copies {
+		delay := time.Duration(10+l.n.random.IntN(20)) * time.Millisecond
+		time.AfterFunc(delay, func() { l.n.deliver(l.self, to, m) })
+	}
+}
+
+func (n *network) deliver(from, to redwingshunt.InstanceID, m redwingshunt.Message) {
+	n.mu.Lock()
+	handle := n.handlers[to][m.Kind]
+	cut := n.cut[from] || n.cut[to]
+	n.mu.Unlock()
+	if handle != nil && !cut {
+		handle(from, m.Payload)
+	}
+}
+
+func (l link) Handle(kind redwingshunt.MessageKind, receive func(redwingshunt.InstanceID, []byte)) {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	if l.n.handlers[l.self] == nil {
+		l.n.handlers[l.self] = make(map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte))
+	}
+	l.n.handlers[l.self][kind] = receive
+}
+
+type members struct {
+	n    *network
+	self redwingshunt.InstanceID
+}
+
+func (m members) Self() redwingshunt.Instance { return redwingshunt.Instance{ID: m.self} }
+
+func (m members) Live() []redwingshunt.Instance {
+	m.n.mu.Lock()
+	defer m.n.mu.Unlock()
+	var live []redwingshunt.Instance
+	for _, id := range []redwingshunt.InstanceID{"a", "b", "c", "d"} {
+		if m.n.running[id] != nil {
+			live = append(live, redwingshunt.Instance{ID: id, Voter: true})
+		}
+	}
+	return live
+}
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// register is a state machine of one number: "+" adds one and answers the sum,
+// "=N" sets it, and anything else only reads it.
+type register struct{ value int }
+
+func (r *register) Apply(_ uint64, command []byte) []byte {
+	switch {
+	case string(command) == "+":
+		r.value++
+	case strings.HasPrefix(string(command), "="):
+		_, _ = fmt.Sscan(string(command[1:]), &r.value)
+	}
+	return fmt.Append(nil, r.value)
+}
+
+func (r *register) Snapshot() ([]byte, error) { return fmt.Append(nil, r.value), nil }
+
+func (r *register) Restore(snapshot []byte) error {
+	_, err := fmt.Sscan(string(snapshot), &r.value)
+	return err
+}
+
+var errNotWhole = errors.New("a voter is missing")
+
+// whole returns nil if all of the names vote in all groups.
+func (n *network) whole(at redwingshunt.InstanceID, names ...redwingshunt.InstanceID) error {
+	for _, g := range n.running[at].Status().Groups {
+		if len(g.Members) != len(names) {
+			return errNotWhole
+		}
+		for i, m := range g.Members {
+			if m.Instance != names[i] || !m.Voter {
+				return errNotWhole
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,225 @@
+package recorder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/replicator"
+)
+
+// operation is an input of the register model: a write of a value or a read.
+type operation struct {
+	write bool
+	value int
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		op := input.(operation)
+		if op.write {
+			return true, op.value
+		}
+		return output == nil || output.(int) == state.(int), state
+	},
+}
+
+// TestLinearizable has clients on voters and on a router write and read one
+// register while voters are cut off, restarted and messages get lost or
+// doubled.
+func TestLinearizable(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(t, seed, "a", "b", "c", "router")
+			n.lose(0.05)
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			var clients sync.WaitGroup
+			started := time.Now()
+			for client, name := range []redwingshunt.InstanceID{"router", "router", "b", "c"} {
+				clients.Go(func() {
+					random := rand.New(rand.NewPCG(seed, uint64(client)))
+					recorder := n.running[name]
+					for i := range 40 {
+						op := operation{random.IntN(2) == 0, client*1000 + i}
+						command := "read"
+						if op.write {
+							command = fmt.Sprint("=", op.value)
+						}
+						ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+						call := time.Since(started).Nanoseconds()
+						answer, err := recorder.Propose(ctx, 1, []byte(command))
+						cancel()
+						event := porcupine.Operation{ClientId: client, Input: op, Call: call, Return: time.Since(started).Nanoseconds()}
+						switch {
+						case err == nil:
+							event.Output, _ = strconv.Atoi(string(answer))
+						case errors.Is(err, redwingshunt.ErrNotCommitted):
+							continue
+						default:
+							event.Return = time.Hour.Nanoseconds() // it may take effect at any time
+							event.ClientId = 100*(client+1) + i
+						}
+						mu.Lock()
+						history = append(history, event)
+						mu.Unlock()
+						time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+					}
+				})
+			}
+			for range 3 {
+				time.Sleep(3 * time.Second)
+				n.isolate("a", true)
+				time.Sleep(4 * time.Second)
+				n.isolate("a", false)
+				n.halt("a")
+				time.Sleep(time.Second)
+				n.start("a")
+			}
+			clients.Wait()
+			is := is.New(t)
+			is.True(len(history) > 100)
+			is.True(porcupine.CheckOperations(registerModel, history))
+		})
+	}
+}
+
+// TestLeaderLossDuringProposals counts: each command that was answered counts
+// once, each of unknown fate at most once, and no other.
+func TestLeaderLossDuringProposals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		n.lose(0.1)
+		var mu sync.Mutex
+		var clients sync.WaitGroup
+		answered, unknown := 0, 0
+		for i := range 200 {
+			clients.Go(func() {
+				time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+				_, err := n.propose("router", "+", time.Duration(i%40)*100*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					answered++
+				case errors.Is(err, redwingshunt.ErrUnknown):
+					unknown++
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		lost := n.leader()
+		n.halt(lost)
+		clients.Wait()
+		sum, err := n.propose("router", "read", 10*time.Second)
+		is.NoErr(err)
+		value, err := strconv.Atoi(sum)
+		is.NoErr(err)
+		is.True(answered > 50)
+		is.True(unknown > 0)
+		is.True(answered <= value && value <= answered+unknown)
+	})
+}
+
+func TestIsolatedLeaderServesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c")
+		old := n.leader()
+		n.isolate(old, true)
+		_, err := n.propose(old, "+", 2*time.Second)
+		is.Equal(err, redwingshunt.ErrUnknown) // it stands in a log that may yet win
+		time.Sleep(5 * time.Second)
+		is.True(n.running[old].Status().Groups[1].Role != replicator.RoleLeader)
+		_, err = n.propose(old, "read", 2*time.Second)
+		is.True(err != nil)
+	})
+}
+
+// TestWipedVoterIsReplaced wipes the folder of the instance that made the first
+// membership. It must not make another one, votes again only after Replace, and
+// Replace may be called again after its caller has gone away.
+func TestWipedVoterIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		_, err := n.propose("router", "=7", 5*time.Second)
+		is.NoErr(err)
+		n.halt("a")
+		is.NoErr(os.RemoveAll(n.folder("a")))
+		n.start("a")
+		time.Sleep(10 * time.Second)
+		for _, g := range n.running["a"].Status().Groups {
+			is.Equal(len(g.Members), 0)
+		}
+		for limit := 100 * time.Millisecond; n.whole("a", "a", "b", "c") != nil; limit *= 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			_ = n.running["router"].Replace(ctx, "a", "a")
+			cancel()
+			is.True(limit < time.Minute)
+			time.Sleep(time.Second)
+		}
+		n.halt("b")
+		value, err := n.propose("router", "read", 10*time.Second)
+		is.NoErr(err)
+		is.Equal(value, "7")
+		n.start("b")
+		n.start("d")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		is.NoErr(n.running["d"].Replace(ctx, "c", "d")) // a living voter by another instance
+		is.NoErr(n.whole("d", "a", "b", "d"))
+		time.Sleep(5 * time.Second)
+		is.True(errors.Is(<-n.running["c"].ended, ErrFolderLost))
+		delete(n.running, "c")
+	})
+}
+
+func TestBackup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c")
+		_, err := n.propose("b", "=7", 5*time.Second)
+		is.NoErr(err)
+		var file bytes.Buffer
+		is.NoErr(n.running[n.leader()].Backup(&file))
+		disk := journaler.Disk{Folder: n.folder("d")}
+		is.True(errors.Is(Restore(disk, "d", bytes.NewReader(file.Bytes()[:file.Len()-1])), ErrBackup))
+		is.NoErr(Restore(disk, "d", &file))
+		is.True(Restore(disk, "d", &file) != nil) // never over existing state
+		n.start("d")
+		value, err := n.propose("d", "read", 10*time.Second)
+		is.NoErr(err)
+		is.Equal(value, "7")
+	})
+}
+
+func TestGracefulStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		p := n.running[n.leader()]
+		p.stop()
+		is.NoErr(<-p.ended)
+		began := time.Now()
+		delete(n.running, p.options.Self)
+		_, err := n.propose("router", "+", 10*time.Second)
+		is.NoErr(err)
+		is.True(time.Since(began) < 2*time.Second) // no election timeout; time is simulated
+	})
+}
--- /dev/null
+++ b/recorder/status.go
@@ -0,0 +1,109 @@
+package recorder
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/replicator"
+)
+
+// dumpTimeout bounds the wait for a loop that is busy or has stopped.
+const dumpTimeout = time.Second
+
+// Status is what this instance knows of its logs.
+type Status struct {
+	Self   redwingshunt.InstanceID `json:"self"`
+	Folder replicator.FolderID     `json:"folder,omitempty"` // zero on an instance without a disk
+	Start  uint64                  `json:"start,omitempty"`
+	Groups []GroupStatus           `json:"groups"`
+}
+
+// GroupStatus is what this instance knows of one group.
+type GroupStatus struct {
+	Group    redwingshunt.GroupID    `json:"group"`
+	Role     replicator.Role         `json:"role,omitempty"`
+	Leader   redwingshunt.InstanceID `json:"leader"` // empty when unknown
+	Term     uint64                  `json:"term"`
+	Commit   uint64                  `json:"commit"`
+	Last     uint64                  `json:"last"`
+	Snapshot uint64                  `json:"snapshot"`
+	Sessions int                     `json:"sessions"`
+	Pending  bool                    `json:"pending"` // a change of membership is not complete
+	Lost     bool                    `json:"lost"`    // the folder holds no vote any more
+	Members  []MemberStatus          `json:"members"`
+}
+
+// MemberStatus is a member of a group; what only the leader knows is zero
+// elsewhere.
+type MemberStatus struct {
+	Instance redwingshunt.InstanceID `json:"instance"`
+	Folder   replicator.FolderID     `json:"folder"`
+	Voter    bool                    `json:"voter"`
+	Alive    bool                    `json:"alive"`
+	Lag      uint64                  `json:"lag"` // entries
+}
+
+// ownStart returns the number of this start with the folder, or zero.
+func (r *Recorder) ownStart() uint64 {
+	if r.journal == nil {
+		return 0
+	}
+	return r.journal.Start()
+}
+
+// Status returns what this instance knows of its logs.
+func (r *Recorder) Status() Status {
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	found := make(chan Status, 1)
+	if r.do(ctx, func() { found <- r.status() }) == nil {
+		select {
+		case s := <-found:
+			return s
+		case <-ctx.Done():
+		}
+	}
+	return r.outside()
+}
+
+// outside returns the status of an instance that has no replicas.
+func (r *Recorder) outside() Status {
+	s := Status{Self: r.options.Self}
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	for i := range r.options.Groups {
+		id := redwingshunt.GroupID(i)
+		s.Groups = append(s.Groups, GroupStatus{Group: id, Leader: r.client.leaders[id], Commit: r.client.commits[id]})
+	}
+	return s
+}
+
+func (r *Recorder) status() Status {
+	s := Status{Self: r.options.Self, Folder: r.self.Folder, Start: r.journal.Start()}
+	for _, g := range r.ordered() {
+		s.Groups = append(s.Groups, g.status())
+	}
+	return s
+}
+
+func (g *group) status() GroupStatus {
+	s := g.core.Status()
+	status := GroupStatus{
+		Group: g.id, Role: s.Role, Leader: s.Leader.Instance, Term: s.Term, Commit: s.Commit, Last: s.Last,
+		Snapshot: s.Snapshot, Sessions: len(g.sessions.byNumber), Pending: s.Pending, Lost: s.Lost,
+	}
+	for _, member := range s.Membership {
+		m := MemberStatus{Instance: member.ID.Instance, Folder: member.ID.Folder, Voter: member.Voter}
+		for _, known := range s.Members {
+			if known.ID == member.ID {
+				m.Alive, m.Lag = known.Alive, known.Lag
+			}
+		}
+		status.Members = append(status.Members, m)
+	}
+	return status
+}
+
+// Dump returns the status. It implements redwingshunt.Dumper.
+func (r *Recorder) Dump() any { return r.Status() }
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -254,6 +254,10 @@
 		c.handleAppendReply(m, p)
 	case MessageSnapshotReply:
 		c.handleChunkReply(m, p)
+	case MessageHeartbeatReply:
+		if p.match < c.log.last() && p.next > c.log.last() && !p.waiting() {
+			p.restart(min(m.Last+1, c.log.last())) // nothing else would tell it what it lacks
+		}
 	}
 	if c.role == RoleLeader && (!p.paused || p.transfer == nil) {
 		c.replicate(m.From)
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -26,6 +26,18 @@
 	Alive bool
 }
 
+// Role returns what the replica does in its term.
+func (c *Core) Role() Role { return c.role }
+
+// Leader returns the leader as far as known, or nobody.
+func (c *Core) Leader() MemberID { return c.leader }
+
+// Commit returns the newest entry that is known to be committed.
+func (c *Core) Commit() uint64 { return c.commit }
+
+// Voter reports whether the replica is a voter of its newest membership.
+func (c *Core) Voter() bool { return c.mayVote() }
+
 // Status returns a copy of the state for people and for membership operations.
 func (c *Core) Status() Status {
 	s := Status{
