Refuse folders with state as new voters, and seed per group

A folder that has entries of another history must not join: equal indexes and terms would pass for equal entries. The first membership is now completed for each group by itself after a crash in the middle.

--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -10,10 +10,12 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/journaler"
 )
 
 // network is a set of instances and the links between them, with losses,
@@ -31,6 +33,7 @@
 	bytes    map[redwingshunt.MessageKind]int // of payloads
 	messages int
 	running  map[redwingshunt.InstanceID]*process
+	broken   map[redwingshunt.InstanceID]*atomic.Bool // disks
 }
 
 // process is a running instance.
@@ -48,6 +51,7 @@
 		handlers: make(map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)),
 		bytes:    make(map[redwingshunt.MessageKind]int),
 		running:  make(map[redwingshunt.InstanceID]*process),
+		broken:   make(map[redwingshunt.InstanceID]*atomic.Bool),
 	}
 	t.Cleanup(n.haltAll)
 	for _, name := range names {
@@ -58,10 +62,16 @@
 }
 
 func (n *network) folder(name redwingshunt.InstanceID) string {
+	return filepath.Join(n.root, string(name))
+}
+
+// files returns the disk of an instance; a router has none.
+func (n *network) files(name redwingshunt.InstanceID) journaler.FileSystem {
 	if strings.HasPrefix(string(name), "router") {
-		return ""
+		return nil
 	}
-	return filepath.Join(n.root, string(name))
+	n.broken[name] = new(atomic.Bool)
+	return failingFiles{journaler.Disk{Folder: n.folder(name)}, n.broken[name]}
 }
 
 // start begins a process, on its folder unless it is a router.
@@ -70,7 +80,7 @@
 	r, err := New(Options{
 		Self: name, Members: members{n, name}, Link: link{n, name}, Clock: clock{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Folder: n.folder(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
+		Files:  n.files(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
 		Groups: n.groups,
 		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
 			p.machines[g] = &register{}
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -14,50 +14,84 @@
 // Replace makes the folder of fresh a voter of all groups in place of the one
 // of lost, and returns when that is done. Fresh may be lost itself with a new
 // folder; an empty lost only adds fresh. The groups carry on by themselves when
-// the caller goes away, and calling again picks up where they are.
+// the caller goes away, and calling again picks up where they are. It returns
+// ErrFolderInUse, wrapped, if fresh has state and is no member.
 func (r *Recorder) Replace(ctx context.Context, lost, fresh redwingshunt.InstanceID) error {
-	identity, err := r.identify(ctx, fresh)
-	if err != nil {
-		return trace.Wrap(err, "instance %s does not tell its folder", fresh)
-	}
 	for i := range r.options.Groups {
-		if err := r.replaceIn(ctx, redwingshunt.GroupID(i), lost, identity); err != nil {
+		replacement := &replacement{recorder: r, group: redwingshunt.GroupID(i), lost: lost, fresh: fresh}
+		if err := replacement.run(ctx); err != nil {
 			return trace.Wrap(err, "group %d", i)
 		}
 	}
 	return nil
 }
 
-// identify asks an instance for its folder until it answers.
-func (r *Recorder) identify(ctx context.Context, instance redwingshunt.InstanceID) (replicator.MemberID, error) {
-	for {
-		reply, err := r.ask(ctx, instance, &wire.LogRequest{Identify: true})
-		if err == nil {
-			return replicator.MemberID{Instance: instance, Folder: replicator.FolderID(reply.GetFolder())}, nil
-		}
-		if ctx.Err() != nil {
-			return replicator.MemberID{}, ctx.Err()
-		}
-		pause(ctx, operationDelay)
-	}
+// replacement carries the replacement of a voter through in one group.
+type replacement struct {
+	recorder *Recorder
+	group    redwingshunt.GroupID
+	lost     redwingshunt.InstanceID
+	fresh    redwingshunt.InstanceID
+	obstacle string // why the last look or change failed
 }
 
-// replaceIn carries a replacement through in one group.
-func (r *Recorder) replaceIn(ctx context.Context, group redwingshunt.GroupID, lost redwingshunt.InstanceID, fresh replicator.MemberID) error {
+// run asks for one change after the other until the membership is as wanted.
+func (p *replacement) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		reply := r.askLeader(ctx, group, &wire.LogRequest{Group: uint32(group), Status: true})
-		if reply.GetOutcome() == wire.LogOutcome_LOG_OUTCOME_APPLIED {
-			change, done := nextChange(encoder.ParseMembers(reply.GetMembership()), lost, fresh)
-			if done && !reply.GetPending() {
-				return nil
-			}
-			if change != nil {
-				r.askLeader(ctx, group, &wire.LogRequest{Group: uint32(group), Change: change})
-			}
+		done, err := p.advance(ctx)
+		if done || err != nil {
+			return err
 		}
 		pause(ctx, operationDelay)
 	}
-	return ctx.Err()
+	return trace.Wrap(ctx.Err(), "the replacement is not complete: %s", p.obstacle)
+}
+
+// advance looks at the membership and asks for the next change. It reports
+// whether nothing is left to do.
+func (p *replacement) advance(ctx context.Context) (bool, error) {
+	identity, err := p.recorder.ask(ctx, p.fresh, &wire.LogRequest{Group: uint32(p.group), Identify: true})
+	if err != nil || identity.GetFolder() == 0 {
+		p.obstacle = "the new voter does not tell its folder"
+		return false, nil
+	}
+	fresh := replicator.MemberID{Instance: p.fresh, Folder: replicator.FolderID(identity.GetFolder())}
+	reply := p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Status: true})
+	if reply.GetOutcome() != wire.LogOutcome_LOG_OUTCOME_APPLIED {
+		return false, nil
+	}
+	membership := encoder.ParseMembers(reply.GetMembership())
+	if _, known := membership.Find(fresh); !known && identity.GetSeeded() {
+		return false, ErrFolderInUse
+	}
+	change, done := nextChange(membership, p.lost, fresh)
+	if change != nil {
+		p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Change: change})
+	}
+	return done && !reply.GetPending(), nil
+}
+
+// askLeader sends a request to the leader of the group as far as known. A reply
+// of another voter tells who it is; nil means that there was no answer.
+func (p *replacement) askLeader(ctx context.Context, request *wire.LogRequest) *wire.LogReply {
+	client := p.recorder.client
+	target := p.recorder.target(p.group)
+	if target == "" {
+		p.obstacle = "no voter is known"
+		return nil
+	}
+	reply, err := p.recorder.ask(ctx, target, request)
+	if err != nil {
+		p.obstacle = "the leader does not answer"
+		client.setLeader(p.group, "")
+		return nil
+	}
+	client.learn(p.group, reply)
+	p.obstacle = "the new voter has not caught up, or the change is not committed"
+	if reply.GetReason() != "" {
+		p.obstacle = reply.GetReason()
+	}
+	return reply
 }
 
 // nextChange returns the change to ask for, if any, and whether the membership
@@ -79,19 +113,3 @@
 	}
 	return nil, member.Voter && leaving.IsZero()
 }
-
-// askLeader sends a request to the leader of a group as far as known. A reply
-// of another voter tells who it is; nil means that there was no answer.
-func (r *Recorder) askLeader(ctx context.Context, group redwingshunt.GroupID, request *wire.LogRequest) *wire.LogReply {
-	target := r.target(group)
-	if target == "" {
-		return nil
-	}
-	reply, err := r.ask(ctx, target, request)
-	if err != nil {
-		r.client.setLeader(group, "")
-		return nil
-	}
-	r.client.learn(group, reply)
-	return reply
-}
--- a/recorder/options.go
+++ b/recorder/options.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -32,6 +33,13 @@
 // again after Replace.
 var ErrFolderLost = errors.New("the data folder holds no vote any more")
 
+// ErrFolderInUse means that an instance that is to become a voter has state of
+// its own already, so that its log could be another one.
+var ErrFolderInUse = errors.New("the data folder of the new voter is not empty")
+
+// errNoFolder means that an instance without a folder was asked for its state.
+var errNoFolder = errors.New("this instance has no data folder")
+
 // errStopped means that Run has ended.
 var errStopped = errors.New("the log has stopped")
 
@@ -64,6 +72,9 @@
 // New opens the folder and restores the state machines from their snapshots. It
 // registers with the link, and takes part once Run is called.
 func New(o Options) (*Recorder, error) {
+	if o.Bootstrap && !slices.Contains(o.Initial, o.Self) {
+		return nil, trace.BadParameter("instance %s cannot make the first membership without being part of it", o.Self)
+	}
 	r := &Recorder{
 		options: o,
 		calls:   make(chan func(), queueLength),
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -168,7 +168,7 @@
 // do runs a function in the loop, and reports whether it could.
 func (r *Recorder) do(ctx context.Context, call func()) error {
 	if r.journal == nil {
-		return errStopped
+		return errNoFolder
 	}
 	select {
 	case r.calls <- call:
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,45 @@
 		is.True(time.Since(began) < 2*time.Second) // no election timeout; time is simulated
 	})
 }
+
+// failingFiles is a disk whose writes fail once it is broken.
+type failingFiles struct {
+	journaler.Disk
+	broken *atomic.Bool
+}
+
+func (f failingFiles) Append(name string) (journaler.File, error) {
+	file, err := f.Disk.Append(name)
+	return failingFile{file, f.broken}, err
+}
+
+type failingFile struct {
+	journaler.File
+	broken *atomic.Bool
+}
+
+var errDisk = errors.New("input/output error")
+
+func (f failingFile) Sync() error {
+	if f.broken.Load() {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+// TestDiskErrorEndsTheVoter breaks the disk of the leader: it promises nothing
+// more, and the other voters go on.
+func TestDiskErrorEndsTheVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		n.broken[n.leader()].Store(true)
+		p := n.running[n.leader()]
+		_, err := n.propose("router", "+", 10*time.Second)
+		is.NoErr(err)
+		is.True(errors.Is(<-p.ended, errDisk))
+		value, err := n.propose("router", "read", 10*time.Second)
+		is.NoErr(err)
+		is.Equal(value, "1")
+	})
+}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 
-	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
 	"github.com/redwingshunt/redwingshunt/replicator"
 	"github.com/redwingshunt/redwingshunt/replicator/encoder"
@@ -14,16 +13,20 @@
 // errSeeded means that there is a first membership already.
 var errSeeded = errors.New("another initial voter has state already; this folder has to be added with replace")
 
-// seeded reports whether the folder has state.
-func (r *Recorder) seeded() bool {
+// states returns the number of groups of which the folder has state.
+func (r *Recorder) states() uint32 {
+	n := uint32(0)
 	for _, g := range r.groups {
-		if s := g.core.Status(); s.Last > 0 || s.Term > 0 {
-			return true
+		if g.seeded() {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
+// seeded reports whether the folder has state of the group.
+func (g *group) seeded() bool { return g.core.Status().Last > 0 }
+
 // bootstrap makes the first membership out of all initial voters, once each of
 // them has said that its folder is empty. When some have not learnt of it, since
 // this instance stopped meanwhile, they are told again.
@@ -43,23 +46,24 @@
 
 // tryBootstrap reports whether nothing is left to do.
 func (r *Recorder) tryBootstrap(ctx context.Context) (bool, error) {
-	ids, empty, err := r.identities(ctx)
+	voters, err := r.initialVoters(ctx)
 	if err != nil {
 		return false, nil // one does not answer yet
 	}
-	membership := replicator.NewMembership(ids...)
-	last, own, err := r.ownState(ctx)
-	switch {
-	case err != nil:
+	own, err := r.ownState(ctx)
+	if err != nil {
 		return false, nil
-	case last > 1:
-		return true, nil // there has been a leader, who reaches the others
-	case last == 1:
-		membership = own
-	case len(empty) < len(ids):
+	}
+	membership := own.first
+	switch {
+	case own.led:
+		return true, nil // the leaders reach the others
+	case own.states == 0 && voters.states > 0:
 		return false, errSeeded
+	case own.states == 0:
+		membership = replicator.NewMembership(voters.ids...)
 	}
-	for _, id := range append([]replicator.MemberID{r.self}, empty...) {
+	for _, id := range voters.incomplete {
 		if !membership.Voter(id) {
 			continue
 		}
@@ -72,43 +76,72 @@
 	return true, nil
 }
 
-// identities asks all initial voters for their folders, and returns all of them
-// and those without state.
-func (r *Recorder) identities(ctx context.Context) (all, empty []replicator.MemberID, err error) {
+// initialVoters is what the instances of Options.Initial say of their folders.
+type initialVoters struct {
+	ids        []replicator.MemberID
+	incomplete []replicator.MemberID // that lack state of a group; this instance comes first
+	states     uint32                // groups with state, over all folders
+}
+
+// initialVoters asks all of Options.Initial for their folders.
+func (r *Recorder) initialVoters(ctx context.Context) (initialVoters, error) {
+	var voters initialVoters
 	for _, instance := range r.options.Initial {
 		reply, err := r.ask(ctx, instance, &wire.LogRequest{Identify: true})
 		if err != nil {
-			return nil, nil, err
+			return voters, err
 		}
 		id := replicator.MemberID{Instance: instance, Folder: replicator.FolderID(reply.GetFolder())}
-		all = append(all, id)
-		if !reply.GetSeeded() {
-			empty = append(empty, id)
+		voters.ids = append(voters.ids, id)
+		voters.states += reply.GetStates()
+		switch {
+		case int(reply.GetStates()) == r.options.Groups:
+		case instance == r.options.Self:
+			voters.incomplete = append([]replicator.MemberID{id}, voters.incomplete...)
+		default:
+			voters.incomplete = append(voters.incomplete, id)
 		}
 	}
-	return all, empty, nil
+	return voters, nil
 }
 
-// ownState returns the last entry of this folder and its membership.
-func (r *Recorder) ownState(ctx context.Context) (uint64, replicator.Membership, error) {
-	found := make(chan replicator.Status, 1)
-	err := r.do(ctx, func() { found <- r.groups[redwingshunt.GroupControl].core.Status() })
+// ownState is what the folder of this instance holds.
+type ownState struct {
+	states uint32                // groups with state
+	led    bool                  // all groups have had a leader
+	first  replicator.Membership // the first membership, if a group still has it
+}
+
+// ownState looks at the groups of this instance.
+func (r *Recorder) ownState(ctx context.Context) (ownState, error) {
+	found := make(chan ownState, 1)
+	err := r.do(ctx, func() {
+		own := ownState{states: r.states(), led: true}
+		for _, g := range r.ordered() {
+			s := g.core.Status()
+			own.led = own.led && s.Last > 1
+			if s.Last == 1 {
+				own.first = s.Membership
+			}
+		}
+		found <- own
+	})
 	if err != nil {
-		return 0, nil, err
+		return ownState{}, err
 	}
 	select {
-	case s := <-found:
-		return s.Last, s.Membership, nil
+	case own := <-found:
+		return own, nil
 	case <-r.done:
-		return 0, nil, errStopped
+		return ownState{}, errStopped
 	}
 }
 
-// takeSeed gives the first membership to an empty folder, once.
+// takeSeed gives the first membership to the groups that have no state, once.
 func (r *Recorder) takeSeed(seed *wire.LogSeed, reply func(*wire.LogReply)) {
 	membership := encoder.ParseMembers(seed.GetMembership())
 	switch {
-	case r.seeded() || r.seeding:
+	case int(r.states()) == r.options.Groups || r.seeding:
 		reply(&wire.LogReply{Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED})
 		return
 	case !membership.Voter(r.self) || int(seed.GetGroups()) != r.options.Groups:
@@ -116,8 +149,11 @@
 		return
 	}
 	r.seeding = true
-	left := len(r.groups)
+	left := r.options.Groups - int(r.states())
 	for _, g := range r.ordered() {
+		if g.seeded() {
+			continue
+		}
 		record, err := g.seed(membership)
 		if err != nil {
 			r.fail(err)
--- a/recorder/server.go
+++ b/recorder/server.go
@@ -21,14 +21,14 @@
 	}
 	g := r.groups[redwingshunt.GroupID(request.GetGroup())]
 	switch {
+	case g == nil:
+		reply(refusal("no such group"))
 	case request.GetIdentify():
 		reply(&wire.LogReply{
-			Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED, Folder: uint64(r.self.Folder), Seeded: r.seeded(),
+			Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED, Folder: uint64(r.self.Folder), Seeded: g.seeded(), States: r.states(),
 		})
 	case request.GetSeed() != nil:
 		r.takeSeed(request.GetSeed(), reply)
-	case g == nil:
-		reply(refusal("no such group"))
 	case request.GetStatus():
 		reply(g.describe())
 	case request.GetChange() != nil:
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -10,6 +10,7 @@
 	Self  MemberID
 	Start uint64 // counts the starts with this folder, see NewStart
 	Seed  uint64 // of the randomness
+	Trail uint64 // entries kept behind a snapshot for members that lag; zero is TrailingEntries
 }
 
 // Role is what a replica does in its term.
@@ -28,6 +29,7 @@
 	self   MemberID
 	start  uint64
 	random *rand.Rand
+	trail  uint64
 
 	wall time.Time     // as last told
 	now  time.Duration // since the start, by the core's own bounded clock
@@ -81,6 +83,7 @@
 		self:     config.Self,
 		start:    config.Start,
 		random:   rand.New(rand.NewPCG(config.Seed, config.Start)),
+		trail:    config.Trail,
 		wall:     now,
 		hard:     stored.HardState,
 		snapshot: stored.Snapshot,
@@ -88,6 +91,9 @@
 		role:     RoleFollower,
 		starts:   make(map[MemberID]uint64),
 	}
+	if c.trail == 0 {
+		c.trail = TrailingEntries
+	}
 	c.log.reset(stored.Snapshot.Index, stored.Snapshot.Term)
 	c.log.put(stored.Entries)
 	c.memberships = []membershipAt{{stored.Snapshot.Index, stored.Snapshot.Membership}}
@@ -145,6 +151,9 @@
 
 // Deadline returns when the core needs a Tick at the latest.
 func (c *Core) Deadline() time.Time {
+	if c.hard.Lost {
+		return c.wall.Add(HeartbeatPeriod)
+	}
 	if c.role != RoleLeader {
 		return c.wall.Add(max(c.electionAt-c.now, 0))
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -64,6 +64,11 @@
 		if leader := n.leader(); leader == nil {
 			t.Fatalf("no leader after all healed")
 		}
+		for _, member := range n.leader().core.Status().Membership {
+			if n.node(member.ID).core.Status().Lost {
+				t.Fatalf("%v has lost its vote with an intact disk", member.ID)
+			}
+		}
 		before := n.last
 		n.step(n.leader(), Proposed{ID: 1, Commands: [][]byte{[]byte("end")}})
 		n.run(2 * time.Second)
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -89,8 +89,8 @@
 	nd.starts = NewStart(nd.starts, uint16(n.random.Uint32()))
 	disk := nd.disk
 	disk.Entries = slices.Clone(disk.Entries)
-	nd.core = New(Config{Self: nd.id, Start: nd.starts, Seed: n.random.Uint64()}, disk, n.now)
-	nd.applied, nd.machine = disk.Snapshot.Index, nd.state
+	nd.core = New(Config{Self: nd.id, Start: nd.starts, Seed: n.random.Uint64(), Trail: 3}, disk, n.now)
+	nd.applied, nd.machine = disk.Snapshot.Index, bytes.TrimRight(nd.state, "\x00")
 }
 
 func (n *network) startAll() {
@@ -133,7 +133,7 @@
 		case Apply:
 			n.apply(nd, a.Entries)
 		case Restore:
-			nd.applied, nd.machine = a.Snapshot.Index, a.Snapshot.Data
+			nd.applied, nd.machine = a.Snapshot.Index, bytes.TrimRight(a.Snapshot.Data, "\x00")
 		case LoadSnapshot:
 			meta := nd.disk.Snapshot
 			n.step(nd, SnapshotLoaded{Snapshot{meta, nd.state}})
@@ -276,7 +276,8 @@
 		return
 	}
 	if meta, ok := nd.core.SnapshotMeta(nd.applied); ok {
-		nd.pending = append(nd.pending, Persist{Snapshot: &Snapshot{meta, nd.machine}})
+		chunks := make([]byte, 2*SnapshotChunkBytes) // several messages
+		nd.pending = append(nd.pending, Persist{Snapshot: &Snapshot{meta, append(nd.machine[:len(nd.machine):len(nd.machine)], chunks...)}})
 		n.flush(nd)
 		n.step(nd, Snapshotted{meta.Index})
 	}
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -20,8 +20,8 @@
 		return
 	}
 	c.snapshot, _ = c.SnapshotMeta(index)
-	if index > TrailingEntries {
-		c.log.compact(index - TrailingEntries)
+	if index > c.trail {
+		c.log.compact(index - c.trail)
 	}
 	for len(c.memberships) > 1 && c.memberships[1].index <= index {
 		c.memberships = c.memberships[1:]
