--- a/cmd/redwingshunt/commander/verb_demo.go
+++ b/cmd/redwingshunt/commander/verb_demo.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"io"
+
+	"github.com/redwingshunt/redwingshunt/demonstrator"
 )
 
 // VerbDemoSetup is the verb demo.
@@ -21,11 +22,6 @@
 // VerbDemo runs the demonstration.
 type VerbDemo struct{}
 
-// demonstrate runs the demonstration and writes to a terminal.
-var demonstrate = func(context.Context, io.Writer) error {
-	return &Fault{Code: ExitFailed, Text: "this build has no demonstration", Next: "build it from a release"}
-}
-
 func parseVerbDemo(_ *Console, arguments []string) (Verb, error) {
 	_, err := parse("demo", &struct{}{}, arguments, 0, 0)
 	return &VerbDemo{}, err
@@ -33,5 +29,5 @@
 
 // Run runs the demonstration.
 func (v *VerbDemo) Run(ctx context.Context, console *Console) error {
-	return demonstrate(ctx, console.Out)
+	return demonstrator.Run(ctx, console.Out, demonstrator.Defaults())
 }
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -16,8 +16,12 @@
 	never    chan struct{}
 }
 
-func newConfiguration(settings redwingshunt.Settings) (*configuration, error) {
+func newConfiguration(settings redwingshunt.Settings, document *redwingshunt.Document) (*configuration, error) {
 	c := &configuration{never: make(chan struct{})}
+	if document != nil {
+		c.snapshot = &redwingshunt.Snapshot{Revision: 1, Document: document, At: time.Now()}
+		return c, nil
+	}
 	if settings.Document == "" {
 		return c, nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,6 +39,9 @@
 // Options configure a daemon beyond its settings.
 type Options struct {
 	Logger *slog.Logger
+	// Document is in force from the start, instead of the file that the
+	// settings name; may be nil.
+	Document *redwingshunt.Document
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
 }
@@ -72,7 +75,7 @@
 		d.closeSockets()
 		return nil, trace.Wrap(err)
 	}
-	configured, err := newConfiguration(settings)
+	configured, err := newConfiguration(settings, options.Document)
 	if err != nil {
 		d.closeSockets()
 		return nil, trace.Wrap(err)
@@ -144,6 +147,18 @@
 // Listen returns the address for callers and upstreams.
 func (d *Daemon) Listen() netip.AddrPort { return addressOf(d.sockets.callers) }
 
+// Traffic returns what the instance sent to and received from others.
+func (d *Daemon) Traffic() []linker.Traffic { return d.linker.Traffic() }
+
+// Self returns this instance.
+func (d *Daemon) Self() redwingshunt.Instance { return d.members.Self() }
+
+// Link returns the address for other instances.
+func (d *Daemon) Link() netip.AddrPort { return addressOf(d.sockets.links) }
+
+// Live returns the instances that this one thinks alive.
+func (d *Daemon) Live() []redwingshunt.Instance { return d.members.Live() }
+
 // Admin returns the address of the administration API.
 func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
 
--- a/mimic/mimic.go
+++ b/mimic/mimic.go
@@ -190,6 +190,9 @@
 	return total
 }
 
+// Busy returns how many requests run now.
+func (m *Mimic) Busy() int { return int(m.running.Load()) }
+
 // Cancelled returns how many requests were cancelled by the router.
 func (m *Mimic) Cancelled() int {
 	m.mu.Lock()
