--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -184,7 +184,7 @@
 func (d *Daemon) closeSockets() {
 	for _, socket := range []net.Listener{d.sockets.callers, d.sockets.links, d.sockets.admin} {
 		if socket != nil {
-			socket.Close()
+			_ = socket.Close()
 		}
 	}
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -58,14 +58,14 @@
 }
 
 func testSettings(index int, seeds []netip.AddrPort) redwingshunt.Settings {
-	any := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(index + 1)}), 0)
+	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(index + 1)}), 0)
 	region, zone := redwingshunt.RegionID("north"), redwingshunt.ZoneID("north-a")
 	if index == 2 {
 		region, zone = "south", "south-a"
 	}
 	return redwingshunt.Settings{
 		Name: redwingshunt.InstanceID(fmt.Sprintf("node-%c", 'a'+index)), Region: region, Zone: zone,
-		Listen: any, Link: any, Admin: any, Peers: seeds, Plain: true, Drain: patience,
+		Listen: loopback, Link: loopback, Admin: loopback, Peers: seeds, Plain: true, Drain: patience,
 		Document: filepath.Join("..", "examples", "three.yaml"),
 	}
 }
@@ -136,7 +136,8 @@
 	is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n"))
 	is.Equal(got.trailer.Get(redwingshunt.HeaderOutcome), "complete")
 
-	got = call(t, nodes[2], "gamma", "/services/desk/stock/42?size=3", "hello", nil)
+	got = call(t, nodes[2], "gamma", "/services/desk/stock/42?size=3", "hello",
+		http.Header{"X-Trace": {"7"}})
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(got.header.Get(redwingshunt.HeaderOutcome), "complete")
 	is.True(strings.Contains(got.body, `"path":"/stock/42?size=3"`))
--- a/linker/peer.go
+++ b/linker/peer.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	ctx, cancel := context.WithCancelCause(p.linker.ctx)
 	defer cancel(nil)
 
--- a/mimic/mimic.go
+++ b/mimic/mimic.go
@@ -156,7 +156,7 @@
 	m.stopping.Do(func() {
 		m.cancel()
 		if m.server != nil {
-			m.server.Close()
+			_ = m.server.Close()
 		}
 		m.client.CloseIdleConnections()
 	})
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -101,7 +102,7 @@
 	}
 	queue := q.waiting[w.request.Service]
 	q.waiting[w.request.Service] = slices.DeleteFunc(queue, func(other *waiter) bool { return other == w })
-	if context.Cause(ctx) == context.Canceled {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonCancelled, 499, "the caller went away")
 	}
 	return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonDeadline, http.StatusServiceUnavailable,
