--- a/outcome.go
+++ b/outcome.go
@@ -35,6 +35,7 @@
 	ReasonKeyConflict     Reason = "key-conflict"     // the key was used with another body
 	ReasonInProgress      Reason = "in-progress"      // the first request with this key still runs
 	ReasonInterrupted     Reason = "interrupted"      // the run of this key was lost before its answer was kept
+	ReasonNotKept         Reason = "not-kept"         // the request of this key ran; its answer is not kept
 	ReasonNoQuorum        Reason = "no-quorum"        // the claim could not be committed
 	ReasonClaimsFull      Reason = "claims-full"      // the space for claims is used up
 	ReasonSuspect         Reason = "suspect"          // upstreams died while they ran this request
@@ -46,6 +47,10 @@
 	ReasonTruncated       Reason = "truncated"        // the answer ended early and could not be resumed
 )
 
+// RetrySoon is the Retry-After of refusals that end as soon as the fleet has
+// settled, such as a missing leader.
+const RetrySoon = time.Second
+
 // OutcomeError is the error that ends a request. Every error that leaves a
 // filter of the chain is one, or is treated as OutcomeMayHaveRun.
 type OutcomeError struct {
