Add decision cores of the fair service

Owner and queue of a service, upstream windows, account bounds and the ledger between owners, as cores without sockets, clock or goroutines.

--- /dev/null
+++ b/scheduler/owner.go
@@ -0,0 +1,416 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/balancer"
+	"github.com/redwingshunt/redwingshunt/exchanger"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const (
+	// horizon is the time of one slot that a running request reserves.
+	horizon = time.Second
+	// emptyGrace is the time after an election in which upstreams may announce
+	// themselves before requests are refused for want of one.
+	emptyGrace = 2 * time.Second
+	// refreshPeriod is the time between two computations of all reservations.
+	refreshPeriod = 200 * time.Millisecond
+	// rateWeight is the weight of one request in the rate of a slot.
+	rateWeight = 0.05
+	// defaultGap is the gap between regions when none is configured.
+	defaultGap = time.Second
+	// orphanTime bounds how long the work of a lost router keeps its slots.
+	orphanTime = 60 * time.Second
+)
+
+// OwnerOptions describes an owner.
+type OwnerOptions struct {
+	Self        redwingshunt.InstanceID
+	Incarnation redwingshunt.Incarnation
+	Region      redwingshunt.RegionID
+	Service     redwingshunt.ServiceID
+}
+
+// Owner grants the slots of one service in one region. Before it is elected it
+// only keeps upstreams and ledger, as a standby.
+type Owner struct {
+	options  OwnerOptions
+	pool     *balancer.Pool
+	ledger   *exchanger.Ledger
+	accounts map[redwingshunt.AccountID]*account
+	hashes   map[uint32]redwingshunt.AccountID
+	ready    accountHeap
+	routers  map[redwingshunt.InstanceID]*router
+	issued   map[redwingshunt.InstanceID]uint64 // highest grant of this term
+	touched  []*router                          // with a message to send
+	peers    map[redwingshunt.InstanceID]*peer
+	order    []*peer // peers, ordered by ID
+
+	active  bool
+	term    uint64
+	elected time.Time
+	settled time.Time // no grant before
+
+	gap     time.Duration
+	share   float64 // mean share of the configured accounts
+	rate    float64 // cost that one slot gives a second; zero when unknown
+	waiting int     // requests of all accounts
+	fresh   time.Time
+	actions []Action
+}
+
+// NewOwner returns an owner that has not been elected.
+func NewOwner(options OwnerOptions) *Owner {
+	origin := exchanger.Origin{Instance: options.Self, Incarnation: options.Incarnation}
+	return &Owner{
+		options:  options,
+		pool:     balancer.New(),
+		ledger:   exchanger.NewLedger(origin),
+		accounts: map[redwingshunt.AccountID]*account{},
+		hashes:   map[uint32]redwingshunt.AccountID{},
+		routers:  map[redwingshunt.InstanceID]*router{},
+		issued:   map[redwingshunt.InstanceID]uint64{},
+		peers:    map[redwingshunt.InstanceID]*peer{},
+		gap:      defaultGap,
+		share:    1,
+	}
+}
+
+// Step takes an event in and returns what is to be done. The actions are valid
+// until the next call.
+func (o *Owner) Step(now time.Time, e Event) []Action {
+	o.actions = o.actions[:0]
+	o.take(now, e)
+	if o.active && !now.Before(o.settled) {
+		o.dispatch(now)
+	}
+	o.flush()
+	o.exchange(now)
+	return o.actions
+}
+
+func (o *Owner) take(now time.Time, e Event) {
+	switch e := e.(type) {
+	case Configured:
+		o.configure(e)
+	case Elected:
+		o.elect(now, e)
+	case Demoted:
+		o.demote(now)
+	case Announced:
+		o.pool.Announce(now, e.Upstream, e.Load, e.TTL)
+	case Left:
+		o.pool.Leave(e.ID)
+	case Reported:
+		o.report(now, e.From, e.State)
+	case Gone:
+		o.lose(now, e.Instance)
+	case Peered:
+		o.peered(e.Peers)
+	case Exchanged:
+		o.merge(now, e.From, e.Ledger)
+	case Ticked:
+		o.tick(now)
+	}
+}
+
+func (o *Owner) configure(e Configured) {
+	o.gap = cmp.Or(e.Gap, defaultGap)
+	clear(o.hashes)
+	sum := 0.0
+	for _, id := range slices.Sorted(maps.Keys(e.Accounts)) {
+		o.hashes[exchanger.Hash(id)] = id
+		a := o.account(id)
+		a.rule = e.Accounts[id]
+		sum += float64(max(1, a.rule.Share))
+		o.ready.place(a)
+	}
+	o.share = 1
+	if len(e.Accounts) > 0 {
+		o.share = sum / float64(len(e.Accounts))
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.accounts)) {
+		if _, ok := e.Accounts[id]; !ok {
+			o.forget(o.accounts[id])
+		}
+	}
+}
+
+// forget drops an account that is not configured and has no work.
+func (o *Owner) forget(a *account) {
+	if a.waiting > 0 || len(a.runs) > 0 {
+		return
+	}
+	delete(o.accounts, a.id)
+	o.ledger.Forget(a.id)
+}
+
+func (o *Owner) elect(now time.Time, e Elected) {
+	o.active = true
+	o.term = e.Term
+	clear(o.issued)
+	o.elected = now
+	o.settled = now.Add(e.Settle)
+	for _, p := range o.order {
+		p.hello = true
+	}
+}
+
+func (o *Owner) demote(now time.Time) {
+	o.active = false
+	for _, id := range slices.Sorted(maps.Keys(o.routers)) {
+		o.drop(o.routers[id], func(r *run) { o.pool.Release(now, r.key, balancer.Ending{Unused: true}) })
+	}
+	for _, p := range o.order {
+		o.forfeit(p)
+	}
+}
+
+// account returns the state of an account, made when missing.
+func (o *Owner) account(id redwingshunt.AccountID) *account {
+	a := o.accounts[id]
+	if a == nil {
+		a = &account{
+			id: id, rule: AccountRule{Share: 1}, index: -1,
+			runs: map[*run]struct{}{}, remote: map[redwingshunt.InstanceID]remote{},
+		}
+		o.accounts[id] = a
+		o.hashes[exchanger.Hash(id)] = id
+	}
+	return a
+}
+
+// refresh computes the place of an account anew.
+func (o *Owner) refresh(a *account) {
+	a.key = o.ledger.Virtual(a.id) + a.reserved
+	o.waiting -= a.waiting
+	a.recount()
+	o.waiting += a.waiting
+	o.ready.place(a)
+}
+
+// dispatch grants free slots to the accounts with the least virtual time.
+func (o *Owner) dispatch(now time.Time) {
+	o.lend()
+	var skipped []*account
+	for o.pool.Free() > 0 && len(o.ready) > 0 {
+		a := o.ready[0]
+		if o.grant(now, a) {
+			continue
+		}
+		// No upstream fits the head of this account; the others go on.
+		skipped = append(skipped, a)
+		o.ready.remove(a)
+	}
+	for _, a := range skipped {
+		o.ready.place(a)
+	}
+}
+
+// grant gives one slot to an account.
+func (o *Owner) grant(now time.Time, a *account) bool {
+	d := a.oldest()
+	choice, ok := o.pool.Pick(now, d.router.zone, d.avoid)
+	if !ok {
+		return false
+	}
+	o.pool.Acquire(now, choice.Key)
+	r := &run{account: a, router: d.router, key: choice.Key, started: now, unseen: d}
+	o.issue(r, choice)
+	a.runs[r] = struct{}{}
+	d.unseen++
+	d.advance(now)
+	o.reserve(now, r)
+	o.refresh(a)
+	return true
+}
+
+// reserve computes the reservation of a running request.
+func (o *Owner) reserve(now time.Time, r *run) {
+	a := r.account
+	estimate := a.estimate
+	if estimate == 0 {
+		estimate = 1
+	}
+	left := max(0, estimate-float64(r.cost))
+	if o.rate > 0 {
+		predicted := min(estimate, o.rate*now.Sub(r.started).Seconds())
+		soon := max(0, predicted-float64(r.cost)) + o.rate*horizon.Seconds()
+		left = min(left, soon)
+	}
+	u := exchanger.UnitsOf(redwingshunt.Cost(left), a.rule.Share)
+	a.reserved += u - r.reserve
+	r.reserve = u
+}
+
+// charge counts service that a running request has received.
+func (o *Owner) charge(r *run, total redwingshunt.Cost) {
+	if total <= r.cost {
+		return
+	}
+	a := r.account
+	u := exchanger.UnitsOf(total-r.cost, a.rule.Share)
+	used := min(u, a.credit)
+	a.credit -= used
+	o.ledger.Charge(a.id, u-used)
+	r.cost = total
+}
+
+// correct turns a cost that was charged in excess into a credit. Counters only
+// grow, so the credit is used up by later charges.
+func (o *Owner) correct(r *run, total redwingshunt.Cost) {
+	if total < r.cost {
+		r.account.credit += exchanger.UnitsOf(r.cost-total, r.account.rule.Share)
+		r.cost = total
+	}
+}
+
+// end gives the slot of a run back.
+func (o *Owner) end(r *run) {
+	a := r.account
+	a.reserved -= r.reserve
+	delete(a.runs, r)
+	delete(r.router.runs, r.grant)
+	if r.unseen != nil {
+		r.unseen.unseen--
+		r.unseen = nil
+	}
+	o.refresh(a)
+}
+
+// observe learns from a finished request.
+func (o *Owner) observe(r *run, total time.Duration) {
+	if r.cost <= 0 || total <= 0 {
+		return
+	}
+	r.account.observe(r.cost)
+	rate := float64(r.cost) / total.Seconds()
+	if o.rate == 0 {
+		o.rate = rate
+	}
+	// A long request says more about the rate than a short one.
+	weight := min(1, rateWeight*max(0.1, total.Seconds()))
+	o.rate += weight * (rate - o.rate)
+}
+
+func (o *Owner) tick(now time.Time) {
+	o.pool.Expire(now)
+	o.ledger.Fold(now)
+	o.reclaim(now)
+	if now.Sub(o.fresh) < refreshPeriod {
+		return
+	}
+	o.fresh = now
+	for _, a := range o.accounts {
+		if len(a.runs) == 0 {
+			continue
+		}
+		for r := range a.runs {
+			o.reserve(now, r)
+		}
+		o.refresh(a)
+	}
+	o.clamp(now)
+	o.refuse(now)
+}
+
+// clamp bounds the lag of backlogged accounts behind the foremost one.
+func (o *Owner) clamp(now time.Time) {
+	if len(o.ready) < 2 {
+		return
+	}
+	foremost, largest := o.ready[0].key, exchanger.Units(0)
+	for _, a := range o.ready {
+		foremost = max(foremost, a.key)
+		largest = max(largest, exchanger.UnitsOf(redwingshunt.Cost(a.estimate), a.rule.Share))
+	}
+	bound := 2*o.units(o.gap) + o.units(time.Second) + 2*largest
+	for len(o.ready) > 0 && o.rate > 0 && foremost-o.ready[0].key > bound {
+		a := o.ready[0]
+		o.lift(now, a, foremost-bound-a.reserved)
+		o.refresh(a)
+	}
+}
+
+// units returns the virtual time that the whole service advances in d when all
+// accounts have the mean share.
+func (o *Owner) units(d time.Duration) exchanger.Units {
+	slots := o.pool.Slots()
+	for _, p := range o.order {
+		slots += p.slots
+	}
+	return exchanger.Units(o.rate * float64(slots) * d.Seconds() * exchanger.Scale / o.share)
+}
+
+// wake lifts an account that returns from idle to the least virtual time among
+// the backlogged, or to the foremost when nothing is backlogged.
+func (o *Owner) wake(now time.Time, a *account) {
+	level, found := exchanger.Units(0), false
+	if len(o.ready) > 0 {
+		level, found = o.ready[0].key, true
+	}
+	for _, p := range o.order {
+		if p.backlogged && (!found || p.level < level) {
+			level, found = p.level, true
+		}
+	}
+	if !found {
+		for _, id := range o.ledger.Accounts() {
+			level = max(level, o.ledger.Virtual(id))
+		}
+	}
+	o.lift(now, a, level)
+}
+
+// lift raises the virtual time of an account.
+func (o *Owner) lift(now time.Time, a *account, level exchanger.Units) {
+	if o.ledger.Lift(a.id, level) {
+		a.lifted = now
+	}
+}
+
+// refuse tells routers that no upstream is alive anywhere.
+func (o *Owner) refuse(now time.Time) {
+	if !o.active || o.waiting == 0 || now.Sub(o.elected) < emptyGrace || o.pool.Alive() {
+		return
+	}
+	for _, p := range o.order {
+		if p.slots > 0 {
+			return
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.routers)) {
+		r := o.routers[id]
+		if o.clearDemands(r) {
+			o.message(r).Empty = true
+		}
+	}
+}
+
+// flush sends the grants that were issued in this step.
+func (o *Owner) flush() {
+	for _, r := range o.touched {
+		if r.out == nil {
+			continue
+		}
+		o.actions = append(o.actions, SendGrants{To: r.id, Grants: r.out})
+		r.out = nil
+	}
+	o.touched = o.touched[:0]
+}
+
+// message returns the message to a router that is sent at the end of the step.
+func (o *Owner) message(r *router) *wire.Grants {
+	if r.out == nil {
+		r.out = &wire.Grants{
+			Service: string(o.options.Service), Term: o.term, Incarnation: r.incarnation,
+		}
+		o.touched = append(o.touched, r)
+	}
+	return r.out
+}
