--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -294,8 +294,17 @@
 // Own returns the number of slots taken by this owner.
 func (p *Pool) Own() int { return p.own }
 
-// Has reports whether the upstream is known.
-func (p *Pool) Has(k Key) bool { return p.entries[k] != nil }
+// Taken returns the number of slots of the own region that are busy to the
+// pool's knowledge.
+func (p *Pool) Taken() int {
+	n := 0
+	for _, e := range p.sorted {
+		if e.key.Lender == "" {
+			n += e.used()
+		}
+	}
+	return n
+}
 
 // Takes reports whether an upstream of the own region takes new work.
 func (p *Pool) Takes(id redwingshunt.UpstreamID) bool {
--- /dev/null
+++ b/measurer/debug_test.go
@@ -0,0 +1,62 @@
+package measurer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func dump(f *Fleet) {
+	fmt.Println("==", f.now.Sub(f.start))
+	for _, l := range f.scenario.Loads {
+		a := f.tokens[l.Account]
+		sv := a.done
+		for r := range a.active {
+			sv += r.engine.served(f.now, r.job)
+		}
+		fmt.Printf("  %s wait %3d run %2d service %.2fs ", l.Account, a.waiting, len(a.active), sv/f.scenario.capacity())
+		for _, n := range f.nodes {
+			if n.alive && n.duty.Active {
+				for _, st := range n.owner.Standings(100) {
+					if st.Account == l.Account {
+						fmt.Printf(" | %s V %.2f w %d r %d", n.instance.Region, float64(st.Virtual)/1024/f.scenario.capacity(), st.Waiting, st.Running)
+					}
+				}
+			}
+		}
+		fmt.Println()
+	}
+	for _, n := range f.nodes {
+		if n.alive && n.duty.Active {
+			fmt.Println("  ", n.instance.ID, n.owner.Debug())
+		}
+	}
+	for _, e := range f.engines {
+		fmt.Print(" ", e.upstream.ID, ":", len(e.running), "/", len(e.waiting))
+	}
+	fmt.Println()
+}
+
+func TestDebug(t *testing.T) {
+	for _, c := range []int{0, 1, 2} {
+		var s *Scenario
+		switch c {
+		case 0:
+			s = small(flood(100, 0), flood(20, 0, 1, 2, 3, 4, 5))
+		case 1:
+			s = small(flood(100, 0, 1, 2, 3, 4, 5), flood(100, 0, 1, 2, 3, 4, 5), flood(4, 0, 1), flood(4, 2), flood(4, 5))
+		case 2:
+			s = even()
+			index := ownerOf(s, "a")
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Kill(index) }}, {28 * time.Second, (*Fleet).Forget}}
+		}
+		if c != 2 {
+			for at := 10 * time.Second; at < s.Length; at += 10 * time.Second {
+				s.Faults = append(s.Faults, Fault{at, dump})
+			}
+		} else {
+			s.Faults = append(s.Faults, Fault{79 * time.Second, dump})
+		}
+		NewFleet(s).Run()
+	}
+}
--- /dev/null
+++ b/measurer/fault_test.go
@@ -0,0 +1,150 @@
+package measurer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	targetExcess      = 1.0  // seconds of the whole capacity beyond the largest requests
+	targetUtilisation = 0.97 // of the slots while work waits
+	targetRatio       = 2.0  // longest wait over fair wait
+)
+
+// small returns three regions with two routers and two upstreams each. Load
+// ends at 60 s, the run at 150 s, when nothing may be held any more.
+func small(loads ...Load) *Scenario {
+	s := &Scenario{
+		Policy: PolicyOwner,
+		Places: []Place{{"a", 1, 2, 2}, {"b", 1, 2, 2}, {"c", 1, 2, 2}},
+		Slots:  8, Rate: 40, Inside: 500 * time.Microsecond, Across: 15 * time.Millisecond,
+		Gap: time.Second, Lag: time.Second, Length: 150 * time.Second, Warm: 5 * time.Second, Seed: 7,
+		Loads: loads,
+	}
+	for i := range s.Loads {
+		l := &s.Loads[i]
+		l.Account = redwingshunt.AccountID(fmt.Sprintf("account-%d", i))
+		l.Share = max(1, l.Share)
+		if l.Until == 0 {
+			l.Until = 60 * time.Second
+		}
+	}
+	return s
+}
+
+// flood is the load of an account that always has work waiting.
+func flood(clients int, routers ...int) Load {
+	return Load{Routers: routers, Clients: clients, Least: 50, Most: 200}
+}
+
+func with(s *Scenario, change func(*Scenario)) *Scenario {
+	change(s)
+	return s
+}
+
+func even() *Scenario {
+	return small(flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5))
+}
+
+// ownerOf returns the index of the owner of a region at the start.
+func ownerOf(s *Scenario, region redwingshunt.RegionID) int {
+	f := NewFleet(s)
+	for i, n := range f.nodes {
+		if n.instance.Region == region && n.duty.Active {
+			return i
+		}
+	}
+	return -1
+}
+
+// lose takes an instance away for a second and measures the gap anew 5 s after
+// it is back.
+func lose(index int, at time.Duration) []Fault {
+	return []Fault{
+		{at, func(f *Fleet) { f.Kill(index) }},
+		{at + time.Second, func(f *Fleet) { f.Restart(index) }},
+		{at + 6*time.Second, (*Fleet).Forget},
+	}
+}
+
+func partition(at, length time.Duration) []Fault {
+	return []Fault{
+		{at, func(f *Fleet) { f.Partition("a", 1) }},
+		{at + length, func(f *Fleet) { f.Partition("a", 0) }},
+		{at + length + detection + 5*time.Second, (*Fleet).Forget},
+	}
+}
+
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		scenario *Scenario
+		noWait   bool // some requests wait through the fault
+		late     int  // requests that may wait within one upstream
+	}{
+		"even load": {scenario: even()},
+		"messages lost, doubled, reordered, clocks apart": {scenario: with(even(), func(s *Scenario) {
+			s.Loss, s.Double, s.Jitter, s.Offset = 0.02, 0.02, 20*time.Millisecond, 10*time.Minute
+		}), late: 8},
+		"owner lost in a flood": {scenario: with(even(), func(s *Scenario) {
+			index := ownerOf(s, "a")
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Kill(index) }}, {28 * time.Second, (*Fleet).Forget}}
+		}), noWait: true, late: 16},
+		"router restarted empty in a flood": {scenario: with(even(), func(s *Scenario) {
+			s.Faults = lose((ownerOf(s, "a")+1)%2, 20*time.Second)
+		}), noWait: true, late: 16},
+		"owner restarted empty in a flood": {scenario: with(even(), func(s *Scenario) {
+			s.Faults = lose(ownerOf(s, "a"), 20*time.Second)
+		}), noWait: true, late: 16},
+		"partition and rejoin, twice": {scenario: with(
+			small(flood(30, 0, 1), flood(30, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5)), func(s *Scenario) {
+				s.Faults = append(partition(10*time.Second, 10*time.Second), partition(30*time.Second, 10*time.Second)...)
+			}), noWait: true, late: 8},
+		"upstream lost with work": {scenario: with(even(), func(s *Scenario) {
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Crash(0) }}}
+		}), noWait: true},
+		"upstream leaving": {scenario: with(even(), func(s *Scenario) {
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Leave(0) }}}
+		})},
+		"reports late":    {scenario: with(even(), func(s *Scenario) { s.Lag = 5 * time.Second })},
+		"reports missing": {scenario: with(even(), func(s *Scenario) { s.Lag = -1 })},
+		"tiny against huge": {scenario: small(
+			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 40, Least: 4, Most: 8},
+			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 8, Least: 800, Most: 1200},
+			flood(20, 0, 1, 2, 3, 4, 5))},
+		"return from idle": {scenario: with(even(), func(s *Scenario) {
+			s.Loads[0].From, s.Loads[1].Until = 30*time.Second, 20*time.Second
+		})},
+		"one region each": {scenario: small(flood(60, 0, 1), flood(60, 2, 3))},
+		"one region each, uneven capacity": {scenario: with(small(flood(60, 0, 1), flood(60, 2, 3)), func(s *Scenario) {
+			s.Places[0].Upstreams = 1
+		})},
+		"two floods against small accounts": {scenario: small(
+			flood(100, 0, 1, 2, 3, 4, 5), flood(100, 0, 1, 2, 3, 4, 5), flood(4, 0, 1), flood(4, 2), flood(4, 5))},
+		"one router against all": {scenario: small(flood(100, 0), flood(20, 0, 1, 2, 3, 4, 5))},
+		"shares":                 {scenario: with(even(), func(s *Scenario) { s.Loads[0].Share = 4 })},
+		"graceful stop of an owner": {scenario: with(even(), func(s *Scenario) {
+			index := ownerOf(s, "a")
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Drain(index) }}}
+		}), late: 16},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewFleet(test.scenario)
+			r := f.Run()
+			t.Logf("%+v leaks %d", r, f.Leaks())
+			is.True(r.Requests > 100)                   // the fleet did work
+			is.True(r.Excess <= targetExcess)           // gap between any two backlogged accounts
+			is.True(r.Utilisation >= targetUtilisation) // no slot idle while work waits
+			is.True(test.noWait || r.Ratio <= targetRatio)
+			is.True(r.Overfull <= test.late) // windows are not filled twice
+			is.Equal(r.Late, 0)              // a leaving upstream gets no new work
+			is.Equal(f.Leaks(), 0)           // all slots have come back
+		})
+	}
+}
--- /dev/null
+++ b/measurer/fleet.go
@@ -0,0 +1,381 @@
+package measurer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const (
+	// overhead is the framing of one message in bytes: IPv4 and TCP headers
+	// (40), HTTP/2 and gRPC headers (14), frame fields (10).
+	overhead = 64
+	// detection is the time after which an instance notices that another one
+	// came, went or cannot be reached.
+	detection = 2 * time.Second
+	// tickPeriod is the cadence of the cores.
+	tickPeriod = 50 * time.Millisecond
+	// announcePeriod is the cadence of announcements.
+	announcePeriod = time.Second
+	// announceTTL is the life of an announcement.
+	announceTTL = 10 * time.Second
+	// settle is the time that a new owner waits for the states of routers.
+	settle = 500 * time.Millisecond
+	// sampling is the cadence of the gauge.
+	sampling = 100 * time.Millisecond
+)
+
+const service redwingshunt.ServiceID = "assistant"
+
+// occurrence is a thing that happens at a time.
+type occurrence struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+type calendar []occurrence
+
+func (c calendar) Len() int { return len(c) }
+func (c calendar) Less(i, j int) bool {
+	if !c[i].at.Equal(c[j].at) {
+		return c[i].at.Before(c[j].at)
+	}
+	return c[i].order < c[j].order
+}
+func (c calendar) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Push implements heap.Interface.
+func (c *calendar) Push(x any) { *c = append(*c, x.(occurrence)) }
+
+// Pop implements heap.Interface.
+func (c *calendar) Pop() any {
+	old := *c
+	last := old[len(old)-1]
+	old[len(old)-1] = occurrence{}
+	*c = old[:len(old)-1]
+	return last
+}
+
+// node is one fake instance.
+type node struct {
+	instance redwingshunt.Instance
+	index    int
+	offset   time.Duration
+	alive    bool
+	side     int // instances on different sides of a partition do not hear each other
+	view     []redwingshunt.Instance
+	duty     scheduler.Duty
+	queue    *scheduler.Queue
+	owner    *scheduler.Owner
+	local    *local // of the baselines
+	requests map[uint64]*request
+	sent     int // bytes
+	received int
+}
+
+// Fleet runs one scenario.
+type Fleet struct {
+	scenario *Scenario
+	random   *rand.Rand
+	start    time.Time
+	now      time.Time
+	calendar calendar
+	order    uint64
+	tickets  uint64
+	terms    uint64
+	nodes    []*node
+	byID     map[redwingshunt.InstanceID]*node
+	engines  []*engine
+	byKey    map[redwingshunt.UpstreamID]*engine
+	gauge    *gauge
+	tokens   map[redwingshunt.AccountID]*account
+}
+
+// account sums up the requests of one client account.
+type account struct {
+	load    *Load
+	waiting int
+	queued  float64 // tokens waiting
+	done    float64 // tokens of ended requests
+	active  map[*request]struct{}
+}
+
+// NewFleet builds the fakes of a scenario.
+func NewFleet(s *Scenario) *Fleet {
+	f := &Fleet{
+		scenario: s,
+		random:   rand.New(rand.NewPCG(s.Seed, 1)),
+		start:    time.Unix(1_700_000_000, 0),
+		byID:     map[redwingshunt.InstanceID]*node{},
+		byKey:    map[redwingshunt.UpstreamID]*engine{},
+		tokens:   map[redwingshunt.AccountID]*account{},
+	}
+	f.now = f.start
+	f.gauge = newGauge(f)
+	for i := range s.Loads {
+		f.tokens[s.Loads[i].Account] = &account{load: &s.Loads[i], active: map[*request]struct{}{}}
+	}
+	for _, p := range s.Places {
+		f.build(p)
+	}
+	for _, n := range f.nodes {
+		f.boot(n)
+	}
+	f.look()
+	f.schedule()
+	return f
+}
+
+func (f *Fleet) build(p Place) {
+	zone := func(i int) redwingshunt.ZoneID {
+		return redwingshunt.ZoneID(fmt.Sprintf("%s-%d", p.Region, i%max(1, p.Zones)))
+	}
+	for i := range p.Routers {
+		n := &node{index: len(f.nodes), alive: true, instance: redwingshunt.Instance{
+			ID:     redwingshunt.InstanceID(fmt.Sprintf("%s-r%d", p.Region, i)),
+			Region: p.Region, Zone: zone(i),
+		}}
+		if f.scenario.Offset > 0 {
+			n.offset = time.Duration(f.random.Int64N(int64(f.scenario.Offset)))
+		}
+		f.nodes = append(f.nodes, n)
+		f.byID[n.instance.ID] = n
+	}
+	for i := range p.Upstreams {
+		e := &engine{slots: f.scenario.Slots, rate: f.scenario.Rate, upstream: redwingshunt.Upstream{
+			ID:      redwingshunt.UpstreamID(fmt.Sprintf("%s-u%d", p.Region, i)),
+			Service: service, Region: p.Region, Zone: zone(i), Slots: f.scenario.Slots,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 8000),
+		}}
+		f.engines = append(f.engines, e)
+		f.byKey[e.upstream.ID] = e
+	}
+}
+
+// boot starts an instance empty.
+func (f *Fleet) boot(n *node) {
+	n.alive = true
+	n.instance.Incarnation++
+	n.instance.Leaving = false
+	n.requests = map[uint64]*request{}
+	n.duty = scheduler.Duty{}
+	n.view = nil
+	n.queue = scheduler.NewQueue(scheduler.QueueOptions{
+		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.instance.Region,
+		Zone: n.instance.Zone, Service: service, Period: f.period(n),
+	})
+	n.owner = scheduler.NewOwner(scheduler.OwnerOptions{
+		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.instance.Region, Service: service,
+	})
+	n.local = newLocal(f, n)
+	f.feed(n, f.configured())
+	f.toOwner(n, f.configured())
+}
+
+// period returns the time between full states.
+func (f *Fleet) period(n *node) time.Duration {
+	if f.scenario.Retells > 0 {
+		return f.scenario.Retells
+	}
+	routers := 0
+	for _, other := range f.nodes {
+		if other.instance.Region == n.instance.Region {
+			routers++
+		}
+	}
+	return scheduler.Period(routers)
+}
+
+func (f *Fleet) configured() scheduler.Configured {
+	c := scheduler.Configured{Gap: f.scenario.Gap, Accounts: map[redwingshunt.AccountID]scheduler.AccountRule{}}
+	for _, l := range f.scenario.Loads {
+		c.Accounts[l.Account] = scheduler.AccountRule{Share: l.Share}
+	}
+	return c
+}
+
+// after lets something happen later.
+func (f *Fleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.calendar, occurrence{at: f.now.Add(d), order: f.order, do: do})
+}
+
+// schedule enters all that happens by itself.
+func (f *Fleet) schedule() {
+	for i, n := range f.nodes {
+		f.after(tickPeriod*time.Duration(i)/time.Duration(len(f.nodes)), func() { f.tick(n) })
+	}
+	for i, e := range f.engines {
+		f.after(announcePeriod*time.Duration(i)/time.Duration(10*len(f.engines)), func() { f.announce(e) })
+	}
+	for i := range f.scenario.Loads {
+		f.begin(&f.scenario.Loads[i])
+	}
+	for _, fault := range f.scenario.Faults {
+		f.after(fault.At, func() { fault.Do(f) })
+	}
+	f.after(sampling, f.sample)
+}
+
+func (f *Fleet) sample() {
+	f.gauge.sample()
+	f.after(sampling, f.sample)
+}
+
+// Run lets the scenario pass and returns what was measured.
+func (f *Fleet) Run() Result {
+	end := f.start.Add(f.scenario.Length)
+	for len(f.calendar) > 0 {
+		next := heap.Pop(&f.calendar).(occurrence)
+		if next.at.After(end) {
+			break
+		}
+		f.now = next.at
+		next.do()
+	}
+	return f.gauge.result()
+}
+
+func (f *Fleet) tick(n *node) {
+	f.after(tickPeriod, func() { f.tick(n) })
+	if !n.alive {
+		return
+	}
+	f.progress(n)
+	f.feed(n, scheduler.Ticked{})
+	f.toOwner(n, scheduler.Ticked{})
+	n.local.tick()
+}
+
+// progress charges the tokens that passed since the last tick.
+func (f *Fleet) progress(n *node) {
+	for ticket, r := range n.requests {
+		if r.job == nil {
+			continue
+		}
+		served := r.engine.served(f.now, r.job)
+		if delta := redwingshunt.Cost(served) - redwingshunt.Cost(r.told); delta > 0 {
+			n.queue.Step(n.clock(f), scheduler.Charged{Ticket: ticket, Delta: delta})
+			n.local.charge(r, delta)
+		}
+		r.told = served
+	}
+}
+
+// clock returns the time as the instance has it.
+func (n *node) clock(f *Fleet) time.Time { return f.now.Add(n.offset) }
+
+// feed takes an event into the queue of an instance.
+func (f *Fleet) feed(n *node, e scheduler.Event) {
+	if f.scenario.Policy != PolicyOwner {
+		return
+	}
+	f.carry(n, n.queue.Step(n.clock(f), e))
+}
+
+// toOwner takes an event into the owner core of an instance.
+func (f *Fleet) toOwner(n *node, e scheduler.Event) {
+	if f.scenario.Policy != PolicyOwner {
+		return
+	}
+	f.carry(n, n.owner.Step(n.clock(f), e))
+}
+
+// carry carries the actions of a core out.
+func (f *Fleet) carry(n *node, actions []scheduler.Action) {
+	for _, a := range append([]scheduler.Action(nil), actions...) {
+		switch a := a.(type) {
+		case scheduler.SendGrants:
+			f.send(n, a.To, redwingshunt.KindGrant, a.Grants)
+		case scheduler.SendLedger:
+			f.send(n, a.To, redwingshunt.KindLedger, a.Ledger)
+		case scheduler.SendState:
+			kind := redwingshunt.KindCharge
+			if a.Demand {
+				kind = redwingshunt.KindDemand
+			}
+			f.send(n, a.To, kind, a.State)
+		case scheduler.Assign:
+			f.assign(n, a)
+		case scheduler.Refuse:
+			f.refused(n, a)
+		}
+	}
+}
+
+// send carries a message between two instances.
+func (f *Fleet) send(from *node, to redwingshunt.InstanceID, kind redwingshunt.MessageKind, m proto.Message) {
+	target := f.byID[to]
+	if target == nil {
+		return
+	}
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // the messages hold no invalid text
+	}
+	if target == from {
+		f.after(0, func() { f.receive(from, target, kind, payload) })
+		return
+	}
+	f.gauge.message(from, target, kind, len(payload)+overhead)
+	if from.side != target.side || f.random.Float64() < f.scenario.Loss {
+		return
+	}
+	copies := 1
+	if f.random.Float64() < f.scenario.Double {
+		copies = 2
+	}
+	for range copies {
+		f.after(f.delay(from.instance.Region, target.instance.Region), func() { f.receive(from, target, kind, payload) })
+	}
+}
+
+func (f *Fleet) delay(a, b redwingshunt.RegionID) time.Duration {
+	d := f.scenario.Inside
+	if a != b {
+		d = f.scenario.Across
+	}
+	if f.scenario.Jitter > 0 {
+		d += time.Duration(f.random.Int64N(int64(f.scenario.Jitter)))
+	}
+	return d
+}
+
+func (f *Fleet) receive(from, to *node, kind redwingshunt.MessageKind, payload []byte) {
+	if !to.alive {
+		return
+	}
+	switch kind {
+	case redwingshunt.KindGrant:
+		m := &wire.Grants{}
+		mustParse(payload, m)
+		f.feed(to, scheduler.Granted{From: from.instance.ID, Grants: m})
+	case redwingshunt.KindLedger:
+		m := &wire.Ledger{}
+		mustParse(payload, m)
+		f.toOwner(to, scheduler.Exchanged{From: from.instance.ID, Ledger: m})
+	case redwingshunt.KindAnnounce:
+		m := &wire.Announcement{}
+		mustParse(payload, m)
+		f.announced(to, m)
+	default:
+		m := &wire.State{}
+		mustParse(payload, m)
+		f.toOwner(to, scheduler.Reported{From: from.instance.ID, State: m})
+	}
+}
+
+func mustParse(payload []byte, m proto.Message) {
+	if err := proto.Unmarshal(payload, m); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/measurer/gauge.go
@@ -0,0 +1,192 @@
+package measurer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Result is what a scenario showed.
+type Result struct {
+	Gap         float64 // greatest weighted gap of two backlogged accounts, in seconds of the whole capacity
+	Excess      float64 // the same less the largest request of each account
+	Utilisation float64 // busy slots while work waits, 0 to 1
+	Wait        time.Duration
+	Ratio       float64 // longest wait over its fair wait, at least a second of both
+	Inside      float64 // control bytes a daemon a second within regions, sent and received
+	Across      float64 // control bytes a second of a region pair, both ways
+	Busiest     float64 // control bytes a second of the busiest daemon, sent and received
+	Requests    int
+	Refused     int
+	Overfull    int // most requests that waited within one upstream
+	Late        int // requests to upstreams that had told to leave seconds before
+	Kinds       map[redwingshunt.MessageKind]int
+}
+
+// pair is the difference of service of two accounts since both are backlogged.
+type pair struct{ base float64 }
+
+// gauge measures a fleet.
+type gauge struct {
+	hook func(*request)
+	fleet     *Fleet
+	pairs     map[[2]int]*pair
+	backlog   []bool
+	busy      float64
+	slots     float64
+	gap       float64
+	excess    float64
+	wait      time.Duration
+	ratio     float64
+	inside    int
+	across    int
+	requests  int
+	refused   int
+	overfull  int
+	late      int
+	kinds     map[redwingshunt.MessageKind]int
+	scale     float64
+	weightSum float64
+}
+
+func newGauge(f *Fleet) *gauge {
+	g := &gauge{fleet: f, pairs: map[[2]int]*pair{}, kinds: map[redwingshunt.MessageKind]int{}}
+	for _, l := range f.scenario.Loads {
+		g.weightSum += float64(l.Share)
+	}
+	g.scale = g.weightSum / float64(max(1, len(f.scenario.Loads)))
+	g.backlog = make([]bool, len(f.scenario.Loads))
+	return g
+}
+
+func (g *gauge) warm() bool { return g.fleet.now.Sub(g.fleet.start) < g.fleet.scenario.Warm }
+
+// Forget starts the measurement of the gap anew.
+func (f *Fleet) Forget() {
+	clear(f.gauge.pairs)
+	f.gauge.gap, f.gauge.excess = 0, 0
+}
+
+func (g *gauge) queued(r *request) {
+	acc := g.fleet.tokens[r.load.Account]
+	acc.waiting++
+	acc.queued += float64(r.tokens)
+	fair := g.fleet.living() * float64(r.load.Share) / g.weightSum
+	r.fair = time.Duration(acc.queued / fair * float64(time.Second))
+}
+
+func (g *gauge) unqueued(r *request) {
+	acc := g.fleet.tokens[r.load.Account]
+	acc.waiting--
+	acc.queued -= float64(r.tokens)
+	r.waiting = false
+}
+
+func (g *gauge) assigned(r *request) {
+	g.unqueued(r)
+	if g.warm() {
+		return
+	}
+	g.requests++
+	if r.arrived.Sub(g.fleet.start) < g.fleet.scenario.Warm {
+		return
+	}
+	wait := g.fleet.now.Sub(r.arrived)
+	g.wait = max(g.wait, wait)
+	if g.hook != nil {
+		g.hook(r)
+	}
+	g.ratio = max(g.ratio, max(1, wait.Seconds())/max(1, r.fair.Seconds()))
+}
+
+func (g *gauge) message(from, to *node, kind redwingshunt.MessageKind, bytes int) {
+	if g.warm() {
+		return
+	}
+	g.kinds[kind] += bytes
+	from.sent += bytes
+	to.received += bytes
+	if from.instance.Region == to.instance.Region {
+		g.inside += bytes
+		return
+	}
+	g.across += bytes
+}
+
+// sample takes the state of the fakes.
+func (g *gauge) sample() {
+	f := g.fleet
+	if g.warm() {
+		return
+	}
+	waiting := false
+	service := make([]float64, len(f.scenario.Loads))
+	for i, l := range f.scenario.Loads {
+		acc := f.tokens[l.Account]
+		waiting = waiting || acc.waiting > 0
+		service[i] = acc.done
+		for r := range acc.active {
+			service[i] += r.engine.served(f.now, r.job)
+		}
+		service[i] *= g.scale / float64(l.Share)
+		g.backlog[i] = acc.waiting > 0
+	}
+	g.compare(service)
+	for _, e := range f.engines {
+		g.overfull = max(g.overfull, len(e.waiting))
+		if waiting && !e.dead && !e.leaving() {
+			g.busy += float64(len(e.running))
+			g.slots += float64(e.slots)
+		}
+	}
+}
+
+// compare takes the gap of each two backlogged accounts.
+func (g *gauge) compare(service []float64) {
+	capacity := g.fleet.scenario.capacity()
+	for i := range service {
+		for k := range i {
+			key := [2]int{k, i}
+			if !g.backlog[i] || !g.backlog[k] {
+				delete(g.pairs, key)
+				continue
+			}
+			difference := service[i] - service[k]
+			p := g.pairs[key]
+			if p == nil {
+				p = &pair{base: difference}
+				g.pairs[key] = p
+			}
+			gap := math.Abs(difference - p.base)
+			g.gap = max(g.gap, gap/capacity)
+			g.excess = max(g.excess, (gap-g.largest(i)-g.largest(k))/capacity)
+		}
+	}
+}
+
+// largest returns the weighted cost of the largest request of an account.
+func (g *gauge) largest(i int) float64 {
+	l := g.fleet.scenario.Loads[i]
+	return float64(l.Most) * g.scale / float64(l.Share)
+}
+
+func (g *gauge) result() Result {
+	f := g.fleet
+	seconds := (f.scenario.Length - f.scenario.Warm).Seconds()
+	r := Result{
+		Gap: g.gap, Excess: g.excess, Wait: g.wait, Ratio: g.ratio,
+		Requests: g.requests, Refused: g.refused, Overfull: g.overfull, Late: g.late, Kinds: g.kinds,
+	}
+	if g.slots > 0 {
+		r.Utilisation = g.busy / g.slots
+	}
+	r.Inside = 2 * float64(g.inside) / seconds / float64(len(f.nodes))
+	if places := len(f.scenario.Places); places > 1 {
+		r.Across = float64(g.across) / seconds / float64(places*(places-1)/2)
+	}
+	busiest := slices.MaxFunc(f.nodes, func(a, b *node) int { return a.sent + a.received - b.sent - b.received })
+	r.Busiest = float64(busiest.sent+busiest.received) / seconds
+	return r
+}
--- /dev/null
+++ b/measurer/local.go
@@ -0,0 +1,161 @@
+package measurer
+
+import (
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/exchanger"
+	"github.com/redwingshunt/redwingshunt/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// local is a router of the baselines. It has a fixed part of the slots of each
+// upstream of its region and shares it by itself.
+type local struct {
+	fleet  *Fleet
+	node   *node
+	parts  map[*engine]int // free slots
+	order  []*engine
+	queues map[redwingshunt.AccountID][]*request
+	first  []*request // in order of arrival
+	ledger *exchanger.Ledger
+	told   time.Time
+}
+
+func newLocal(f *Fleet, n *node) *local {
+	l := &local{
+		fleet: f, node: n, parts: map[*engine]int{},
+		queues: map[redwingshunt.AccountID][]*request{},
+		ledger: exchanger.NewLedger(exchanger.Origin{Instance: n.instance.ID, Incarnation: n.instance.Incarnation}),
+	}
+	rank, routers, slot := 0, 0, 0
+	for _, other := range f.nodes {
+		if other.instance.Region != n.instance.Region {
+			continue
+		}
+		if other == n {
+			rank = routers
+		}
+		routers++
+	}
+	for _, e := range f.engines {
+		if e.upstream.Region != n.instance.Region {
+			continue
+		}
+		l.order = append(l.order, e)
+		for range e.slots {
+			if slot%routers == rank {
+				l.parts[e]++
+			}
+			slot++
+		}
+	}
+	return l
+}
+
+func (l *local) arrive(r *request) {
+	l.queues[r.load.Account] = append(l.queues[r.load.Account], r)
+	l.first = append(l.first, r)
+	l.dispatch()
+}
+
+func (l *local) release(r *request, result redwingshunt.Result) {
+	l.parts[r.engine]++
+	l.charge(r, result.Cost-redwingshunt.Cost(r.told))
+	l.dispatch()
+}
+
+func (l *local) charge(r *request, delta redwingshunt.Cost) {
+	if l.fleet.scenario.Policy == PolicyOwner {
+		return
+	}
+	l.ledger.Charge(r.load.Account, exchanger.UnitsOf(delta, r.load.Share))
+}
+
+// dispatch fills the free slots.
+func (l *local) dispatch() {
+	for _, e := range l.order {
+		for l.parts[e] > 0 && !e.dead {
+			r := l.next()
+			if r == nil {
+				return
+			}
+			l.parts[e]--
+			l.fleet.dispatch(l.node, r, e)
+		}
+	}
+}
+
+// next takes the request that is to run next.
+func (l *local) next() *request {
+	if l.fleet.scenario.Policy == PolicyFirst {
+		for len(l.first) > 0 {
+			r := l.first[0]
+			l.first = l.first[1:]
+			if r.waiting {
+				return r
+			}
+		}
+		return nil
+	}
+	var best redwingshunt.AccountID
+	key := exchanger.Units(0)
+	for i := range l.fleet.scenario.Loads {
+		load := &l.fleet.scenario.Loads[i]
+		if len(l.queues[load.Account]) == 0 {
+			continue
+		}
+		if v := l.virtual(load); best == "" || v < key {
+			best, key = load.Account, v
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	r := l.queues[best][0]
+	l.queues[best] = l.queues[best][1:]
+	return r
+}
+
+// virtual returns service and reservations of an account on this router.
+func (l *local) virtual(load *Load) exchanger.Units {
+	v := l.ledger.Virtual(load.Account)
+	second := redwingshunt.Cost(l.fleet.scenario.Rate)
+	for r := range l.fleet.tokens[load.Account].active {
+		if r.node == l.node {
+			v += exchanger.UnitsOf(second, load.Share)
+		}
+	}
+	return v
+}
+
+// tick exchanges counters with all others, a second apart.
+func (l *local) tick() {
+	f := l.fleet
+	if f.scenario.Policy != PolicyShared || f.now.Sub(l.told) < time.Second {
+		return
+	}
+	l.told = f.now
+	m := &wire.Ledger{Service: string(service), Incarnation: uint64(l.node.instance.Incarnation), Sequence: 1}
+	for i := range f.scenario.Loads {
+		id := f.scenario.Loads[i].Account
+		m.Accounts = append(m.Accounts, exchanger.Hash(id))
+		m.Units = append(m.Units, uint64(l.ledger.Own(id)>>10))
+	}
+	size := proto.Size(m) + overhead
+	origin := exchanger.Origin{Instance: l.node.instance.ID, Incarnation: l.node.instance.Incarnation}
+	for _, other := range f.nodes {
+		if other == l.node || !other.alive || other.side != l.node.side {
+			continue
+		}
+		f.gauge.message(l.node, other, redwingshunt.KindLedger, size)
+		for i := range f.scenario.Loads {
+			id := f.scenario.Loads[i].Account
+			own := l.ledger.Own(id)
+			f.after(f.delay(l.node.instance.Region, other.instance.Region), func() {
+				other.local.ledger.Merge(f.now, origin, id, own)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/measurer/scenario.go
@@ -0,0 +1,89 @@
+package measurer
+
+import (
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Policy is a way to share the upstreams of a service.
+type Policy string
+
+// The policies that can be compared.
+const (
+	PolicyOwner  Policy = "owner"  // one owner a service and region, ledgers between owners
+	PolicyFirst  Policy = "first"  // first come, first served on each router
+	PolicyLocal  Policy = "local"  // fair queueing on each router, no exchange
+	PolicyShared Policy = "shared" // fair queueing on each router, counters exchanged each second
+)
+
+// Place is one region of a scenario.
+type Place struct {
+	Region    redwingshunt.RegionID
+	Zones     int
+	Routers   int
+	Upstreams int
+}
+
+// Load is the traffic of one client account.
+type Load struct {
+	Account redwingshunt.AccountID
+	Share   redwingshunt.Share
+	Routers []int // indexes of the routers that it calls
+	Clients int   // callers on each of them; each resends without pause
+	Least   int   // tokens of the smallest answer
+	Most    int   // tokens of the largest answer
+	From    time.Duration
+	Until   time.Duration // zero for the whole time
+}
+
+// Scenario is one run over the cores and fakes.
+type Scenario struct {
+	Name    string
+	Policy  Policy
+	Places  []Place
+	Loads   []Load
+	Slots   int     // of one upstream
+	Rate    float64 // tokens a second of one slot
+	Inside  time.Duration
+	Across  time.Duration
+	Gap     time.Duration
+	Lag     time.Duration // of load reports
+	Loss    float64       // probability that a message is lost
+	Double  float64       // probability that a message comes twice
+	Jitter  time.Duration // of the delay; messages overtake each other
+	Offset  time.Duration // largest difference between two clocks
+	Length  time.Duration
+	Warm    time.Duration // not measured
+	Seed    uint64
+	Faults  []Fault
+	Retells time.Duration // period of full states; zero for the rule of the fleet
+}
+
+// Fault happens at a time. Do changes the fleet.
+type Fault struct {
+	At time.Duration
+	Do func(*Fleet)
+}
+
+// capacity returns the cost that all upstreams give a second.
+func (s *Scenario) capacity() float64 {
+	n := 0
+	for _, p := range s.Places {
+		n += p.Upstreams
+	}
+	return float64(n*s.Slots) * s.Rate
+}
+
+// spread returns the router indexes of a scenario from first on.
+func (s *Scenario) spread(first, count int) []int {
+	total := 0
+	for _, p := range s.Places {
+		total += p.Routers
+	}
+	list := make([]int, 0, count)
+	for i := range count {
+		list = append(list, (first+i)%total)
+	}
+	return list
+}
--- /dev/null
+++ b/measurer/world.go
@@ -0,0 +1,364 @@
+package measurer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// leavingGrace is the time in which a leaving upstream may still get work.
+const leavingGrace = 3 * time.Second
+
+// look gives every instance its view of the fleet anew.
+func (f *Fleet) look() {
+	for _, n := range f.nodes {
+		if n.alive {
+			f.lookAs(n)
+		}
+	}
+}
+
+func (f *Fleet) lookAs(n *node) {
+	var view []redwingshunt.Instance
+	for _, other := range f.nodes {
+		if other.alive && other.side == n.side {
+			view = append(view, other.instance)
+		}
+	}
+	lost := missing(n.view, view)
+	n.view = view
+	was := n.duty
+	n.duty = scheduler.DutyOf(view, n.instance, service)
+	n.instance.Leaving = slices.ContainsFunc(view, func(i redwingshunt.Instance) bool { return i.ID == n.instance.ID && i.Leaving })
+	for _, id := range lost {
+		f.toOwner(n, scheduler.Gone{Instance: id})
+	}
+	f.toOwner(n, scheduler.Peered{Peers: n.duty.Peers})
+	switch {
+	case n.duty.Active && !was.Active:
+		f.terms++
+		f.toOwner(n, scheduler.Elected{Term: f.terms, Settle: settle})
+	case was.Active && !n.duty.Active:
+		f.toOwner(n, scheduler.Demoted{})
+	}
+	f.feed(n, scheduler.Owned{ID: n.duty.Owner})
+}
+
+// missing returns the instances that were seen before and no longer are.
+func missing(before, now []redwingshunt.Instance) []redwingshunt.InstanceID {
+	var list []redwingshunt.InstanceID
+	for _, old := range before {
+		if !slices.ContainsFunc(now, func(i redwingshunt.Instance) bool { return i.ID == old.ID }) {
+			list = append(list, old.ID)
+		}
+	}
+	return list
+}
+
+// announce lets an upstream tell one router of its region that it lives.
+func (f *Fleet) announce(e *engine) {
+	f.after(announcePeriod, func() { f.announce(e) })
+	load := e.report(f.now, f.scenario.Lag)
+	if f.scenario.Lag < 0 { // reports are missing
+		load = redwingshunt.LoadReport{}
+	}
+	if e.dead || e.leaving() {
+		return
+	}
+	n := f.anyNode(e.upstream.Region)
+	if n == nil {
+		return
+	}
+	f.relay(n, &wire.Announcement{
+		Id: string(e.upstream.ID), Service: string(service), Region: string(e.upstream.Region),
+		Zone: string(e.upstream.Zone), Address: e.upstream.Address.String(), Slots: uint32(e.slots),
+		Running: uint32(load.Running), Waiting: uint32(load.Waiting),
+		TtlMs: uint32(announceTTL / time.Millisecond),
+	})
+}
+
+// anyNode returns a random living instance of a region.
+func (f *Fleet) anyNode(region redwingshunt.RegionID) *node {
+	var list []*node
+	for _, n := range f.nodes {
+		if n.alive && n.instance.Region == region {
+			list = append(list, n)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[f.random.IntN(len(list))]
+}
+
+// relay passes an announcement to the owner and to the one that stands by.
+func (f *Fleet) relay(n *node, m *wire.Announcement) {
+	if f.scenario.Policy != PolicyOwner {
+		return
+	}
+	ranked := scheduler.Rank(n.view, n.instance.Region, service)
+	for i, target := range ranked[:min(2, len(ranked))] {
+		if scheduler.Relays(f.now, redwingshunt.UpstreamID(m.Id), i, len(ranked), m.TtlMs == 0) {
+			f.send(n, target.ID, redwingshunt.KindAnnounce, m)
+		}
+	}
+}
+
+func (f *Fleet) announced(n *node, m *wire.Announcement) {
+	id := redwingshunt.UpstreamID(m.Id)
+	if m.TtlMs == 0 {
+		f.toOwner(n, scheduler.Left{ID: id})
+		return
+	}
+	address, _ := netip.ParseAddrPort(m.Address)
+	f.toOwner(n, scheduler.Announced{
+		Upstream: redwingshunt.Upstream{
+			ID: id, Service: service, Region: redwingshunt.RegionID(m.Region),
+			Zone: redwingshunt.ZoneID(m.Zone), Address: address, Slots: int(m.Slots),
+		},
+		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting)},
+		TTL:  time.Duration(m.TtlMs) * time.Millisecond,
+	})
+}
+
+// begin starts the clients of an account.
+func (f *Fleet) begin(l *Load) {
+	for _, index := range l.Routers {
+		for range l.Clients {
+			f.after(l.From+time.Duration(f.random.Int64N(int64(10*time.Millisecond))), func() { f.arrive(l, index) })
+		}
+	}
+}
+
+// arrive lets one client send its next request.
+func (f *Fleet) arrive(l *Load, index int) {
+	if l.Until > 0 && f.now.Sub(f.start) >= l.Until {
+		return
+	}
+	n := f.nodes[index]
+	for !n.alive { // the balancer in front of the routers finds another one
+		index = (index + 1) % len(f.nodes)
+		n = f.nodes[index]
+	}
+	r := &request{load: l, tokens: l.Least + f.random.IntN(l.Most-l.Least+1), arrived: f.now}
+	f.enqueue(n, r)
+}
+
+// enqueue puts a request into the queue of an instance.
+func (f *Fleet) enqueue(n *node, r *request) {
+	f.tickets++
+	r.ticket, r.node, r.waiting, r.job, r.told = f.tickets, n, true, nil, 0
+	n.requests[r.ticket] = r
+	f.gauge.queued(r)
+	if f.scenario.Policy != PolicyOwner {
+		n.local.arrive(r)
+		return
+	}
+	f.feed(n, scheduler.Arrived{
+		Ticket: r.ticket, Account: r.load.Account, Bytes: 1000,
+		Estimate: redwingshunt.Cost((r.load.Least + r.load.Most) / 2), Avoid: r.avoid,
+	})
+}
+
+// refused lets the client resend a little later.
+func (f *Fleet) refused(n *node, a scheduler.Refuse) {
+	r := n.requests[a.Ticket]
+	if r == nil {
+		return
+	}
+	delete(n.requests, a.Ticket)
+	f.gauge.unqueued(r)
+	f.gauge.refused++
+	f.after(100*time.Millisecond, func() { f.arrive(r.load, n.index) })
+}
+
+// assign sends a request to the upstream that it was granted.
+func (f *Fleet) assign(n *node, a scheduler.Assign) {
+	r := n.requests[a.Ticket]
+	e := f.byKey[a.Upstream.ID]
+	f.dispatch(n, r, e)
+}
+
+func (f *Fleet) dispatch(n *node, r *request, e *engine) {
+	f.gauge.assigned(r)
+	if e.leaving() && f.now.Sub(e.left) > leavingGrace {
+		f.gauge.late++
+	}
+	r.engine = e
+	r.job = &job{request: r, router: n}
+	r.sent = f.now
+	f.tokens[r.load.Account].active[r] = struct{}{}
+	job := r.job
+	f.after(f.delay(n.instance.Region, e.upstream.Region), func() { f.admit(e, job) })
+}
+
+// admit hands a job to an upstream.
+func (f *Fleet) admit(e *engine, j *job) {
+	if e.dead {
+		f.after(time.Second, func() { f.broken(j) })
+		return
+	}
+	if len(e.running) >= e.slots {
+		e.waiting = append(e.waiting, j)
+		return
+	}
+	e.running = append(e.running, j)
+	j.started = f.now
+	f.after(e.duration(j), func() { f.finish(e, j) })
+}
+
+// finish ends a job and starts the next one of the upstream.
+func (f *Fleet) finish(e *engine, j *job) {
+	if e.dead || j.ended {
+		return
+	}
+	j.ended = true
+	e.running = slices.DeleteFunc(e.running, func(other *job) bool { return other == j })
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		f.admit(e, next)
+	}
+	f.after(f.delay(e.upstream.Region, j.router.instance.Region), func() { f.complete(j) })
+}
+
+// complete tells the router that an answer is whole.
+func (f *Fleet) complete(j *job) {
+	r := j.request
+	acc := f.tokens[r.load.Account]
+	if _, ok := acc.active[r]; ok && r.job == j {
+		delete(acc.active, r)
+		acc.done += float64(r.tokens)
+	}
+	n := j.router
+	if !n.alive || n.requests[r.ticket] != r {
+		return // the router is gone; its client has gone elsewhere
+	}
+	delete(n.requests, r.ticket)
+	f.released(n, r, redwingshunt.Result{
+		Cost: redwingshunt.Cost(r.tokens), Total: f.now.Sub(r.sent), First: j.started.Sub(r.sent) + prefill,
+	})
+	f.arrive(r.load, n.index)
+}
+
+// broken tells the router that an upstream was lost and queues the request anew.
+func (f *Fleet) broken(j *job) {
+	r, n := j.request, j.router
+	acc := f.tokens[r.load.Account]
+	delete(acc.active, r)
+	acc.done += r.told
+	if j.ended || !n.alive || n.requests[r.ticket] != r {
+		return
+	}
+	j.ended = true
+	delete(n.requests, r.ticket)
+	f.released(n, r, redwingshunt.Result{Cost: redwingshunt.Cost(r.told), Total: f.now.Sub(r.sent), Lost: true})
+	r.avoid = []string{string(r.engine.upstream.ID)}
+	r.arrived = f.now
+	f.enqueue(n, r)
+}
+
+func (f *Fleet) released(n *node, r *request, result redwingshunt.Result) {
+	if f.scenario.Policy != PolicyOwner {
+		n.local.release(r, result)
+		return
+	}
+	f.feed(n, scheduler.Released{Ticket: r.ticket, Result: result})
+}
+
+// living returns the cost that the upstreams which take work give a second.
+func (f *Fleet) living() float64 {
+	sum := 0.0
+	for _, e := range f.engines {
+		if !e.dead && !e.leaving() {
+			sum += float64(e.slots) * e.rate
+		}
+	}
+	return sum
+}
+
+// Leaks returns the slots that the owners hold busy although nothing runs.
+func (f *Fleet) Leaks() int {
+	taken := 0
+	for _, n := range f.nodes {
+		if n.alive && n.duty.Active {
+			taken += n.owner.Taken()
+		}
+	}
+	for _, e := range f.engines {
+		taken -= len(e.running) + len(e.waiting)
+	}
+	return taken
+}
+
+// Kill takes an instance away at once. Its clients resend through others.
+func (f *Fleet) Kill(index int) {
+	n := f.nodes[index]
+	n.alive = false
+	for _, ticket := range sortedTickets(n.requests) {
+		r := n.requests[ticket]
+		if r.job == nil {
+			f.gauge.unqueued(r)
+		} else {
+			acc := f.tokens[r.load.Account]
+			delete(acc.active, r)
+			acc.done += r.told
+		}
+		f.after(200*time.Millisecond, func() { f.arrive(r.load, index) })
+	}
+	f.after(detection, f.look)
+}
+
+// Restart starts an instance empty.
+func (f *Fleet) Restart(index int) {
+	f.boot(f.nodes[index])
+	f.after(detection/4, f.look)
+}
+
+// Partition puts the instances of a region on a side of their own.
+func (f *Fleet) Partition(region redwingshunt.RegionID, side int) {
+	for _, n := range f.nodes {
+		if n.instance.Region == region {
+			n.side = side
+		}
+	}
+	f.after(detection, f.look)
+}
+
+// Crash takes an upstream away with all its work.
+func (f *Fleet) Crash(index int) {
+	e := f.engines[index]
+	e.dead = true
+	for _, j := range slices.Concat(e.running, e.waiting) {
+		f.after(time.Second, func() { f.broken(j) })
+	}
+	e.running, e.waiting = nil, nil
+}
+
+// Leave lets an upstream tell that it is leaving.
+func (f *Fleet) Leave(index int) {
+	e := f.engines[index]
+	e.left = f.now
+	if n := f.anyNode(e.upstream.Region); n != nil {
+		f.relay(n, &wire.Announcement{Id: string(e.upstream.ID), Service: string(service), Region: string(e.upstream.Region)})
+	}
+}
+
+// Drain lets an instance announce that it is leaving.
+func (f *Fleet) Drain(index int) {
+	f.nodes[index].instance.Leaving = true
+	f.after(detection/4, f.look)
+}
+
+func sortedTickets(m map[uint64]*request) []uint64 {
+	list := make([]uint64, 0, len(m))
+	for t := range m {
+		list = append(list, t)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -18,20 +18,27 @@
 	rule     AccountRule
 	key      exchanger.Units // virtual time and reservations
 	reserved exchanger.Units
+	away     exchanger.Units // reserved at peers
 	demands  []*demand
-	waiting  int // requests, as far as no grant is on its way
+	waiting  int       // requests, as far as no grant is on its way
+	since    time.Time // since when work waits without a break
 	runs     map[*run]struct{}
 	remote   map[redwingshunt.InstanceID]remote
 	credit   exchanger.Units // charged in excess
 	estimate float64         // usual cost of a request; zero when unknown
 	lifted   time.Time
-	index    int // in the heap; -1 when not in it
+	interval time.Duration // between grants that are due in any case; zero for none
+	due      time.Time     // of the next one
+	first    bool          // it is due
+	index    int           // in the heap; -1 when not in it
 }
 
 // remote is what a peer tells of an account.
 type remote struct {
 	queued  int
 	running int
+	pending exchanger.Units // service about to be received
+	at      time.Time       // when it was told
 }
 
 // demand is the queue of one account on one router.
@@ -115,6 +122,29 @@
 	}
 }
 
+// pace sets the time between grants that are due.
+func (a *account) pace(now time.Time, interval time.Duration) {
+	if a.interval == 0 {
+		a.due = now.Add(interval)
+	}
+	a.interval = interval
+	a.hurry(now)
+}
+
+// hurry notes whether a grant is due.
+func (a *account) hurry(now time.Time) {
+	a.first = a.interval > 0 && a.waiting > 0 && !now.Before(a.due)
+}
+
+// served moves the time of the next grant that is due.
+func (a *account) served(now time.Time) {
+	if earliest := now.Add(-a.interval); a.due.Before(earliest) {
+		a.due = earliest
+	}
+	a.due = a.due.Add(a.interval)
+	a.hurry(now)
+}
+
 // backlogged reports whether work waits here or at a peer.
 func (a *account) backlogged() bool {
 	for _, r := range a.remote {
@@ -146,12 +176,16 @@
 	a.estimate += estimateWeight * (float64(c) - a.estimate)
 }
 
-// accountHeap orders accounts with waiting work by virtual time.
+// accountHeap orders accounts with waiting work by virtual time, after those
+// of which a grant is due.
 type accountHeap []*account
 
 func (h accountHeap) Len() int { return len(h) }
 
 func (h accountHeap) Less(i, j int) bool {
+	if h[i].first != h[j].first {
+		return h[i].first
+	}
 	if h[i].key != h[j].key {
 		return h[i].key < h[j].key
 	}
@@ -181,6 +215,18 @@
 	return last
 }
 
+// least returns the least virtual time. The heap is not empty.
+func (h accountHeap) least() exchanger.Units {
+	if !h[0].first {
+		return h[0].key
+	}
+	key := h[0].key
+	for _, a := range h {
+		key = min(key, a.key)
+	}
+	return key
+}
+
 // remove takes an account out of the heap.
 func (h *accountHeap) remove(a *account) {
 	if a.index >= 0 {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -28,7 +28,7 @@
 		if !o.active && !p.answer {
 			continue
 		}
-		ask := o.want(p)
+		ask := o.want(now, p)
 		if o.lacks(now, p, ask) {
 			o.send(now, p, ask)
 		}
@@ -47,7 +47,7 @@
 	if p.lentAt > p.acked && refresh {
 		return true
 	}
-	if o.standing().differs(p.told, o.units(o.gap)/sendParts) {
+	if o.standing(now).differs(p.told, o.units(o.gap)/sendParts) {
 		return true
 	}
 	least := max(1, o.units(o.gap)/sendParts)
@@ -63,11 +63,9 @@
 }
 
 // standing returns what a ledger says of the whole service.
-func (o *Owner) standing() told {
-	t := told{backlogged: len(o.ready) > 0, free: o.pool.Free() > 0, slots: o.pool.Slots()}
-	if t.backlogged {
-		t.level = o.ready[0].key
-	}
+func (o *Owner) standing(now time.Time) told {
+	t := told{free: o.pool.Free() > 0, slots: o.pool.Slots()}
+	t.level, t.backlogged = o.level(now)
 	return t
 }
 
@@ -81,8 +79,8 @@
 
 // moved reports whether the peer's knowledge of an account is out of date.
 func (o *Owner) moved(p *peer, a *account, least exchanger.Units) bool {
-	last := p.accounts[a.id]
-	return o.ledger.Own(a.id)-last.units >= least
+	difference := o.ledger.Own(a.id) + a.reserved - p.accounts[a.id].units
+	return difference >= least || -difference >= least
 }
 
 // send composes the ledger for one peer.
@@ -99,7 +97,7 @@
 		Slots:       uint32(o.pool.Slots()),
 		Ask:         uint32(ask),
 	}
-	p.told = o.standing()
+	p.told = o.standing(now)
 	if p.told.backlogged {
 		m.Level = 1 + uint64(max(0, p.told.level)>>m.Shift)
 	}
@@ -135,21 +133,21 @@
 	for _, id := range slices.Sorted(maps.Keys(o.accounts)) {
 		a := o.accounts[id]
 		last := p.accounts[id]
-		next := entry{units: o.ledger.Own(id), floor: o.ledger.Floor(id), queued: a.waiting > 0}
-		if a.rule.Parallel > 0 {
-			next.running = len(a.runs)
+		own := o.ledger.Own(id)
+		next := entry{
+			units: own + a.reserved, floor: o.ledger.Floor(id), queued: a.waiting > 0, idle: len(a.runs) == 0,
 		}
 		if !p.answer && !o.moved(p, a, least) && last.floor == next.floor &&
-			last.queued == next.queued && last.running == next.running {
+			last.queued == next.queued && last.idle == next.idle {
 			continue
 		}
 		m.Accounts = append(m.Accounts, exchanger.Hash(id))
-		m.Units = append(m.Units, uint64(next.units)>>m.Shift)
+		m.Units = append(m.Units, uint64(own)>>m.Shift)
 		floor := uint64(0)
 		if next.floor != last.floor || (full && now.Sub(a.lifted) < liftRepeat) {
 			floor = 1 + uint64(max(0, o.ledger.Virtual(id)))>>m.Shift
 		}
-		sparse.add(a.waiting, next.running, floor)
+		sparse.add(a.waiting, len(a.runs), uint64(a.reserved)>>m.Shift, floor)
 		p.accounts[id] = next
 	}
 	sparse.put(m)
@@ -159,18 +157,20 @@
 // zeros is left out.
 type sparseLists struct {
 	queued, running []uint32
-	floors          []uint64
+	pending, floors []uint64
 }
 
-func (s *sparseLists) add(queued, running int, floor uint64) {
+func (s *sparseLists) add(queued, running int, pending, floor uint64) {
 	s.queued = append(s.queued, uint32(queued))
 	s.running = append(s.running, uint32(running))
+	s.pending = append(s.pending, pending)
 	s.floors = append(s.floors, floor)
 }
 
 func (s *sparseLists) put(m *wire.Ledger) {
 	m.Queued = trim(s.queued)
 	m.Running = trim(s.running)
+	m.Pending = trim(s.pending)
 	m.Floors = trim(s.floors)
 }
 
@@ -229,6 +229,15 @@
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
+// Taken returns the number of slots that are in use, lent or thought so.
+func (o *Owner) Taken() int { return o.pool.Taken() }
+
+// Waiting returns the number of requests that wait for a slot.
+func (o *Owner) Waiting() int { return o.waiting }
+
+// Slots returns the number of slots of the region.
+func (o *Owner) Slots() int { return o.pool.Slots() }
+
 // Standing is the state of one account for metrics and dumps.
 type Standing struct {
 	Account redwingshunt.AccountID `json:"account"`
@@ -248,7 +257,7 @@
 			Account: id, Virtual: int64(o.ledger.Virtual(id)), Waiting: a.waiting, Running: len(a.runs),
 		}
 		if len(o.ready) > 0 && a.waiting > 0 {
-			s.Gap = time.Duration(float64(a.key-o.ready[0].key) / float64(second) * float64(time.Second))
+			s.Gap = time.Duration(float64(a.key-o.ready.least()) / float64(second) * float64(time.Second))
 		}
 		list = append(list, s)
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -22,6 +22,9 @@
 	refreshPeriod = 200 * time.Millisecond
 	// rateWeight is the weight of one request in the rate of a slot.
 	rateWeight = 0.05
+	// leastPart is the part of its fair rate that an account gets in each region
+	// where it has work waiting.
+	leastPart = 0.8
 	// defaultGap is the gap between regions when none is configured.
 	defaultGap = time.Second
 	// orphanTime bounds how long the work of a lost router keeps its slots.
@@ -51,6 +54,7 @@
 	peers    map[redwingshunt.InstanceID]*peer
 	order    []*peer // peers, ordered by ID
 
+	now     time.Time // of the step
 	active  bool
 	term    uint64
 	elected time.Time
@@ -85,6 +89,7 @@
 // until the next call.
 func (o *Owner) Step(now time.Time, e Event) []Action {
 	o.actions = o.actions[:0]
+	o.now = now
 	o.take(now, e)
 	if o.active && !now.Before(o.settled) {
 		o.dispatch(now)
@@ -187,16 +192,19 @@
 
 // refresh computes the place of an account anew.
 func (o *Owner) refresh(a *account) {
-	a.key = o.ledger.Virtual(a.id) + a.reserved
-	o.waiting -= a.waiting
+	a.key = o.ledger.Virtual(a.id) + a.reserved + a.away
+	before := a.waiting
 	a.recount()
-	o.waiting += a.waiting
+	o.waiting += a.waiting - before
+	if before == 0 && a.waiting > 0 {
+		a.since = o.now
+	}
 	o.ready.place(a)
 }
 
 // dispatch grants free slots to the accounts with the least virtual time.
 func (o *Owner) dispatch(now time.Time) {
-	o.lend()
+	o.lend(now)
 	var skipped []*account
 	for o.pool.Free() > 0 && len(o.ready) > 0 {
 		a := o.ready[0]
@@ -225,6 +233,7 @@
 	a.runs[r] = struct{}{}
 	d.unseen++
 	d.advance(now)
+	a.served(now)
 	o.reserve(now, r)
 	o.refresh(a)
 	return true
@@ -306,13 +315,16 @@
 		return
 	}
 	o.fresh = now
+	weights := o.weights()
 	for _, a := range o.accounts {
-		if len(a.runs) == 0 {
+		if len(a.runs) == 0 && a.waiting == 0 {
 			continue
 		}
+		o.extrapolate(now, a)
 		for r := range a.runs {
 			o.reserve(now, r)
 		}
+		a.pace(now, o.interval(a, weights))
 		o.refresh(a)
 	}
 	o.clamp(now)
@@ -330,19 +342,67 @@
 		largest = max(largest, exchanger.UnitsOf(redwingshunt.Cost(a.estimate), a.rule.Share))
 	}
 	bound := 2*o.units(o.gap) + o.units(time.Second) + 2*largest
-	for len(o.ready) > 0 && o.rate > 0 && foremost-o.ready[0].key > bound {
-		a := o.ready[0]
-		o.lift(now, a, foremost-bound-a.reserved)
+	if o.rate == 0 {
+		return
+	}
+	for _, a := range slices.Clone(o.ready) {
+		if foremost-a.key <= bound {
+			continue
+		}
+		o.lift(now, a, foremost-bound-a.reserved-a.away)
 		o.refresh(a)
 	}
 }
 
+// extrapolate estimates what the peers have given an account, or are about to
+// give it, beyond what their ledgers count.
+func (o *Owner) extrapolate(now time.Time, a *account) {
+	a.away = 0
+	for _, r := range a.remote {
+		elapsed := min(now.Sub(r.at), exchangeRefresh).Seconds()
+		since := float64(r.running) * o.rate * max(0, elapsed)
+		a.away += r.pending + exchanger.UnitsOf(redwingshunt.Cost(since), a.rule.Share)
+	}
+}
+
+// weights returns the sum of the shares of all backlogged accounts.
+func (o *Owner) weights() float64 {
+	sum := 0.0
+	for _, a := range o.accounts {
+		if a.backlogged() {
+			sum += float64(max(1, a.rule.Share))
+		}
+	}
+	return sum
+}
+
+// interval returns the time between grants that are due to an account here
+// whatever its virtual time. An account that has work waiting in other regions
+// too may be kept ahead by the service there; so that its work here does not
+// wait for as long as that lasts, it gets leastPart of its fair rate here, in
+// proportion to what waits here.
+func (o *Owner) interval(a *account, weights float64) time.Duration {
+	queued := a.waiting
+	for _, r := range a.remote {
+		queued += r.queued
+	}
+	if a.waiting == 0 || queued == a.waiting || o.rate == 0 {
+		return 0
+	}
+	whole := float64(o.units(time.Second)) * o.share / exchanger.Scale // cost a second
+	fair := whole * float64(max(1, a.rule.Share)) / max(weights, 1)
+	here := fair * float64(a.waiting) / float64(queued) * leastPart
+	return time.Duration(a.estimate / max(here, 1) * float64(time.Second))
+}
+
 // units returns the virtual time that the whole service advances in d when all
 // accounts have the mean share.
 func (o *Owner) units(d time.Duration) exchanger.Units {
 	slots := o.pool.Slots()
 	for _, p := range o.order {
-		slots += p.slots
+		if !p.Standby {
+			slots += p.slots
+		}
 	}
 	return exchanger.Units(o.rate * float64(slots) * d.Seconds() * exchanger.Scale / o.share)
 }
@@ -352,7 +412,7 @@
 func (o *Owner) wake(now time.Time, a *account) {
 	level, found := exchanger.Units(0), false
 	if len(o.ready) > 0 {
-		level, found = o.ready[0].key, true
+		level, found = o.ready.least(), true
 	}
 	for _, p := range o.order {
 		if p.backlogged && (!found || p.level < level) {
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -18,8 +18,12 @@
 	// exchangeRefresh is the time after which changes too small to matter are
 	// sent all the same.
 	exchangeRefresh = 5 * time.Second
-	// catchUp is the time in which loans close what exceeds the allowed gap.
-	catchUp = 2 * time.Second
+	// catchUp is the time in which a change of the loans closes what is beyond
+	// the allowed gap.
+	catchUp = 4 * time.Second
+	// lastingWait is the time after which waiting work counts for loans; what
+	// waits for a shorter time just waits for the next free slot.
+	lastingWait = time.Second
 	// sendParts and entryParts divide the allowed gap: a ledger is sent when an
 	// account moved by one of sendParts, with the accounts that moved by one of
 	// entryParts.
@@ -53,6 +57,8 @@
 
 	lent     map[redwingshunt.UpstreamID]int // slots that the peer may use
 	held     map[redwingshunt.UpstreamID]int // slots that the peer may be using
+	goal     int                             // slots that the peer is to have
+	aimed    time.Time                       // when the goal was set
 	lentAt   uint64                          // sequence that tells the last change of lent
 	lentNew  bool                            // lent changed since the last ledger
 	reply    bool                            // the loans of the peer changed; confirm them
@@ -69,10 +75,10 @@
 
 // entry is what a peer was last told of an account.
 type entry struct {
-	units   exchanger.Units
-	floor   exchanger.Units
-	queued  bool
-	running int
+	units  exchanger.Units // service and pending
+	floor  exchanger.Units
+	queued bool
+	idle   bool // nothing was running
 }
 
 func newPeer(p Peer) *peer {
@@ -126,6 +132,7 @@
 	for _, a := range o.accounts {
 		delete(a.remote, p.ID)
 	}
+	p.told = told{}
 }
 
 // merge takes the ledger of a peer in.
@@ -180,7 +187,12 @@
 			o.ledger.Raise(id, exchanger.Units(floor-1)<<m.Shift)
 		}
 		if p != nil && m.Sequence > p.received {
-			o.account(id).remote[p.ID] = remote{queued: int(at(m.Queued, i)), running: int(at(m.Running, i))}
+			a := o.account(id)
+			a.remote[p.ID] = remote{
+				queued: int(at(m.Queued, i)), running: int(at(m.Running, i)),
+				pending: exchanger.Units(at(m.Pending, i)) << m.Shift, at: now,
+			}
+			o.extrapolate(now, a)
 		}
 	}
 	for _, c := range m.Columns {
@@ -266,16 +278,16 @@
 }
 
 // lend adjusts the slots that peers may use.
-func (o *Owner) lend() {
+func (o *Owner) lend(now time.Time) {
 	for _, p := range o.order {
 		if p.Standby || (p.ask == 0 && len(p.lent) == 0) {
 			continue
 		}
-		o.lendTo(p)
+		o.lendTo(now, p)
 	}
 }
 
-func (o *Owner) lendTo(p *peer) {
+func (o *Owner) lendTo(now time.Time, p *peer) {
 	lent := 0
 	for _, id := range sortedKeys(p.lent) {
 		if !o.pool.Takes(id) {
@@ -284,15 +296,21 @@
 		}
 		lent += p.lent[id]
 	}
-	want := o.target(p, lent)
-	for ; lent < want; lent++ {
+	if len(o.ready) == 0 {
+		p.goal = p.ask // limited by what is spare
+	} else if now.Sub(p.aimed) >= exchangePeriod {
+		p.aimed = now
+		p.goal = o.target(now, p, lent)
+	}
+	p.goal = min(p.goal, p.ask)
+	for ; lent < p.goal; lent++ {
 		id, ok := o.pool.Spare()
 		if !ok {
 			break
 		}
 		o.setLent(p, id, p.lent[id]+1)
 	}
-	for ; lent > want; lent-- {
+	for ; lent > p.goal; lent-- {
 		id := sortedKeys(p.lent)[0]
 		o.setLent(p, id, p.lent[id]-1)
 	}
@@ -309,31 +327,46 @@
 	o.pool.Lend(p.ID, id, p.held[id])
 }
 
-// target returns how many slots the peer should have.
-func (o *Owner) target(p *peer, lent int) int {
-	if p.ask <= lent {
-		return p.ask
-	}
-	if len(o.ready) == 0 {
-		return p.ask // limited by what is spare
+// target returns how many slots the peer should have while work waits here.
+// The lag of the peer is kept between a quarter and a half of the allowed gap.
+func (o *Owner) target(now time.Time, p *peer, lent int) int {
+	level, ok := o.level(now)
+	if !ok {
+		return lent // nothing waits for long
 	}
 	if !p.backlogged {
 		return max(0, lent-o.waiting)
 	}
-	ahead := o.ready[0].key - p.level
 	gap := o.units(o.gap)
-	if excess := ahead - gap; excess > 0 {
-		slot := o.rate * catchUp.Seconds() * exchanger.Scale / o.share
-		return min(p.ask, max(lent, int(math.Ceil(float64(excess)/max(slot, 1)))))
+	lag := level - p.level
+	switch {
+	case lag > gap/2:
+		return lent + o.slotsFor(lag-gap/2)
+	case lag < gap/4:
+		return max(0, lent-o.slotsFor(gap/4-lag))
 	}
-	if ahead > gap*3/4 {
-		return min(p.ask, lent)
+	return lent
+}
+
+// slotsFor returns how many slots give the service in catchUp.
+func (o *Owner) slotsFor(u exchanger.Units) int {
+	slot := o.rate * catchUp.Seconds() * exchanger.Scale / o.share
+	return int(math.Ceil(float64(u) / max(slot, 1)))
+}
+
+// level returns the least virtual time of the accounts that wait for long.
+func (o *Owner) level(now time.Time) (exchanger.Units, bool) {
+	level, ok := exchanger.Units(0), false
+	for _, a := range o.ready {
+		if now.Sub(a.since) >= lastingWait && (!ok || a.key < level) {
+			level, ok = a.key, true
+		}
 	}
-	return max(0, lent-o.waiting)
+	return level, ok
 }
 
 // want returns how many slots to ask of a peer.
-func (o *Owner) want(p *peer) int {
+func (o *Owner) want(now time.Time, p *peer) int {
 	if p.Standby || !o.active {
 		return 0
 	}
@@ -351,8 +384,19 @@
 	switch {
 	case p.free > 0:
 		more = min(o.waiting, p.free)
-	case p.backlogged && p.level-o.ready[0].key > o.units(o.gap):
-		more = o.waiting
+	case p.backlogged:
+		more = o.lagging(now, p.level-o.units(o.gap)/4)
 	}
 	return min(maxAsk, may+more)
 }
+
+// lagging returns the requests that wait for long below a virtual time.
+func (o *Owner) lagging(now time.Time, below exchanger.Units) int {
+	n := 0
+	for _, a := range o.ready {
+		if a.key < below && now.Sub(a.since) >= lastingWait {
+			n += a.waiting
+		}
+	}
+	return n
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -40,7 +40,6 @@
 	due      bool // a full state is due at once
 	released []*wire.Released
 	unacked  bool // grants arrived since the last state
-	sent     time.Time
 	full     time.Time
 	actions  []Action
 }
@@ -70,13 +69,8 @@
 	told     redwingshunt.Cost
 }
 
-const (
-	// defaultPeriod is the time between full states of a small fleet.
-	defaultPeriod = time.Second
-	// releaseDelay is the time that a release may wait for company while
-	// nothing of this router waits.
-	releaseDelay = 20 * time.Millisecond
-)
+// defaultPeriod is the time between full states of a small fleet.
+const defaultPeriod = time.Second
 
 // NewQueue returns an empty queue.
 func NewQueue(options QueueOptions) *Queue {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -45,3 +46,76 @@
 	slices.Sort(list)
 	return slices.Compact(list)
 }
+
+// Duty is the part of one instance in a service.
+type Duty struct {
+	Owner  redwingshunt.InstanceID // of the own region; empty when none is alive
+	Active bool                    // this instance is the owner
+	Keeps  bool                    // this instance is the owner or stands by
+	Peers  []Peer                  // for Peered
+}
+
+// DutyOf returns the part of an instance in a service, as the given view of the
+// fleet has it.
+func DutyOf(members []redwingshunt.Instance, self redwingshunt.Instance, service redwingshunt.ServiceID) Duty {
+	home := Rank(members, self.Region, service)
+	if len(home) == 0 {
+		return Duty{}
+	}
+	d := Duty{Owner: home[0].ID, Active: home[0].ID == self.ID}
+	standby := len(home) > 1 && home[1].ID == self.ID
+	d.Keeps = d.Active || standby
+	if standby {
+		d.Peers = []Peer{{ID: home[0].ID, Region: self.Region, Standby: true}}
+	}
+	if !d.Active {
+		return d
+	}
+	for _, region := range Regions(members) {
+		if region == self.Region {
+			continue
+		}
+		away := Rank(members, region, service)
+		d.Peers = append(d.Peers, Peer{ID: away[0].ID, Region: region})
+	}
+	if len(home) > 1 {
+		d.Peers = append(d.Peers, Peer{ID: home[1].ID, Region: self.Region, Standby: true})
+	}
+	return d
+}
+
+// statesPerSecond bounds the full states that one owner receives a second.
+const statesPerSecond = 20
+
+// Period returns the time between full states of a router in a region with the
+// given number of routers. What an owner receives stays the same from about
+// twenty routers on.
+func Period(routers int) time.Duration {
+	return max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond)
+}
+
+const (
+	// relaySlot is the time in which an upstream announces itself about once.
+	relaySlot = time.Second
+	// standbyTurn is the number of announcements of which one goes to the
+	// instance that stands by.
+	standbyTurn = 3
+	// routersPerTurn and mostTurn thin out announcements in large regions.
+	routersPerTurn = 60
+	mostTurn       = 3
+)
+
+// Relays reports whether an announcement that arrived now is passed on to the
+// instance with the given place in Rank. All routers of a region agree without
+// a word as far as their clocks do. A leaving upstream is always passed on.
+func Relays(now time.Time, id redwingshunt.UpstreamID, place, routers int, leaving bool) bool {
+	if leaving {
+		return true
+	}
+	turn := min(mostTurn, 1+routers/routersPerTurn)
+	if place > 0 {
+		turn = standbyTurn
+	}
+	slot := uint64(now.UnixNano()/int64(relaySlot)) + xxhash.Sum64String(string(id))
+	return slot%uint64(turn) == 0
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -17,11 +17,10 @@
 		return
 	}
 	demands := q.urgent(now)
-	late := len(q.released) > 0 && (len(q.tickets) > 0 || now.Sub(q.sent) >= releaseDelay)
-	if len(demands) == 0 && !late {
+	if len(demands) == 0 && len(q.released) == 0 {
 		return
 	}
-	q.send(now, &wire.State{Demands: demands})
+	q.send(&wire.State{Demands: demands})
 }
 
 // busy reports whether the owner holds anything of this router.
@@ -86,7 +85,7 @@
 	q.full = now
 	q.due = false
 	q.describe = false
-	q.send(now, s)
+	q.send(s)
 }
 
 // entry tells a running request.
@@ -106,7 +105,7 @@
 	return r
 }
 
-func (q *Queue) send(now time.Time, s *wire.State) {
+func (q *Queue) send(s *wire.State) {
 	q.sequence++
 	s.Service = string(q.options.Service)
 	s.Incarnation = uint64(q.options.Incarnation)
@@ -116,7 +115,6 @@
 	s.Released = q.released
 	q.released = nil
 	q.unacked = false
-	q.sent = now
 	q.actions = append(q.actions, SendState{To: q.owner, State: s, Demand: len(s.Demands) > 0})
 }
 
