--- a/measurer/debug_test.go
+++ b/measurer/debug_test.go
@@ -38,25 +38,13 @@
 }
 
 func TestDebug(t *testing.T) {
-	for _, c := range []int{0, 1, 2} {
-		var s *Scenario
-		switch c {
-		case 0:
-			s = small(flood(100, 0), flood(20, 0, 1, 2, 3, 4, 5))
-		case 1:
-			s = small(flood(100, 0, 1, 2, 3, 4, 5), flood(100, 0, 1, 2, 3, 4, 5), flood(4, 0, 1), flood(4, 2), flood(4, 5))
-		case 2:
-			s = even()
-			index := ownerOf(s, "a")
-			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Kill(index) }}, {28 * time.Second, (*Fleet).Forget}}
-		}
-		if c != 2 {
-			for at := 10 * time.Second; at < s.Length; at += 10 * time.Second {
-				s.Faults = append(s.Faults, Fault{at, dump})
-			}
-		} else {
-			s.Faults = append(s.Faults, Fault{79 * time.Second, dump})
-		}
-		NewFleet(s).Run()
+	s := small(
+			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 40, Least: 4, Most: 8},
+			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 8, Least: 800, Most: 1200},
+			flood(20, 0, 1, 2, 3, 4, 5))
+	for at := 2 * time.Second; at < s.Length; at += 6 * time.Second {
+		s.Faults = append(s.Faults, Fault{at, dump})
 	}
+	_ = fmt.Sprint
+	NewFleet(s).Run()
 }
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -21,6 +21,7 @@
 	away     exchanger.Units // reserved at peers
 	demands  []*demand
 	waiting  int       // requests, as far as no grant is on its way
+	active   time.Time // when its last request ended
 	since    time.Time // since when work waits without a break
 	runs     map[*run]struct{}
 	remote   map[redwingshunt.InstanceID]remote
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -96,6 +96,7 @@
 		Free:        uint32(o.pool.Free()),
 		Slots:       uint32(o.pool.Slots()),
 		Ask:         uint32(ask),
+		Horizon:     uint32(o.longest / horizonStep),
 	}
 	p.told = o.standing(now)
 	if p.told.backlogged {
@@ -135,7 +136,7 @@
 		last := p.accounts[id]
 		own := o.ledger.Own(id)
 		next := entry{
-			units: own + a.reserved, floor: o.ledger.Floor(id), queued: a.waiting > 0, idle: len(a.runs) == 0,
+			units: own + a.reserved, pending: o.pending(now, a), floor: o.ledger.Floor(id), queued: a.waiting > 0, idle: len(a.runs) == 0,
 		}
 		if !p.answer && !o.moved(p, a, least) && last.floor == next.floor &&
 			last.queued == next.queued && last.idle == next.idle {
@@ -147,12 +148,22 @@
 		if next.floor != last.floor || (full && now.Sub(a.lifted) < liftRepeat) {
 			floor = 1 + uint64(max(0, o.ledger.Virtual(id)))>>m.Shift
 		}
-		sparse.add(a.waiting, len(a.runs), uint64(a.reserved)>>m.Shift, floor)
+		sparse.add(a.waiting, len(a.runs), uint64(next.pending)>>m.Shift, floor)
 		p.accounts[id] = next
 	}
 	sparse.put(m)
 }
 
+// pending returns what the running requests of an account have received beyond
+// their reported cost.
+func (o *Owner) pending(now time.Time, a *account) exchanger.Units {
+	sum := 0.0
+	for r := range a.runs {
+		sum += o.unreported(now, r)
+	}
+	return exchanger.UnitsOf(redwingshunt.Cost(sum), a.rule.Share)
+}
+
 // sparseLists collects values that run parallel to the accounts. A list of
 // zeros is left out.
 type sparseLists struct {
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// horizon is the time of one slot that a running request reserves.
-	horizon = time.Second
+	// leastHorizon and mostHorizon bound the time of a slot that a running
+	// request reserves.
+	leastHorizon = time.Second
+	mostHorizon  = 30 * time.Second
 	// emptyGrace is the time after an election in which upstreams may announce
 	// themselves before requests are refused for want of one.
 	emptyGrace = 2 * time.Second
@@ -22,6 +24,8 @@
 	refreshPeriod = 200 * time.Millisecond
 	// rateWeight is the weight of one request in the rate of a slot.
 	rateWeight = 0.05
+	// idleTime is the time without work after which an account counts as idle.
+	idleTime = 2 * time.Second
 	// leastPart is the part of its fair rate that an account gets in each region
 	// where it has work waiting.
 	leastPart = 0.8
@@ -61,9 +65,11 @@
 	settled time.Time // no grant before
 
 	gap     time.Duration
-	share   float64 // mean share of the configured accounts
-	rate    float64 // cost that one slot gives a second; zero when unknown
-	waiting int     // requests of all accounts
+	share   float64       // mean share of the configured accounts
+	rate    float64       // cost that one slot gives a second; zero when unknown
+	longest time.Duration // usual time of the longest requests of this region
+	horizon time.Duration // of reservations
+	waiting int           // requests of all accounts
 	fresh   time.Time
 	actions []Action
 }
@@ -81,6 +87,7 @@
 		issued:   map[redwingshunt.InstanceID]uint64{},
 		peers:    map[redwingshunt.InstanceID]*peer{},
 		gap:      defaultGap,
+		horizon:  leastHorizon,
 		share:    1,
 	}
 }
@@ -239,24 +246,51 @@
 	return true
 }
 
-// reserve computes the reservation of a running request.
+// reserve computes the reservation of a running request: what it has received
+// beyond its reported cost, and one slot for the horizon. The horizon is the
+// same for all accounts, so equal virtual times mean equal service and equal
+// numbers of slots, however long the requests are. It is as long as the longest
+// requests run, since a slot given to one of them cannot be taken back sooner:
+// a shorter one would give a lagging account more slots than it needs.
 func (o *Owner) reserve(now time.Time, r *run) {
 	a := r.account
 	estimate := a.estimate
 	if estimate == 0 {
 		estimate = 1
 	}
-	left := max(0, estimate-float64(r.cost))
+	reserve := max(0, estimate-float64(r.cost))
 	if o.rate > 0 {
-		predicted := min(estimate, o.rate*now.Sub(r.started).Seconds())
-		soon := max(0, predicted-float64(r.cost)) + o.rate*horizon.Seconds()
-		left = min(left, soon)
+		reserve = o.unreported(now, r) + o.rate*o.horizon.Seconds()
 	}
-	u := exchanger.UnitsOf(redwingshunt.Cost(left), a.rule.Share)
+	u := exchanger.UnitsOf(redwingshunt.Cost(reserve), a.rule.Share)
 	a.reserved += u - r.reserve
 	r.reserve = u
 }
 
+// unreported estimates what a running request has received beyond its reported
+// cost.
+func (o *Owner) unreported(now time.Time, r *run) float64 {
+	predicted := min(r.account.estimate, o.rate*now.Sub(r.started).Seconds())
+	return max(0, predicted-float64(r.cost))
+}
+
+// look sets the horizon.
+func (o *Owner) look() {
+	o.longest = leastHorizon
+	for _, a := range o.accounts {
+		if o.rate > 0 && (a.waiting > 0 || len(a.runs) > 0) {
+			usual := time.Duration(a.estimate / o.rate * float64(time.Second))
+			o.longest = max(o.longest, min(usual, mostHorizon))
+		}
+	}
+	o.horizon = o.longest
+	for _, p := range o.order {
+		if !p.Standby && p.slots > 0 {
+			o.horizon = max(o.horizon, p.horizon)
+		}
+	}
+}
+
 // charge counts service that a running request has received.
 func (o *Owner) charge(r *run, total redwingshunt.Cost) {
 	if total <= r.cost {
@@ -284,6 +318,7 @@
 	a := r.account
 	a.reserved -= r.reserve
 	delete(a.runs, r)
+	a.active = o.now
 	delete(r.router.runs, r.grant)
 	if r.unseen != nil {
 		r.unseen.unseen--
@@ -315,6 +350,7 @@
 		return
 	}
 	o.fresh = now
+	o.look()
 	weights := o.weights()
 	for _, a := range o.accounts {
 		if len(a.runs) == 0 && a.waiting == 0 {
@@ -336,9 +372,9 @@
 	if len(o.ready) < 2 {
 		return
 	}
-	foremost, largest := o.ready[0].key, exchanger.Units(0)
+	foremost, largest := exchanger.Units(0), exchanger.Units(0)
 	for _, a := range o.ready {
-		foremost = max(foremost, a.key)
+		foremost = max(foremost, o.ledger.Virtual(a.id))
 		largest = max(largest, exchanger.UnitsOf(redwingshunt.Cost(a.estimate), a.rule.Share))
 	}
 	bound := 2*o.units(o.gap) + o.units(time.Second) + 2*largest
@@ -346,10 +382,7 @@
 		return
 	}
 	for _, a := range slices.Clone(o.ready) {
-		if foremost-a.key <= bound {
-			continue
-		}
-		o.lift(now, a, foremost-bound-a.reserved-a.away)
+		o.lift(now, a, foremost-bound)
 		o.refresh(a)
 	}
 }
@@ -360,7 +393,7 @@
 	a.away = 0
 	for _, r := range a.remote {
 		elapsed := min(now.Sub(r.at), exchangeRefresh).Seconds()
-		since := float64(r.running) * o.rate * max(0, elapsed)
+		since := float64(r.running) * o.rate * (max(0, elapsed) + o.horizon.Seconds())
 		a.away += r.pending + exchanger.UnitsOf(redwingshunt.Cost(since), a.rule.Share)
 	}
 }
@@ -408,23 +441,24 @@
 }
 
 // wake lifts an account that returns from idle to the least virtual time among
-// the backlogged, or to the foremost when nothing is backlogged.
+// the backlogged, or to the foremost when nothing is backlogged. Reservations
+// do not count: the account takes slots until it has as many as the others.
 func (o *Owner) wake(now time.Time, a *account) {
-	level, found := exchanger.Units(0), false
-	if len(o.ready) > 0 {
-		level, found = o.ready.least(), true
-	}
-	for _, p := range o.order {
-		if p.backlogged && (!found || p.level < level) {
-			level, found = p.level, true
+	least, most, found := exchanger.Units(0), exchanger.Units(0), false
+	for _, other := range o.accounts {
+		if other == a {
+			continue
+		}
+		v := o.ledger.Virtual(other.id)
+		most = max(most, v)
+		if other.backlogged() && (!found || v < least) {
+			least, found = v, true
 		}
 	}
 	if !found {
-		for _, id := range o.ledger.Accounts() {
-			level = max(level, o.ledger.Virtual(id))
-		}
+		least = most
 	}
-	o.lift(now, a, level)
+	o.lift(now, a, least)
 }
 
 // lift raises the virtual time of an account.
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -31,6 +31,8 @@
 	entryParts = 16
 	// levelParts divides the allowed gap into the steps in which it is told.
 	levelParts = 64
+	// horizonStep is the step in which the horizon is told.
+	horizonStep = 100 * time.Millisecond
 	// maxAsk bounds the slots that are asked of one peer.
 	maxAsk = 256
 )
@@ -51,6 +53,7 @@
 	level       exchanger.Units // least virtual time with work waiting there
 	free        int
 	slots       int
+	horizon     time.Duration
 	ask         int // slots that the peer wants of this owner
 	asked       int // slots last asked of the peer
 	told        told
@@ -75,10 +78,11 @@
 
 // entry is what a peer was last told of an account.
 type entry struct {
-	units  exchanger.Units // service and pending
-	floor  exchanger.Units
-	queued bool
-	idle   bool // nothing was running
+	units   exchanger.Units // service and reservations
+	pending exchanger.Units
+	floor   exchanger.Units
+	queued  bool
+	idle    bool // nothing was running
 }
 
 func newPeer(p Peer) *peer {
@@ -155,6 +159,7 @@
 	p.backlogged = m.Level > 0
 	p.level = exchanger.Units(max(1, m.Level)-1) << m.Shift
 	p.free, p.slots = int(m.Free), int(m.Slots)
+	p.horizon = time.Duration(m.Horizon) * horizonStep
 	if !o.active || p.Standby {
 		return
 	}
@@ -296,7 +301,7 @@
 		}
 		lent += p.lent[id]
 	}
-	if len(o.ready) == 0 {
+	if len(o.ready) == 0 && o.onlyBorrower(p) {
 		p.goal = p.ask // limited by what is spare
 	} else if now.Sub(p.aimed) >= exchangePeriod {
 		p.aimed = now
@@ -330,6 +335,9 @@
 // target returns how many slots the peer should have while work waits here.
 // The lag of the peer is kept between a quarter and a half of the allowed gap.
 func (o *Owner) target(now time.Time, p *peer, lent int) int {
+	if len(o.ready) == 0 {
+		return o.part(p)
+	}
 	level, ok := o.level(now)
 	if !ok {
 		return lent // nothing waits for long
@@ -348,9 +356,42 @@
 	return lent
 }
 
+// onlyBorrower reports whether no other peer asks for slots.
+func (o *Owner) onlyBorrower(p *peer) bool {
+	for _, other := range o.order {
+		if other != p && !other.Standby && other.ask > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// part divides slots without work among the peers that ask, those with the
+// least virtual time first.
+func (o *Owner) part(p *peer) int {
+	spare, askers := o.pool.Free(), 0
+	sum := exchanger.Units(0)
+	for _, other := range o.order {
+		if other.Standby || other.ask == 0 {
+			continue
+		}
+		for _, n := range other.lent {
+			spare += n
+		}
+		askers++
+		sum += other.level
+	}
+	even := (spare + askers - 1) / askers
+	behind := sum/exchanger.Units(askers) - p.level
+	if behind > 0 {
+		return even + o.slotsFor(behind)
+	}
+	return max(0, even-o.slotsFor(-behind))
+}
+
 // slotsFor returns how many slots give the service in catchUp.
 func (o *Owner) slotsFor(u exchanger.Units) int {
-	slot := o.rate * catchUp.Seconds() * exchanger.Scale / o.share
+	slot := o.rate * max(catchUp, o.horizon).Seconds() * exchanger.Scale / o.share
 	return int(math.Ceil(float64(u) / max(slot, 1)))
 }
 
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -212,7 +212,7 @@
 	if sequence <= d.sequence {
 		return
 	}
-	idle := len(a.runs) == 0 && !a.backlogged()
+	idle := len(a.runs) == 0 && !a.backlogged() && now.Sub(a.active) >= idleTime
 	d.sequence = sequence
 	d.queued = int(entry.Queued)
 	d.since = now.Add(-time.Duration(entry.AgeMs) * time.Millisecond)
