--- a/measurer/debug_test.go
+++ b/measurer/debug_test.go
@@ -38,13 +38,32 @@
 }
 
 func TestDebug(t *testing.T) {
-	s := small(
-			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 40, Least: 4, Most: 8},
-			Load{Routers: []int{0, 1, 2, 3, 4, 5}, Clients: 8, Least: 800, Most: 1200},
-			flood(20, 0, 1, 2, 3, 4, 5))
-	for at := 2 * time.Second; at < s.Length; at += 6 * time.Second {
-		s.Faults = append(s.Faults, Fault{at, dump})
+	for _, s := range []*Scenario{small(flood(60, 0, 1), flood(60, 2, 3))} {
+		for at := 1 * time.Second; at < s.Length; at += time.Second {
+			s.Faults = append(s.Faults, Fault{at, func(f *Fleet) {
+				if f.gauge.slots > 0 {
+					fmt.Printf("%v u %.3f ", f.now.Sub(f.start), f.gauge.busy/f.gauge.slots)
+					for _, e := range f.engines {
+						fmt.Print(" ", e.upstream.ID, ":", len(e.running), "/", len(e.waiting))
+					}
+					for _, l := range s.Loads {
+						a := f.tokens[l.Account]
+						sv := a.done
+						for r := range a.active {
+							sv += r.engine.served(f.now, r.job)
+						}
+						fmt.Printf(" w %d %.2f", a.waiting, sv/s.capacity())
+					}
+					for _, n := range f.nodes {
+						if n.duty.Active {
+							fmt.Print("   ", n.instance.ID, n.owner.Debug())
+						}
+					}
+					fmt.Println()
+				}
+				f.gauge.busy, f.gauge.slots = 0, 0
+			}})
+		}
+		NewFleet(s).Run()
 	}
-	_ = fmt.Sprint
-	NewFleet(s).Run()
 }
--- a/measurer/engine.go
+++ b/measurer/engine.go
@@ -69,7 +69,8 @@
 	load    *Load
 	tokens  int
 	arrived time.Time
-	fair    time.Duration // wait at the fair rate
+	need    float64 // cost of all upstreams until the account's fair part covers its queue
+	offered float64 // cost that all upstreams could have given until it arrived
 	node    *node
 	waiting bool
 	job     *job
--- a/measurer/gauge.go
+++ b/measurer/gauge.go
@@ -14,7 +14,7 @@
 	Excess      float64 // the same less the largest request of each account
 	Utilisation float64 // busy slots while work waits, 0 to 1
 	Wait        time.Duration
-	Ratio       float64 // longest wait over its fair wait, at least a second of both
+	Ratio       float64 // longest wait over its fair wait, with a second as the least of both
 	Inside      float64 // control bytes a daemon a second within regions, sent and received
 	Across      float64 // control bytes a second of a region pair, both ways
 	Busiest     float64 // control bytes a second of the busiest daemon, sent and received
@@ -45,6 +45,8 @@
 	requests  int
 	refused   int
 	overfull  int
+	offered   float64 // cost that the upstreams could have given so far
+	summed    time.Time
 	late      int
 	kinds     map[redwingshunt.MessageKind]int
 	scale     float64
@@ -73,8 +75,19 @@
 	acc := g.fleet.tokens[r.load.Account]
 	acc.waiting++
 	acc.queued += float64(r.tokens)
-	fair := g.fleet.living() * float64(r.load.Share) / g.weightSum
-	r.fair = time.Duration(acc.queued / fair * float64(time.Second))
+	r.need = acc.queued * g.weightSum / float64(r.load.Share)
+	r.offered = g.capacity()
+}
+
+// capacity returns the cost that the upstreams could have given so far.
+func (g *gauge) capacity() float64 {
+	now := g.fleet.now
+	if g.summed.IsZero() {
+		g.summed = now
+	}
+	g.offered += now.Sub(g.summed).Seconds() * g.fleet.living()
+	g.summed = now
+	return g.offered
 }
 
 func (g *gauge) unqueued(r *request) {
@@ -98,7 +111,8 @@
 	if g.hook != nil {
 		g.hook(r)
 	}
-	g.ratio = max(g.ratio, max(1, wait.Seconds())/max(1, r.fair.Seconds()))
+	second := g.fleet.scenario.capacity()
+	g.ratio = max(g.ratio, max(second, g.capacity()-r.offered)/max(second, r.need))
 }
 
 func (g *gauge) message(from, to *node, kind redwingshunt.MessageKind, bytes int) {
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -332,6 +332,7 @@
 // Crash takes an upstream away with all its work.
 func (f *Fleet) Crash(index int) {
 	e := f.engines[index]
+	f.gauge.capacity()
 	e.dead = true
 	for _, j := range slices.Concat(e.running, e.waiting) {
 		f.after(time.Second, func() { f.broken(j) })
@@ -342,6 +343,7 @@
 // Leave lets an upstream tell that it is leaving.
 func (f *Fleet) Leave(index int) {
 	e := f.engines[index]
+	f.gauge.capacity()
 	e.left = f.now
 	if n := f.anyNode(e.upstream.Region); n != nil {
 		f.relay(n, &wire.Announcement{Id: string(e.upstream.ID), Service: string(service), Region: string(e.upstream.Region)})
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -26,10 +26,12 @@
 	runs     map[*run]struct{}
 	remote   map[redwingshunt.InstanceID]remote
 	credit   exchanger.Units // charged in excess
+	rate     float64         // usual cost a second of one slot; zero when unknown
 	estimate float64         // usual cost of a request; zero when unknown
 	lifted   time.Time
 	interval time.Duration // between grants that are due in any case; zero for none
 	due      time.Time     // of the next one
+	enough   int           // running requests here with which none is due
 	first    bool          // it is due
 	index    int           // in the heap; -1 when not in it
 }
@@ -124,25 +126,29 @@
 }
 
 // pace sets the time between grants that are due.
-func (a *account) pace(now time.Time, interval time.Duration) {
+func (a *account) pace(now time.Time, interval time.Duration, enough int) {
 	if a.interval == 0 {
 		a.due = now.Add(interval)
 	}
-	a.interval = interval
+	a.interval, a.enough = interval, enough
 	a.hurry(now)
 }
 
 // hurry notes whether a grant is due.
 func (a *account) hurry(now time.Time) {
-	a.first = a.interval > 0 && a.waiting > 0 && !now.Before(a.due)
+	a.first = a.interval > 0 && a.waiting > 0 && len(a.runs) < a.enough && !now.Before(a.due)
 }
 
-// served moves the time of the next grant that is due.
+// served moves the time of the next grant that is due. Neither late nor early
+// grants count for more than one interval.
 func (a *account) served(now time.Time) {
 	if earliest := now.Add(-a.interval); a.due.Before(earliest) {
 		a.due = earliest
 	}
 	a.due = a.due.Add(a.interval)
+	if latest := now.Add(a.interval); a.due.After(latest) {
+		a.due = latest
+	}
 	a.hurry(now)
 }
 
@@ -168,13 +174,21 @@
 	return running < a.rule.Parallel
 }
 
-// observe learns the cost of a finished request.
-func (a *account) observe(c redwingshunt.Cost) {
-	if a.estimate == 0 {
-		a.estimate = float64(c)
+// observe learns from a finished request.
+func (a *account) observe(c redwingshunt.Cost, total time.Duration) {
+	rate := float64(c) / total.Seconds()
+	if a.rate == 0 {
+		a.estimate, a.rate = float64(c), rate
 		return
 	}
 	a.estimate += estimateWeight * (float64(c) - a.estimate)
+	a.rate += rateWeightOf(total) * (rate - a.rate)
+}
+
+// rateWeightOf returns the weight of one request in a rate: a long request says
+// more than a short one.
+func rateWeightOf(total time.Duration) float64 {
+	return min(1, rateWeight*max(0.1, total.Seconds()))
 }
 
 // accountHeap orders accounts with waiting work by virtual time, after those
--- a/scheduler/debug.go
+++ b/scheduler/debug.go
@@ -1,15 +1,42 @@
 package scheduler
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/redwingshunt/redwingshunt"
+)
 
 // Debug x.
 func (o *Owner) Debug() string {
-	s := fmt.Sprintf("rate %.1f units %d ready %d free %d ", o.rate, o.units(1e9), len(o.ready), o.pool.Free())
-	for _, p := range o.order {
-		s += fmt.Sprintf("{%s back %v level %.2f free %d slots %d ask %d asked %d lent %v held %v} ", p.ID, p.backlogged, float64(p.level)/float64(o.units(1e9)), p.free, p.slots, p.ask, p.asked, p.lent, p.held)
+	s := fmt.Sprintf("free %d ", o.pool.Free())
+	l, ok := o.level(o.now)
+	if ok {
+		s += fmt.Sprintf("L %.2f", float64(l)/float64(o.units(1e9)))
 	}
-	for _, v := range o.pool.Views() {
-		s += fmt.Sprintf("[%s %s w %d own %d lent %d foreign %d room %d] ", v.Key.Lender, v.Key.ID, v.Window, v.Own, v.Lent, v.Foreign, v.Room)
+	for _, p := range o.order {
+		if !p.Standby {
+			lent, held, bor, own := 0, 0, 0, 0
+			for _, n := range p.lent {
+				lent += n
+			}
+			for _, n := range p.held {
+				held += n
+			}
+			for _, v := range o.pool.Views() {
+				if v.Key.Lender == p.ID {
+					bor += v.Window
+					own += v.Own
+				}
+			}
+			s += fmt.Sprintf("{%s ask %d/%d lent %d held %d borrowed %d used %d} ", p.ID, p.ask, p.asked, lent, held, bor, own)
+		}
 	}
 	return s
 }
+
+// DebugA x.
+func (o *Owner) DebugA(id redwingshunt.AccountID) string {
+	a := o.account(id)
+	u := float64(o.units(1e9))
+	return fmt.Sprintf("[V %.2f k %.2f r %d w %d i %v %v]", float64(o.ledger.Virtual(id))/u, float64(a.key)/u, len(a.runs), a.waiting, a.interval, a.first) + fmt.Sprint(" e ", a.enough, " ", a.remote)
+}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -21,13 +21,16 @@
 // exchange sends ledgers to the peers that lack something.
 func (o *Owner) exchange(now time.Time) {
 	for _, p := range o.order {
-		if now.Sub(p.sent) < exchangePeriod || now.Sub(p.checked) < checkPeriod {
+		if now.Sub(p.sent) < returnPeriod || now.Sub(p.checked) < checkPeriod {
 			continue
 		}
 		p.checked = now
 		if !o.active && !p.answer {
 			continue
 		}
+		if now.Sub(p.sent) < exchangePeriod && !p.lentNew && o.holds(p) >= p.using {
+			continue
+		}
 		ask := o.want(now, p)
 		if o.lacks(now, p, ask) {
 			o.send(now, p, ask)
@@ -37,7 +40,7 @@
 
 // lacks reports whether a ledger is due.
 func (o *Owner) lacks(now time.Time, p *peer, ask int) bool {
-	if p.hello || p.answer || p.lentNew || p.reply {
+	if p.hello || p.answer || p.lentNew || p.reply || o.holds(p) < p.using {
 		return true
 	}
 	if (ask == 0) != (p.asked == 0) || ask > 2*p.asked || 2*ask < p.asked {
@@ -62,6 +65,20 @@
 	return false
 }
 
+// holds returns the slots of a peer that may be in use here.
+func (o *Owner) holds(p *peer) int {
+	n := 0
+	if p.using == 0 {
+		return 0
+	}
+	for _, v := range o.pool.Views() {
+		if v.Key.Lender == p.ID {
+			n += max(v.Own, v.Window)
+		}
+	}
+	return n
+}
+
 // standing returns what a ledger says of the whole service.
 func (o *Owner) standing(now time.Time) told {
 	t := told{free: o.pool.Free() > 0, slots: o.pool.Slots()}
@@ -231,8 +248,10 @@
 			})
 		}
 	}
+	p.using = 0
 	for _, v := range o.pool.Views() {
 		if held := max(v.Own, v.Window); v.Key.Lender == p.ID && held > 0 {
+			p.using += held
 			m.Held = append(m.Held, &wire.Loan{Upstream: string(v.Key.ID), Count: uint32(held)})
 		}
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,7 +29,7 @@
 	idleTime = 2 * time.Second
 	// leastPart is the part of its fair rate that an account gets in each region
 	// where it has work waiting.
-	leastPart = 0.8
+	leastPart = 0.75
 	// defaultGap is the gap between regions when none is configured.
 	defaultGap = time.Second
 	// orphanTime bounds how long the work of a lost router keeps its slots.
@@ -260,7 +261,7 @@
 	}
 	reserve := max(0, estimate-float64(r.cost))
 	if o.rate > 0 {
-		reserve = o.unreported(now, r) + o.rate*o.horizon.Seconds()
+		reserve = o.unreported(now, r) + o.rateOf(a)*o.horizon.Seconds()
 	}
 	u := exchanger.UnitsOf(redwingshunt.Cost(reserve), a.rule.Share)
 	a.reserved += u - r.reserve
@@ -270,16 +271,24 @@
 // unreported estimates what a running request has received beyond its reported
 // cost.
 func (o *Owner) unreported(now time.Time, r *run) float64 {
-	predicted := min(r.account.estimate, o.rate*now.Sub(r.started).Seconds())
+	predicted := min(r.account.estimate, o.rateOf(r.account)*now.Sub(r.started).Seconds())
 	return max(0, predicted-float64(r.cost))
 }
 
+// rateOf returns the cost that one slot gives an account a second.
+func (o *Owner) rateOf(a *account) float64 {
+	if a.rate > 0 {
+		return a.rate
+	}
+	return o.rate
+}
+
 // look sets the horizon.
 func (o *Owner) look() {
 	o.longest = leastHorizon
 	for _, a := range o.accounts {
 		if o.rate > 0 && (a.waiting > 0 || len(a.runs) > 0) {
-			usual := time.Duration(a.estimate / o.rate * float64(time.Second))
+			usual := time.Duration(a.estimate / o.rateOf(a) * float64(time.Second))
 			o.longest = max(o.longest, min(usual, mostHorizon))
 		}
 	}
@@ -332,14 +341,12 @@
 	if r.cost <= 0 || total <= 0 {
 		return
 	}
-	r.account.observe(r.cost)
+	r.account.observe(r.cost, total)
 	rate := float64(r.cost) / total.Seconds()
 	if o.rate == 0 {
 		o.rate = rate
 	}
-	// A long request says more about the rate than a short one.
-	weight := min(1, rateWeight*max(0.1, total.Seconds()))
-	o.rate += weight * (rate - o.rate)
+	o.rate += rateWeightOf(total) * (rate - o.rate)
 }
 
 func (o *Owner) tick(now time.Time) {
@@ -360,27 +367,28 @@
 		for r := range a.runs {
 			o.reserve(now, r)
 		}
-		a.pace(now, o.interval(a, weights))
+		o.pace(now, a, weights)
 		o.refresh(a)
 	}
 	o.clamp(now)
 	o.refuse(now)
 }
 
-// clamp bounds the lag of backlogged accounts behind the foremost one.
+// clamp bounds the lag of backlogged accounts behind the foremost one, so that
+// what was missed during a partition is not made up for at the cost of others
+// for as long as the partition lasted.
 func (o *Owner) clamp(now time.Time) {
-	if len(o.ready) < 2 {
+	if o.rate == 0 || len(o.ready) == 0 {
 		return
 	}
 	foremost, largest := exchanger.Units(0), exchanger.Units(0)
-	for _, a := range o.ready {
-		foremost = max(foremost, o.ledger.Virtual(a.id))
-		largest = max(largest, exchanger.UnitsOf(redwingshunt.Cost(a.estimate), a.rule.Share))
-	}
-	bound := 2*o.units(o.gap) + o.units(time.Second) + 2*largest
-	if o.rate == 0 {
-		return
+	for _, a := range o.accounts {
+		if a.backlogged() {
+			foremost = max(foremost, o.ledger.Virtual(a.id))
+			largest = max(largest, exchanger.UnitsOf(redwingshunt.Cost(a.estimate), a.rule.Share))
+		}
 	}
+	bound := max(o.units(o.gap), o.units(time.Second)) + largest
 	for _, a := range slices.Clone(o.ready) {
 		o.lift(now, a, foremost-bound)
 		o.refresh(a)
@@ -393,7 +401,7 @@
 	a.away = 0
 	for _, r := range a.remote {
 		elapsed := min(now.Sub(r.at), exchangeRefresh).Seconds()
-		since := float64(r.running) * o.rate * (max(0, elapsed) + o.horizon.Seconds())
+		since := float64(r.running) * o.rateOf(a) * (max(0, elapsed) + o.horizon.Seconds())
 		a.away += r.pending + exchanger.UnitsOf(redwingshunt.Cost(since), a.rule.Share)
 	}
 }
@@ -409,23 +417,24 @@
 	return sum
 }
 
-// interval returns the time between grants that are due to an account here
-// whatever its virtual time. An account that has work waiting in other regions
-// too may be kept ahead by the service there; so that its work here does not
-// wait for as long as that lasts, it gets leastPart of its fair rate here, in
-// proportion to what waits here.
-func (o *Owner) interval(a *account, weights float64) time.Duration {
+// pace sets what is due to an account here whatever its virtual time. An account
+// that has work waiting in other regions too may be kept ahead by the service
+// there; so that its work here does not wait for as long as that lasts, it gets
+// leastPart of its fair rate here, in proportion to what waits here.
+func (o *Owner) pace(now time.Time, a *account, weights float64) {
 	queued := a.waiting
 	for _, r := range a.remote {
 		queued += r.queued
 	}
 	if a.waiting == 0 || queued == a.waiting || o.rate == 0 {
-		return 0
+		a.pace(now, 0, 0)
+		return
 	}
 	whole := float64(o.units(time.Second)) * o.share / exchanger.Scale // cost a second
 	fair := whole * float64(max(1, a.rule.Share)) / max(weights, 1)
-	here := fair * float64(a.waiting) / float64(queued) * leastPart
-	return time.Duration(a.estimate / max(here, 1) * float64(time.Second))
+	here := max(1, fair*float64(a.waiting)/float64(queued)*leastPart)
+	interval := time.Duration(a.estimate / here * float64(time.Second))
+	a.pace(now, interval, int(math.Ceil(here/o.rateOf(a))))
 }
 
 // units returns the virtual time that the whole service advances in d when all
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -15,6 +15,10 @@
 const (
 	// exchangePeriod is the least time between two ledgers to one peer.
 	exchangePeriod = time.Second
+	// movedParts bounds the part of the slots that moves between borrowers at once.
+	movedParts = 32
+	// returnPeriod is the least time between two ledgers when loans change.
+	returnPeriod = 250 * time.Millisecond
 	// exchangeRefresh is the time after which changes too small to matter are
 	// sent all the same.
 	exchangeRefresh = 5 * time.Second
@@ -56,6 +60,7 @@
 	horizon     time.Duration
 	ask         int // slots that the peer wants of this owner
 	asked       int // slots last asked of the peer
+	using       int // slots last told to be held of the peer
 	told        told
 
 	lent     map[redwingshunt.UpstreamID]int // slots that the peer may use
@@ -307,7 +312,7 @@
 		p.aimed = now
 		p.goal = o.target(now, p, lent)
 	}
-	p.goal = min(p.goal, p.ask)
+	p.goal = min(p.goal, p.ask, o.lendable(p))
 	for ; lent < p.goal; lent++ {
 		id, ok := o.pool.Spare()
 		if !ok {
@@ -321,6 +326,24 @@
 	}
 }
 
+// lendable returns the slots that one peer may have at most. What is due to the
+// accounts here stays.
+func (o *Owner) lendable(p *peer) int {
+	slots := o.pool.Slots()
+	for _, a := range o.ready {
+		slots -= a.enough
+	}
+	for _, other := range o.order {
+		if other == p {
+			continue
+		}
+		for _, n := range other.lent {
+			slots -= n
+		}
+	}
+	return max(0, slots)
+}
+
 // setLent changes a loan. Slots stay busy until the peer confirms a decrease.
 func (o *Owner) setLent(p *peer, id redwingshunt.UpstreamID, n int) {
 	p.lent[id] = n
@@ -336,7 +359,7 @@
 // The lag of the peer is kept between a quarter and a half of the allowed gap.
 func (o *Owner) target(now time.Time, p *peer, lent int) int {
 	if len(o.ready) == 0 {
-		return o.part(p)
+		return o.part(p, lent)
 	}
 	level, ok := o.level(now)
 	if !ok {
@@ -366,32 +389,33 @@
 	return true
 }
 
-// part divides slots without work among the peers that ask, those with the
-// least virtual time first.
-func (o *Owner) part(p *peer) int {
-	spare, askers := o.pool.Free(), 0
-	sum := exchanger.Units(0)
+// part divides slots without work among the peers that ask. They share what is
+// free evenly; slots move between them only while their virtual times differ by
+// more than a quarter of the allowed gap, since each move leaves a slot idle
+// for a moment.
+func (o *Owner) part(p *peer, lent int) int {
+	askers, sum := 0, exchanger.Units(0)
 	for _, other := range o.order {
-		if other.Standby || other.ask == 0 {
-			continue
+		if !other.Standby && other.ask > 0 {
+			askers++
+			sum += other.level
 		}
-		for _, n := range other.lent {
-			spare += n
-		}
-		askers++
-		sum += other.level
 	}
-	even := (spare + askers - 1) / askers
 	behind := sum/exchanger.Units(askers) - p.level
-	if behind > 0 {
-		return even + o.slotsFor(behind)
+	dead := o.units(o.gap) / 4
+	step := 1 + o.pool.Slots()/movedParts
+	switch {
+	case behind > dead:
+		return lent + max(o.pool.Free(), min(step, o.slotsFor(behind-dead)))
+	case behind < -dead && lent > 0:
+		return max(0, lent-min(step, o.slotsFor(-behind-dead)))
 	}
-	return max(0, even-o.slotsFor(-behind))
+	return lent + (o.pool.Free()+askers-1)/askers
 }
 
 // slotsFor returns how many slots give the service in catchUp.
 func (o *Owner) slotsFor(u exchanger.Units) int {
-	slot := o.rate * max(catchUp, o.horizon).Seconds() * exchanger.Scale / o.share
+	slot := o.rate * catchUp.Seconds() * exchanger.Scale / o.share
 	return int(math.Ceil(float64(u) / max(slot, 1)))
 }
 
@@ -399,13 +423,27 @@
 func (o *Owner) level(now time.Time) (exchanger.Units, bool) {
 	level, ok := exchanger.Units(0), false
 	for _, a := range o.ready {
-		if now.Sub(a.since) >= lastingWait && (!ok || a.key < level) {
-			level, ok = a.key, true
+		if now.Sub(a.since) < lastingWait {
+			continue
+		}
+		if l := o.levelOf(a); !ok || l < level {
+			level, ok = l, true
 		}
 	}
 	return level, ok
 }
 
+// levelOf returns the virtual time of an account as regions compare it: its
+// running requests reserve no more than catchUp, the time in which loans act.
+func (o *Owner) levelOf(a *account) exchanger.Units {
+	running := len(a.runs)
+	for _, r := range a.remote {
+		running += r.running
+	}
+	beyond := max(0, o.horizon-catchUp).Seconds() * o.rateOf(a) * float64(running)
+	return a.key - exchanger.UnitsOf(redwingshunt.Cost(beyond), a.rule.Share)
+}
+
 // want returns how many slots to ask of a peer.
 func (o *Owner) want(now time.Time, p *peer) int {
 	if p.Standby || !o.active {
@@ -423,9 +461,9 @@
 	}
 	more := 0
 	switch {
-	case p.free > 0:
-		more = min(o.waiting, p.free)
-	case p.backlogged:
+	case !p.backlogged:
+		more = min(o.waiting, p.slots)
+	default:
 		more = o.lagging(now, p.level-o.units(o.gap)/4)
 	}
 	return min(maxAsk, may+more)
@@ -435,7 +473,7 @@
 func (o *Owner) lagging(now time.Time, below exchanger.Units) int {
 	n := 0
 	for _, a := range o.ready {
-		if a.key < below && now.Sub(a.since) >= lastingWait {
+		if o.levelOf(a) < below && now.Sub(a.since) >= lastingWait {
 			n += a.waiting
 		}
 	}
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -13,7 +13,7 @@
 
 // grantTimeout is the time after which a grant that a router has not seen is
 // taken back when its state lacks it.
-const grantTimeout = 3 * time.Second
+const grantTimeout = time.Second
 
 // silentTimeout is the time after which a grant is taken back although the
 // router has not told anything since.
