--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -75,6 +75,15 @@
 	return float64(n*s.Slots) * s.Rate
 }
 
+// usual returns the seconds that a usual request runs: a slot is not free sooner.
+func (s *Scenario) usual() float64 {
+	sum := 0.0
+	for _, l := range s.Loads {
+		sum += float64(l.Least+l.Most) / 2
+	}
+	return sum / float64(len(s.Loads)) / s.Rate
+}
+
 // spread returns the router indexes of a scenario from first on.
 func (s *Scenario) spread(first, count int) []int {
 	total := 0
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -12,6 +12,9 @@
 // estimateWeight is the weight of a new cost in an account's average.
 const estimateWeight = 0.1
 
+// progressLeast is the age from which a running request shows its rate.
+const progressLeast = time.Second
+
 // account is what an owner knows of one client account.
 type account struct {
 	id       redwingshunt.AccountID
@@ -27,6 +30,7 @@
 	remote   map[redwingshunt.InstanceID]remote
 	credit   exchanger.Units // charged in excess
 	rate     float64         // usual cost a second of one slot; zero when unknown
+	learned  bool            // estimate comes from finished requests
 	estimate float64         // usual cost of a request; zero when unknown
 	lifted   time.Time
 	interval time.Duration // between grants that are due in any case; zero for none
@@ -177,14 +181,27 @@
 // observe learns from a finished request.
 func (a *account) observe(c redwingshunt.Cost, total time.Duration) {
 	rate := float64(c) / total.Seconds()
-	if a.rate == 0 {
-		a.estimate, a.rate = float64(c), rate
+	if !a.learned {
+		a.estimate, a.rate, a.learned = float64(c), rate, true
 		return
 	}
 	a.estimate += estimateWeight * (float64(c) - a.estimate)
 	a.rate += rateWeightOf(total) * (rate - a.rate)
 }
 
+// progress learns from a running request that has received a cost so far.
+func (a *account) progress(c redwingshunt.Cost, elapsed time.Duration) {
+	if elapsed < progressLeast || c <= 0 {
+		return
+	}
+	rate := float64(c) / elapsed.Seconds()
+	if a.rate == 0 {
+		a.rate = rate
+		return
+	}
+	a.rate += rateWeight * (rate - a.rate)
+}
+
 // rateWeightOf returns the weight of one request in a rate: a long request says
 // more than a short one.
 func rateWeightOf(total time.Duration) float64 {
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -146,6 +146,9 @@
 			o.message(r).Resync = true
 		}
 		if run != nil {
+			if entry.Cost > int64(run.cost) {
+				run.account.progress(redwingshunt.Cost(entry.Cost), now.Sub(run.started))
+			}
 			o.charge(run, redwingshunt.Cost(entry.Cost))
 			o.reserve(now, run)
 			o.refresh(run.account)
