--- a/interfaces.go
+++ b/interfaces.go
@@ -24,7 +24,7 @@
 
 // The kinds of message between instances.
 const (
-	KindHeartbeat  MessageKind = iota + 1 // liveness of a link
+	KindHeartbeat  MessageKind = iota + 1 // acknowledgements, by which a link knows that it lives
 	KindMembership                        // who is alive
 	KindAnnounce                          // an upstream announced, renewed or left
 	KindDemand                            // a router's queued work to the owner of a service
--- a/linker/counters.go
+++ b/linker/counters.go
@@ -40,6 +40,11 @@
 	k.bytes.Add(size)
 }
 
+// acknowledged counts an acknowledgement that was sent, as a heartbeat.
+func (c *counters) acknowledged(across bool) {
+	c.sent(redwingshunt.Message{Kind: redwingshunt.KindHeartbeat}, across)
+}
+
 func (c *counters) received(frame *wire.Frame) {
 	if frame.GetKind() >= uint32(redwingshunt.KindEnd) {
 		return
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -133,6 +133,7 @@
 		is.Equal(<-got, "a after")
 	}
 	is.Equal(sender.Traffic()[0].AcrossMessages, uint64(5))
+	is.True(receiver.Traffic()[0].Messages >= 2) // acknowledgements before each of the losses
 
 	sender.Close()
 	server.Stop()
--- a/linker/server.go
+++ b/linker/server.go
@@ -22,7 +22,12 @@
 		return trace.BadParameter("the first frame of a stream carries a hello")
 	}
 	from := redwingshunt.InstanceID(first.GetHello().GetInstance())
-	in := &inbound{stream: stream, wake: make(chan struct{}, 1)}
+	in := &inbound{
+		stream:   stream,
+		counters: &l.counters,
+		across:   first.GetHello().GetRegion() != string(l.options.Self().Region),
+		wake:     make(chan struct{}, 1),
+	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	stop := context.AfterFunc(l.ctx, cancel)
@@ -43,9 +48,11 @@
 
 // inbound is the receiving end of one stream.
 type inbound struct {
-	stream wire.Instances_ExchangeServer
-	last   atomic.Uint64
-	wake   chan struct{}
+	stream   wire.Instances_ExchangeServer
+	counters *counters
+	across   bool // the sender is in another region
+	last     atomic.Uint64
+	wake     chan struct{}
 }
 
 func (in *inbound) received(sequence uint64) {
@@ -74,6 +81,7 @@
 		if err := in.stream.Send(&wire.Acknowledgement{Sequence: in.last.Load()}); err != nil {
 			return
 		}
+		in.counters.acknowledged(in.across)
 	}
 }
 
