Restore backups, follow the members of a log, and serve TLS on links

The parts of the API have the methods of the recorder, so that it plugs in as it is; steps of a replacement are told from the members of the log as they change.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -106,17 +106,17 @@
 	Drain()
 }
 
-// Repairer replaces voters.
+// Repairer replaces voters. A recorder.Recorder is one.
 type Repairer interface {
-	// Replace adds with as a voter and removes lost, which may be empty to only
-	// add. It tells each step and returns when the replacement is committed.
-	Replace(ctx context.Context, lost, with redwingshunt.InstanceID, step func(text string)) error
+	// Replace makes fresh a voter and removes lost, which may be empty to only
+	// add. It returns when that is committed; calling it again goes on.
+	Replace(ctx context.Context, lost, fresh redwingshunt.InstanceID) error
 }
 
-// Archiver copies the state that must survive.
+// Archiver copies the state that must survive. A recorder.Recorder is one.
 type Archiver interface {
 	// Backup writes the committed state.
-	Backup(ctx context.Context, w io.Writer) error
+	Backup(w io.Writer) error
 }
 
 // server answers the routes.
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -27,6 +27,8 @@
 	err       error
 	submitted redwingshunt.Submission
 	drained   bool
+	looks     int
+	told      chan struct{}
 }
 
 func (f *fake) Self() redwingshunt.Instance     { return redwingshunt.Instance{ID: "node-a"} }
@@ -40,11 +42,21 @@
 	return f.receipt, f.err
 }
 
-func (f *fake) Replace(_ context.Context, _, _ redwingshunt.InstanceID, step func(string)) error {
-	step("added node-d as a learner")
+// Replace waits until its caller has told the members, then fails or is done.
+func (f *fake) Replace(context.Context, redwingshunt.InstanceID, redwingshunt.InstanceID) error {
+	<-f.told
 	return f.err
 }
 
+// Logs tells the members; they change with each look.
+func (f *fake) Logs() []LogStatus {
+	f.looks++
+	if f.looks == 2 {
+		close(f.told)
+	}
+	return []LogStatus{{Members: []LogMember{{Instance: "node-a", Voter: true}, {Instance: "node-d", Voter: f.looks > 1}}}}
+}
+
 // large is a part of a dump beyond the bound.
 type large struct{}
 
@@ -57,7 +69,7 @@
 	is.New(t).NoErr(err)
 	document, findings := parser.Document("saddlery.yaml", text)
 	is.New(t).NoErr(findings.Err())
-	return &fake{snapshot: &redwingshunt.Snapshot{
+	return &fake{told: make(chan struct{}), snapshot: &redwingshunt.Snapshot{
 		Revision: 7, Document: document,
 		Sections: map[redwingshunt.Section]redwingshunt.Revision{redwingshunt.SectionAccounts: 5},
 	}}
@@ -65,7 +77,7 @@
 
 func (f *fake) handler() http.Handler {
 	return New(Parts{
-		Members: f, Configuration: f, Submitter: f, Drainer: f, Repairer: f,
+		Members: f, Configuration: f, Submitter: f, Drainer: f, Repairer: f, Log: f,
 		Bootstrap: authenticator.HashKey("EXAMPLE-KEY-bootstrap"),
 		Dumpers:   map[string]redwingshunt.Dumper{"scheduler": f, "log": large{}},
 	})
@@ -202,14 +214,17 @@
 	f := newFake(t)
 	f.err = redwingshunt.ErrNotCommitted
 	answer := f.call("POST", "/v1/voters/replace", "platform", `{"lost": "node-b", "with": "node-d"}`)
-	lines := strings.Split(strings.TrimSpace(answer.Body.String()), "\n")
-	is.Equal(len(lines), 2)
-	var first, last Step
-	is.NoErr(json.Unmarshal([]byte(lines[0]), &first))
-	is.NoErr(json.Unmarshal([]byte(lines[1]), &last))
-	is.Equal(first.Text, "added node-d as a learner")
-	is.Equal(last.Problem.Reason, ReasonNotCommitted)
-	is.Equal(f.call("POST", "/v1/voters/replace", "platform", `{"lost": "node-b", "with": "node-b"}`).Code, 400)
+	var steps []Step
+	for line := range strings.Lines(answer.Body.String()) {
+		var step Step
+		is.NoErr(json.Unmarshal([]byte(line), &step))
+		steps = append(steps, step)
+	}
+	is.Equal(len(steps), 3)
+	is.Equal(steps[0].Text, "log 0: voters [node-a], catching up [node-d]")
+	is.Equal(steps[1].Text, "log 0: voters [node-a node-d], catching up []")
+	is.Equal(steps[2].Problem.Reason, ReasonNotCommitted)
+	is.Equal(newFake(t).call("POST", "/v1/voters/replace", "platform", `{"lost": "node-b", "with": "node-b"}`).Code, 400)
 }
 
 // openAPI is what the test reads of docs/openapi.yaml.
@@ -249,7 +264,7 @@
 	is.Equal(described.Sorted(), routed.Sorted())
 
 	types := []any{
-		Health{}, Status{}, InstanceStatus{}, LogStatus{}, Change{}, AccountStatus{}, UpstreamStatus{}, Dump{},
+		Health{}, Status{}, InstanceStatus{}, LogStatus{}, LogMember{}, Change{}, AccountStatus{}, UpstreamStatus{}, Dump{},
 		Replacement{}, Step{}, Draining{}, Problem{}, redwingshunt.Receipt{}, redwingshunt.Finding{},
 	}
 	is.Equal(len(api.Components.Schemas), len(types))
--- a/administrator/change.go
+++ b/administrator/change.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -21,6 +22,7 @@
 	maxCall       = 64 << 10         // bytes of any other body
 	submitTimeout = 15 * time.Second // limit of a submission
 	maxID         = 128              // bytes of a submission ID
+	stepInterval  = 200 * time.Millisecond
 )
 
 // putDocument submits a section or the whole document.
@@ -129,7 +131,7 @@
 	w.WriteHeader(http.StatusOK)
 	steps := json.NewEncoder(w)
 	flush := http.NewResponseController(w).Flush
-	err := s.parts.Repairer.Replace(r.Context(), replacement.Lost, replacement.With, func(text string) {
+	err := s.replace(r.Context(), replacement, func(text string) {
 		_ = steps.Encode(Step{Text: text}) // the replacement goes on without the caller
 		_ = flush()
 	})
@@ -140,3 +142,35 @@
 	_ = steps.Encode(last)
 	return nil
 }
+
+// replace replaces a voter and tells each change of the members meanwhile.
+func (s *server) replace(ctx context.Context, replacement Replacement, step func(text string)) error {
+	done := make(chan error, 1)
+	go func() { done <- s.parts.Repairer.Replace(ctx, replacement.Lost, replacement.With) }()
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	told := make(map[redwingshunt.GroupID]string)
+	for {
+		s.tellMembers(told, step)
+		select {
+		case err := <-done:
+			s.tellMembers(told, step)
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+// tellMembers tells the members of each group that has others than before.
+func (s *server) tellMembers(told map[redwingshunt.GroupID]string, step func(text string)) {
+	if s.parts.Log == nil {
+		return
+	}
+	for _, l := range s.parts.Log.Logs() {
+		text := fmt.Sprintf("log %d: voters %v, catching up %v", l.Group, l.Voters(), l.Learners())
+		if told[l.Group] != text {
+			told[l.Group] = text
+			step(text)
+		}
+	}
+}
--- a/administrator/problem.go
+++ b/administrator/problem.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/recorder"
 )
 
 // Reason is the machine-readable cause of a problem.
@@ -24,6 +25,7 @@
 	ReasonTooLarge        Reason = "too-large"        // the body exceeds the limit
 	ReasonFindings        Reason = "findings"         // the text has findings
 	ReasonConflict        Reason = "conflict"         // the section changed since the base
+	ReasonFolderInUse     Reason = "folder-in-use"    // the new voter has state of its own
 	ReasonNotCommitted    Reason = "not-committed"    // the change never takes effect
 	ReasonUnknown         Reason = "unknown"          // the change may still take effect
 	ReasonFailed          Reason = "failed"           // anything else
@@ -67,6 +69,11 @@
 			Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge,
 			Detail: fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit), Next: "submit the sections one by one",
 		}
+	case errors.Is(err, recorder.ErrFolderInUse):
+		return &Problem{
+			Status: http.StatusConflict, Reason: ReasonFolderInUse,
+			Detail: err.Error(), Next: "start the new voter with an empty data folder and a new name",
+		}
 	case errors.Is(err, redwingshunt.ErrNotCommitted):
 		return &Problem{
 			Status: http.StatusServiceUnavailable, Reason: ReasonNotCommitted,
--- a/administrator/read.go
+++ b/administrator/read.go
@@ -213,13 +213,13 @@
 	return text
 }
 
-func (s *server) getBackup(w http.ResponseWriter, r *http.Request) error {
+func (s *server) getBackup(w http.ResponseWriter, _ *http.Request) error {
 	if s.parts.Archiver == nil {
 		return notAvailable("durable state")
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	out := &startedWriter{writer: w}
-	err := s.parts.Archiver.Backup(r.Context(), out)
+	err := s.parts.Archiver.Backup(out)
 	if err != nil && out.started {
 		panic(http.ErrAbortHandler) // the caller sees a broken answer, not a short one
 	}
--- a/administrator/types.go
+++ b/administrator/types.go
@@ -53,13 +53,41 @@
 
 // LogStatus is the state of one replicated log on this instance.
 type LogStatus struct {
-	Group     redwingshunt.GroupID      `json:"group"`
-	Leader    redwingshunt.InstanceID   `json:"leader"` // empty when unknown
-	Term      uint64                    `json:"term"`
-	Committed uint64                    `json:"committed"` // index
-	Applied   uint64                    `json:"applied"`   // index
-	Voters    []redwingshunt.InstanceID `json:"voters"`
-	Learners  []redwingshunt.InstanceID `json:"learners"`
+	Group   redwingshunt.GroupID    `json:"group"`
+	Role    string                  `json:"role"`   // empty on an instance without a replica
+	Leader  redwingshunt.InstanceID `json:"leader"` // empty when unknown
+	Term    uint64                  `json:"term"`
+	Commit  uint64                  `json:"commit"`  // index
+	Last    uint64                  `json:"last"`    // index
+	Pending bool                    `json:"pending"` // a change of the members is not complete
+	Lost    bool                    `json:"lost"`    // the data folder holds no vote any more
+	Members []LogMember             `json:"members"`
+}
+
+// LogMember is an instance that keeps a log. Alive and Lag are known to the
+// leader alone.
+type LogMember struct {
+	Instance redwingshunt.InstanceID `json:"instance"`
+	Voter    bool                    `json:"voter"` // false while it catches up
+	Alive    bool                    `json:"alive"`
+	Lag      uint64                  `json:"lag"` // entries
+}
+
+// Voters lists the members with a vote.
+func (l LogStatus) Voters() []redwingshunt.InstanceID { return l.list(true) }
+
+// Learners lists the members that catch up.
+func (l LogStatus) Learners() []redwingshunt.InstanceID { return l.list(false) }
+
+// list lists the members with or without a vote.
+func (l LogStatus) list(voter bool) []redwingshunt.InstanceID {
+	names := []redwingshunt.InstanceID{}
+	for _, m := range l.Members {
+		if m.Voter == voter {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
 }
 
 // Change is one accepted change of the document.
--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -16,8 +16,8 @@
 //
 //	keeper, err := certifier.Open(settings.TLS, time.Now)
 //	server := http.Server{TLSConfig: keeper.Server()}
-//	links := grpc.NewServer(grpc.Creds(credentials.NewTLS(keeper.LinkServer())))
-//	dial := credentials.NewTLS(keeper.LinkClient(peer.Addr()))
+//	links := grpc.NewServer(grpc.Creds(keeper.Links()))
+//	connection, err := grpc.NewClient(target, grpc.WithTransportCredentials(keeper.Links()))
 package certifier
 
 import (
--- a/certifier/keeper.go
+++ b/certifier/keeper.go
@@ -1,14 +1,18 @@
 package certifier
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/netip"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
 
 	"github.com/redwingshunt/redwingshunt"
 )
@@ -161,6 +165,45 @@
 	}
 }
 
+// Links returns the credentials of links between instances, for both ends.
+func (k *Keeper) Links() credentials.TransportCredentials {
+	return &links{TransportCredentials: credentials.NewTLS(k.LinkServer()), keeper: k}
+}
+
+// links checks the server's certificate against the address of the connection.
+type links struct {
+	credentials.TransportCredentials // of the server
+	keeper                           *Keeper
+}
+
+// ClientHandshake implements credentials.TransportCredentials.
+func (l *links) ClientHandshake(ctx context.Context, authority string, connection net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	address, err := netip.ParseAddrPort(connection.RemoteAddr().String())
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	return credentials.NewTLS(l.keeper.LinkClient(address.Addr().Unmap())).ClientHandshake(ctx, authority, connection)
+}
+
+// Clone implements credentials.TransportCredentials.
+func (l *links) Clone() credentials.TransportCredentials {
+	return &links{TransportCredentials: l.TransportCredentials.Clone(), keeper: l.keeper}
+}
+
+// PeerOf returns the instance that the certificate of a stream names; empty for
+// a stream in plain text.
+func PeerOf(ctx context.Context) redwingshunt.InstanceID {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return ""
+	}
+	info, ok := p.AuthInfo.(credentials.TLSInfo)
+	if !ok {
+		return ""
+	}
+	return Peer(info.State)
+}
+
 // verify checks the certificate of a peer against the authority in force. The
 // name is the dialled address, empty for a peer that dialled us.
 func (k *Keeper) verify(state tls.ConnectionState, usage x509.ExtKeyUsage, name string) error {
--- a/cmd/redwingshunt/commander/commander_test.go
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -80,7 +80,9 @@
 }
 
 func (f *fake) Logs() []administrator.LogStatus {
-	return []administrator.LogStatus{{Leader: f.leader, Term: 4, Committed: 9, Applied: 9, Voters: []redwingshunt.InstanceID{"node-a"}}}
+	return []administrator.LogStatus{{Role: "leader", Leader: f.leader, Term: 4, Commit: 9, Last: 9, Members: []administrator.LogMember{
+		{Instance: "node-a", Voter: true}, {Instance: "node-b", Voter: true}, {Instance: "node-c", Alive: true, Lag: 3},
+	}}}
 }
 
 func (f *fake) Accounts() []administrator.AccountStatus {
@@ -96,13 +98,11 @@
 	}}
 }
 
-func (f *fake) Replace(_ context.Context, lost, with redwingshunt.InstanceID, step func(string)) error {
-	step(fmt.Sprintf("%s has caught up", with))
-	step(fmt.Sprintf("%s is removed", lost))
+func (f *fake) Replace(context.Context, redwingshunt.InstanceID, redwingshunt.InstanceID) error {
 	return nil
 }
 
-func (f *fake) Backup(_ context.Context, w io.Writer) error {
+func (f *fake) Backup(w io.Writer) error {
 	_, err := io.WriteString(w, "state")
 	return err
 }
@@ -188,6 +188,8 @@
 		{"repair --lost node-b node-d", ""},
 		{"repair node-d --json", ""},
 		{"backup " + backup, ""},
+		{"restore --instance node-a " + backup, ""},
+		{"restore --instance node-a --data " + keys + " " + backup, ""},
 		{"keygen --hash EXAMPLE-KEY-platform", ""},
 		{"keygen --fleet " + keys, ""},
 		{"keygen --fleet " + keys + " --instance node-a --address 127.0.0.1 --json", ""},
--- a/cmd/redwingshunt/commander/compare.go
+++ b/cmd/redwingshunt/commander/compare.go
@@ -79,7 +79,7 @@
 	}
 	for _, l := range dump.Status.Logs {
 		subject := fmt.Sprintf("log %d ", l.Group)
-		all[subject+"voters"] = fmt.Sprint(l.Voters)
+		all[subject+"voters"] = fmt.Sprint(l.Voters())
 		if l.Leader != "" {
 			all[subject+"leader"] = fmt.Sprintf("%s in term %d", l.Leader, l.Term)
 		}
--- a/cmd/redwingshunt/commander/table.go
+++ b/cmd/redwingshunt/commander/table.go
@@ -39,6 +39,7 @@
 		VerbDrainSetup,
 		VerbRepairSetup,
 		VerbBackupSetup,
+		VerbRestoreSetup,
 		VerbHelpSetup,
 		VerbVersionSetup,
 		VerbCompletionSetup,
--- a/cmd/redwingshunt/commander/verb_status.go
+++ b/cmd/redwingshunt/commander/verb_status.go
@@ -168,17 +168,44 @@
 	}
 	for _, asked := range f.Asked {
 		for _, l := range asked.Logs {
-			leader := l.Leader
-			if leader == "" {
-				leader = "none known"
-			}
-			fmt.Fprintf(console.Out, "log %d on %s: leader %s, term %d, committed %d, applied %d, voters %v\n",
-				l.Group, asked.Instance, leader, l.Term, l.Committed, l.Applied, l.Voters)
+			fmt.Fprintf(console.Out, "log %d on %s: %s\n", l.Group, asked.Instance, describeLog(l))
 		}
 	}
 	return nil
 }
 
+// describeLog sums up a log in words.
+func describeLog(l administrator.LogStatus) string {
+	leader := string(l.Leader)
+	if leader == "" {
+		leader = "none known"
+	}
+	words := []string{
+		"leader " + leader, fmt.Sprintf("term %d", l.Term), fmt.Sprintf("commit %d", l.Commit),
+		fmt.Sprintf("voters %v", l.Voters()),
+	}
+	if learners := l.Learners(); len(learners) > 0 {
+		words = append(words, fmt.Sprintf("catching up %v", learners))
+	}
+	for _, m := range l.Members {
+		if l.Role == "leader" && m.Instance != l.Leader && (!m.Alive || m.Lag > 0) {
+			words = append(words, fmt.Sprintf("%s is %s", m.Instance, describeMember(m)))
+		}
+	}
+	if l.Lost {
+		words = append(words, "this data folder holds no vote any more")
+	}
+	return strings.Join(words, ", ")
+}
+
+// describeMember sums up a member that is late or silent.
+func describeMember(m administrator.LogMember) string {
+	if !m.Alive {
+		return "silent"
+	}
+	return fmt.Sprintf("%d entries behind", m.Lag)
+}
+
 // revision returns the revision of a member as text.
 func (f *fleetView) revision(member administrator.InstanceStatus) string {
 	if member.Revision == 0 {
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -177,12 +177,32 @@
 	for _, l := range o.sources.Log.Logs() {
 		group := series{key: "group", value: groupName(l.Group)}
 		o.set(group.named("log_term"), float64(l.Term))
-		o.set(group.named("log_committed"), float64(l.Committed))
-		o.set(group.named("log_applied"), float64(l.Applied))
-		o.set(group.named("log_voters"), float64(len(l.Voters)))
+		o.set(group.named("log_commit"), float64(l.Commit))
+		o.set(group.named("log_last"), float64(l.Last))
+		o.set(group.named("log_voters"), float64(len(l.Voters())))
 		o.set(group.named("log_leader_known"), oneIf(l.Leader != ""))
 		o.set(group.named("log_leading"), oneIf(l.Leader == self))
+		if l.Leader == self {
+			silent, lag := follow(l)
+			o.set(group.named("log_silent"), float64(silent))
+			o.set(group.named("log_lag"), float64(lag))
+		}
+	}
+}
+
+// follow returns how many members the leader does not hear of, and the largest
+// lag of the others.
+func follow(l administrator.LogStatus) (silent int, lag uint64) {
+	for _, m := range l.Members {
+		switch {
+		case m.Instance == l.Leader:
+		case !m.Alive:
+			silent++
+		default:
+			lag = max(lag, m.Lag)
+		}
 	}
+	return silent, lag
 }
 
 func (o *Observer) observeTraffic() {
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -45,7 +45,9 @@
 }
 
 func (f *fake) Logs() []administrator.LogStatus {
-	return []administrator.LogStatus{{Leader: "node-a", Term: 3}}
+	return []administrator.LogStatus{{Leader: "node-a", Term: 3, Members: []administrator.LogMember{
+		{Instance: "node-a", Voter: true}, {Instance: "node-b", Voter: true, Lag: 9}, {Instance: "node-c", Voter: true, Alive: true, Lag: 4},
+	}}}
 }
 
 // values returns the counters and gauges of a scope by name and labels.
@@ -83,6 +85,8 @@
 		"account_backlog+account=alpha,service=chat": 5,
 		"upstream_slots+service=chat,zone=a":         16,
 		"upstreams+health=alive,service=chat":        2,
+		"log_silent+group=0":                         1,
+		"log_lag+group=0":                            4,
 		"log_leading+group=0":                        1,
 		"link_bytes+kind=log,way=inside":             100,
 		"link_bytes+kind=log,way=across":             40,
