--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,9 +15,9 @@
 	"crypto/rand"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,7 +25,9 @@
 	"google.golang.org/grpc"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
 	"github.com/redwingshunt/redwingshunt/announcer"
+	"github.com/redwingshunt/redwingshunt/certifier"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
@@ -59,30 +61,36 @@
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
+	metrics    *metrics
 	sockets    sockets
-	dumpers    map[string]redwingshunt.Dumper
-}
+	drain      chan struct{} // closed when an operator asks for a graceful shutdown
+	draining   sync.Once
 
-// sockets are the open listening sockets of a daemon.
-type sockets struct {
-	callers, links, admin net.Listener
+	certificates *certifier.Keeper // nil in plain text
 }
 
 // New returns a daemon that listens but does not serve yet.
 func New(settings redwingshunt.Settings, options Options) (*Daemon, error) {
-	d := &Daemon{settings: settings, options: options, logger: options.Logger}
-	if err := d.listen(); err != nil {
-		d.closeSockets()
+	d := &Daemon{settings: settings, options: options, logger: options.Logger, drain: make(chan struct{})}
+	if err := d.prepare(); err != nil {
+		d.sockets.close()
 		return nil, trace.Wrap(err)
 	}
-	configured, err := newConfiguration(settings, options.Document)
+	d.assemble()
+	return d, nil
+}
+
+// prepare does what may fail: it reads files and opens sockets.
+func (d *Daemon) prepare() error {
+	if err := d.openCertificates(); err != nil {
+		return err
+	}
+	configured, err := newConfiguration(d.settings, d.options.Document)
 	if err != nil {
-		d.closeSockets()
-		return nil, trace.Wrap(err)
+		return err
 	}
 	d.configured = configured
-	d.assemble()
-	return d, nil
+	return d.sockets.open(d.settings)
 }
 
 // assemble connects the parts. The order of the chain stands in chain.go.
@@ -102,12 +110,15 @@
 		Identify: d.members.identify,
 		Lost:     d.members.lost,
 		Logger:   d.logger,
+
+		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
 	d.scheduling = newScheduling(d.members, d.linker)
+	d.metrics = newMetrics(d)
 	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, rand.Text, d.logger),
+		Chain:         newChain(d.dispatcher, d.metrics.observer, rand.Text, d.logger),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -117,14 +128,9 @@
 		}),
 		Logger: d.logger,
 	})
-	d.grpc = grpc.NewServer()
+	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
 	wire.RegisterInstancesServer(d.grpc, d.linker)
-	d.dumpers = map[string]redwingshunt.Dumper{
-		"members":    d.members,
-		"links":      d.linker,
-		"dispatcher": d.dispatcher,
-	}
-	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
@@ -133,12 +139,16 @@
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
-	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.sockets.admin)) })
-	group.Go(func() error { return d.listener.Serve(d.sockets.callers) })
+	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
+	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
+	group.Go(func() error { d.metrics.run(background); return nil })
 	d.logger.Info("serving", "instance", string(d.settings.Name),
-		"listen", d.Listen().String(), "link", addressOf(d.sockets.links).String(), "admin", d.Admin().String())
-	<-ctx.Done()
+		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	}
 	d.shutdown()
 	stop()
 	return trace.Wrap(group.Wait())
@@ -162,43 +172,6 @@
 // Admin returns the address of the administration API.
 func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
 
-func (d *Daemon) listen() error {
-	var config net.ListenConfig
-	for _, s := range []struct {
-		address netip.AddrPort
-		socket  *net.Listener
-	}{
-		{d.settings.Listen, &d.sockets.callers},
-		{d.settings.Link, &d.sockets.links},
-		{d.settings.Admin, &d.sockets.admin},
-	} {
-		socket, err := config.Listen(context.Background(), "tcp", s.address.String())
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		*s.socket = socket
-	}
-	return nil
-}
-
-func (d *Daemon) closeSockets() {
-	for _, socket := range []net.Listener{d.sockets.callers, d.sockets.links, d.sockets.admin} {
-		if socket != nil {
-			_ = socket.Close()
-		}
-	}
-}
-
-// addressOf returns the address that a socket listens on.
-func addressOf(socket net.Listener) netip.AddrPort {
-	address, ok := socket.Addr().(*net.TCPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	port := address.AddrPort()
-	return netip.AddrPortFrom(port.Addr().Unmap(), port.Port())
-}
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, grpc.ErrServerStopped) {
 		return nil
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -24,9 +24,8 @@
 	live   atomic.Pointer[[]redwingshunt.Instance]
 	linker *linker.Linker
 
-	mu      sync.Mutex
-	prober  *prober.Prober
-	changes []func()
+	mu     sync.Mutex
+	prober *prober.Prober
 }
 
 func newMemberTable(self redwingshunt.Instance, seeds []netip.AddrPort) *memberTable {
@@ -50,13 +49,6 @@
 	})
 }
 
-// onChange registers a function that is called after each change of Live.
-func (t *memberTable) onChange(f func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.changes = append(t.changes, f)
-}
-
 func (t *memberTable) run(done <-chan struct{}) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -76,24 +68,19 @@
 	if slices.Contains(actions, prober.Action(prober.Changed{})) {
 		t.refresh()
 	}
-	changes := t.changes
 	t.mu.Unlock()
 	for _, action := range actions {
-		t.carry(action, changes)
+		t.carry(action)
 	}
 }
 
 // carry executes an action. It is called without the lock, which find needs.
-func (t *memberTable) carry(action prober.Action, changes []func()) {
+func (t *memberTable) carry(action prober.Action) {
 	switch a := action.(type) {
 	case prober.Send:
 		t.linker.Send(a.To, membershipMessage(a.Probe))
 	case prober.SendAddress:
 		t.linker.SendAddress(a.Address, membershipMessage(a.Probe))
-	case prober.Changed:
-		for _, f := range changes {
-			f()
-		}
 	}
 }
 
--- /dev/null
+++ b/daemon/parts.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/observer"
+	"github.com/redwingshunt/redwingshunt/reporter"
+)
+
+// adminTimeout bounds the header of a request to the administration API.
+const adminTimeout = 5 * time.Second
+
+// now is the clock of the shell.
+func now() time.Time { return time.Now() }
+
+// parts plugs the daemon into the administration API.
+func (d *Daemon) parts() administrator.Parts {
+	return administrator.Parts{
+		Version:       redwingshunt.Version,
+		Members:       d.members,
+		Configuration: d.configured,
+		Bootstrap:     d.settings.Bootstrap,
+		Readiness:     d,
+		Fleet:         d,
+		Dumpers: map[string]redwingshunt.Dumper{
+			"members":    d.members,
+			"links":      d.linker,
+			"dispatcher": d.dispatcher,
+		},
+		Drainer: d,
+		Metrics: d.metrics.handler,
+	}
+}
+
+// Ready returns an empty text, or why the instance does not serve callers.
+func (d *Daemon) Ready() string {
+	switch {
+	case d.listener.Stopping():
+		return "the instance is shutting down"
+	case d.configured.Current() == nil:
+		return "the instance has no configuration yet"
+	default:
+		return ""
+	}
+}
+
+// Drain begins a graceful shutdown.
+func (d *Daemon) Drain() { d.draining.Do(func() { close(d.drain) }) }
+
+// Fleet returns what is known of the live instances.
+func (d *Daemon) Fleet() []administrator.InstanceStatus {
+	var fleet []administrator.InstanceStatus
+	for _, i := range d.members.Live() {
+		fleet = append(fleet, administrator.InstanceStatus{
+			Instance: i.ID, Region: i.Region, Zone: i.Zone, Link: i.Address.String(),
+			Voter: i.Voter, Leaving: i.Leaving,
+		})
+	}
+	return fleet
+}
+
+// metrics are the scope of the daemon and what fills it.
+type metrics struct {
+	observer *observer.Observer
+	handler  http.Handler
+	closer   io.Closer
+}
+
+func newMetrics(d *Daemon) *metrics {
+	scope, handler, closer := reporter.New()
+	return &metrics{
+		observer: observer.New(scope, observer.Sources{
+			Configuration: d.configured,
+			Members:       d.members,
+			Readiness:     d,
+			Traffic:       d.linker.Traffic,
+		}),
+		handler: handler,
+		closer:  closer,
+	}
+}
+
+// run looks at the parts until the context ends.
+func (m *metrics) run(ctx context.Context) {
+	m.observer.Run(ctx)
+	_ = m.closer.Close()
+}
--- /dev/null
+++ b/daemon/sockets.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/certifier"
+)
+
+// sockets are the open listening sockets of a daemon.
+type sockets struct {
+	callers, links, admin net.Listener
+}
+
+// open listens on the addresses of the settings.
+func (s *sockets) open(settings redwingshunt.Settings) error {
+	var config net.ListenConfig
+	for _, entry := range []struct {
+		address netip.AddrPort
+		socket  *net.Listener
+	}{
+		{settings.Listen, &s.callers},
+		{settings.Link, &s.links},
+		{settings.Admin, &s.admin},
+	} {
+		socket, err := config.Listen(context.Background(), "tcp", entry.address.String())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		*entry.socket = socket
+	}
+	return nil
+}
+
+func (s *sockets) close() {
+	for _, socket := range []net.Listener{s.callers, s.links, s.admin} {
+		if socket != nil {
+			_ = socket.Close()
+		}
+	}
+}
+
+// addressOf returns the address that a socket listens on.
+func addressOf(socket net.Listener) netip.AddrPort {
+	address, ok := socket.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	port := address.AddrPort()
+	return netip.AddrPortFrom(port.Addr().Unmap(), port.Port())
+}
+
+// openCertificates reads the files of the settings. Without any, all links and
+// listeners speak plain text, which is said loudly.
+func (d *Daemon) openCertificates() error {
+	if !d.settings.TLS.Enabled() {
+		d.logger.Warn("PLAIN TEXT: callers, upstreams, operators and other instances are not encrypted or verified")
+		return nil
+	}
+	certificates, err := certifier.Open(d.settings.TLS, now)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.certificates = certificates
+	return nil
+}
+
+// secure wraps a listening socket for callers, upstreams and operators.
+func (d *Daemon) secure(socket net.Listener) net.Listener {
+	if d.certificates == nil {
+		return socket
+	}
+	return tls.NewListener(socket, d.certificates.Server())
+}
+
+// linkCredentials returns the credentials of links, for both ends.
+func (d *Daemon) linkCredentials() credentials.TransportCredentials {
+	if d.certificates == nil {
+		return insecure.NewCredentials()
+	}
+	return d.certificates.Links()
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -89,6 +89,9 @@
 // Stop refuses new requests as not run; connections stay open.
 func (l *Listener) Stop() { l.stopping.Store(true) }
 
+// Stopping reports whether Stop was called.
+func (l *Listener) Stopping() bool { return l.stopping.Load() }
+
 // Shutdown stops accepting and waits for running requests until ctx ends.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.Stop()
