--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,180 @@
+// Package daemon puts one instance of the fleet together: the chain of filters
+// that a request passes, and the parts behind it.
+//
+// It is the shell around the packages that decide. Sockets, timers and disk
+// become events for them here, and their actions are carried out here.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, daemon.Options{Logger: logger})
+//	err = d.Run(ctx) // until ctx ends; then a graceful shutdown
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/announcer"
+	"github.com/redwingshunt/redwingshunt/certifier"
+	"github.com/redwingshunt/redwingshunt/dispatcher"
+	"github.com/redwingshunt/redwingshunt/linker"
+	"github.com/redwingshunt/redwingshunt/listener"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// noticeDelay is how long a leaving instance still serves, so that balancers
+// and the other instances learn that it leaves.
+const noticeDelay = time.Second
+
+// Options configure a daemon beyond its settings.
+type Options struct {
+	Logger *slog.Logger
+	// Document is in force from the start, instead of the file that the
+	// settings name; may be nil.
+	Document *redwingshunt.Document
+	// Abort ends a graceful shutdown early when it is closed; may be nil.
+	Abort <-chan struct{}
+}
+
+// Daemon is one instance of the fleet.
+type Daemon struct {
+	settings   redwingshunt.Settings
+	options    Options
+	logger     *slog.Logger
+	members    *memberTable
+	linker     *linker.Linker
+	scheduling *scheduling
+	configured *configuration
+	dispatcher *dispatcher.Dispatcher
+	listener   *listener.Listener
+	grpc       *grpc.Server
+	admin      *http.Server
+	metrics    *metrics
+	sockets    sockets
+	drain      chan struct{} // closed when an operator asks for a graceful shutdown
+	draining   sync.Once
+
+	certificates *certifier.Keeper // nil in plain text
+}
+
+// New returns a daemon that listens but does not serve yet.
+func New(settings redwingshunt.Settings, options Options) (*Daemon, error) {
+	d := &Daemon{settings: settings, options: options, logger: options.Logger, drain: make(chan struct{})}
+	if err := d.prepare(); err != nil {
+		d.sockets.close()
+		return nil, trace.Wrap(err)
+	}
+	d.assemble()
+	return d, nil
+}
+
+// prepare does what may fail: it reads files and opens sockets.
+func (d *Daemon) prepare() error {
+	if err := d.openCertificates(); err != nil {
+		return err
+	}
+	configured, err := newConfiguration(d.settings, d.options.Document)
+	if err != nil {
+		return err
+	}
+	d.configured = configured
+	return d.sockets.open(d.settings)
+}
+
+// assemble connects the parts. The order of the chain stands in chain.go.
+func (d *Daemon) assemble() {
+	self := redwingshunt.Instance{
+		ID:          d.settings.Name,
+		Incarnation: redwingshunt.Incarnation(time.Now().UnixMicro()),
+		Region:      d.settings.Region,
+		Zone:        d.settings.Zone,
+		Address:     addressOf(d.sockets.links),
+		Voter:       d.settings.Data != "",
+	}
+	d.members = newMemberTable(self, d.settings.Peers)
+	d.linker = linker.New(linker.Options{
+		Self:     d.members.Self,
+		Resolve:  d.members.find,
+		Identify: d.members.identify,
+		Lost:     d.members.lost,
+		Logger:   d.logger,
+
+		Credentials: d.linkCredentials(),
+	})
+	d.members.attach(d.linker)
+	d.scheduling = newScheduling(d.members, d.linker)
+	d.metrics = newMetrics(d)
+	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
+	d.listener = listener.New(listener.Options{
+		Chain:         newChain(d.dispatcher, d.metrics.observer, rand.Text, d.logger),
+		Configuration: d.configured,
+		Upstreams: announcer.New(announcer.Options{
+			Directory:     d.scheduling,
+			Configuration: d.configured,
+			Self:          d.members.Self,
+			Now:           time.Now,
+		}),
+		Logger: d.logger,
+	})
+	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
+	wire.RegisterInstancesServer(d.grpc, d.linker)
+	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
+	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
+	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+	group.Go(func() error { d.members.run(background.Done()); return nil })
+	group.Go(func() error { d.metrics.run(background); return nil })
+	d.logger.Info("serving", "instance", string(d.settings.Name),
+		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	}
+	d.shutdown()
+	stop()
+	return trace.Wrap(group.Wait())
+}
+
+// Listen returns the address for callers and upstreams.
+func (d *Daemon) Listen() netip.AddrPort { return addressOf(d.sockets.callers) }
+
+// Traffic returns what the instance sent to and received from others.
+func (d *Daemon) Traffic() []linker.Traffic { return d.linker.Traffic() }
+
+// Self returns this instance.
+func (d *Daemon) Self() redwingshunt.Instance { return d.members.Self() }
+
+// Link returns the address for other instances.
+func (d *Daemon) Link() netip.AddrPort { return addressOf(d.sockets.links) }
+
+// Live returns the instances that this one thinks alive.
+func (d *Daemon) Live() []redwingshunt.Instance { return d.members.Live() }
+
+// Admin returns the address of the administration API.
+func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, grpc.ErrServerStopped) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
