--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,9 @@
 	// Document is in force from the start, instead of the file that the
 	// settings name; may be nil.
 	Document *redwingshunt.Document
+	// Log commits the claims of non-idempotent requests. Without one they are
+	// refused as not run.
+	Log redwingshunt.Log
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
 }
@@ -58,6 +61,7 @@
 	scheduling *scheduling
 	configured *configuration
 	dispatcher *dispatcher.Dispatcher
+	promises   *promises
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
@@ -116,9 +120,12 @@
 	d.members.attach(d.linker)
 	d.scheduling = newScheduling(d.members, d.linker)
 	d.metrics = newMetrics(d)
-	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
+	d.promises = newPromises(d.options.Log, d.members, d.linker, d.configured)
+	d.dispatcher = dispatcher.New(dispatcher.Options{
+		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
+	})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, d.metrics.observer, rand.Text, d.logger),
+		Chain:         newChain(d.dispatcher, d.metrics.observer, d.promises.guarantor, rand.Text, d.logger),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -141,6 +148,7 @@
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
 	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+	group.Go(func() error { return d.promises.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	d.logger.Info("serving", "instance", string(d.settings.Name),
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -27,6 +27,9 @@
 		d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
 		_ = d.listener.Close()
 	}
+	if unrecorded, left := d.promises.finish(ctx); unrecorded+left > 0 {
+		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
+	}
 	d.dispatcher.Close()
 	d.linker.Close()
 	d.grpc.Stop()
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -13,6 +13,8 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/accountant"
+	"github.com/redwingshunt/redwingshunt/connector"
+	"github.com/redwingshunt/redwingshunt/retrier"
 )
 
 // errStalled cancels an attempt that made no progress.
@@ -28,12 +30,14 @@
 	first      time.Duration
 	connected  atomic.Bool // a connection was there, so bytes may have left
 	stall      *time.Timer
+	silent     bool // the connection failed, not the upstream
+	crossed    bool // the answer belonged to another request
 }
 
-// attempt runs the request on the granted upstream and gives the slot back.
-func (d *Dispatcher) attempt(e *redwingshunt.Exchange, grant redwingshunt.Grant) error {
-	a := &attempt{dispatcher: d, exchange: e, grant: grant, start: time.Now()}
-	a.meter = accountant.NewMeter(e.Service, func(delta redwingshunt.Cost) {
+// do runs the request on the granted upstream and gives the slot back.
+func (a *attempt) do() error {
+	d, grant := a.dispatcher, a.grant
+	a.meter = accountant.NewMeter(a.exchange.Service, func(delta redwingshunt.Cost) {
 		d.options.Scheduler.Charge(grant, delta)
 	})
 	err := a.run()
@@ -60,6 +64,28 @@
 	}
 }
 
+// killed reports whether the upstream failed while it may have run the request.
+// A silent connection or a crossed answer says nothing of the kind.
+func (a *attempt) killed(err error) bool {
+	return lost(err) && !a.silent && !a.crossed &&
+		redwingshunt.OutcomeOf(err).Outcome != redwingshunt.OutcomeNotRun
+}
+
+// cause returns how the attempt failed.
+func (a *attempt) cause(outcome *redwingshunt.OutcomeError) retrier.Cause {
+	switch {
+	case outcome.Reason == redwingshunt.ReasonUpstreamRefused:
+		return retrier.Refused
+	case outcome.Outcome == redwingshunt.OutcomeNotRun:
+		return retrier.Unreached
+	case outcome.Reason == redwingshunt.ReasonStalled:
+		return retrier.Stalled
+	case a.crossed:
+		return retrier.Garbled
+	}
+	return retrier.Lost
+}
+
 func (a *attempt) run() error {
 	ctx, cancel := context.WithCancelCause(a.exchange.HTTP.Context())
 	defer cancel(nil)
@@ -85,7 +111,7 @@
 	return a.copyWhole(ctx, response)
 }
 
-func (a *attempt) transport() *http.Transport {
+func (a *attempt) transport() http.RoundTripper {
 	if a.exchange.Request.Once {
 		return a.dispatcher.fresh
 	}
@@ -125,6 +151,7 @@
 		return nil
 	}
 	a.dispatcher.crossed.Add(1)
+	a.crossed = true
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway,
 		"the upstream answered another request")
 }
@@ -136,7 +163,10 @@
 	if !a.connected.Load() {
 		outcome = redwingshunt.NotRun
 	}
+	a.silent = errors.Is(err, connector.ErrSilent)
 	switch {
+	case a.silent:
+		return outcome(redwingshunt.ReasonStalled, http.StatusGatewayTimeout, connector.ErrSilent.Error())
 	case a.exchange.HTTP.Context().Err() != nil:
 		return outcome(redwingshunt.ReasonCancelled, statusClientClosed, "the caller went away")
 	case errors.Is(context.Cause(ctx), errStalled):
@@ -146,6 +176,11 @@
 	}
 }
 
+// gone returns the outcome of a request whose caller can't be written to.
+func gone() error {
+	return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, statusClientClosed, "the caller went away")
+}
+
 // statusClientClosed is the customary status in logs for a caller that left.
 const statusClientClosed = 499
 
@@ -165,7 +200,7 @@
 	e.Started = true
 	e.Writer.WriteHeader(response.StatusCode)
 	if _, err := e.Writer.Write(body); err != nil {
-		return a.failure(ctx, err)
+		return gone()
 	}
 	if len(body) < largestBuffered {
 		return nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/connector"
 )
 
 // copyStream passes server-sent events on one by one. A stream is whole when
@@ -22,8 +24,8 @@
 			a.meter.Event(data)
 		}
 		a.startStream(response)
-		if err := a.writeEvent(event); err != nil {
-			return a.failure(ctx, err)
+		if a.writeEvent(event) != nil {
+			return gone()
 		}
 		if a.meter.Done() {
 			return nil
@@ -34,6 +36,7 @@
 	}
 	detail := "the stream ended before its last event"
 	if err := scanner.Err(); err != nil {
+		a.silent = errors.Is(err, connector.ErrSilent)
 		detail += ": " + err.Error()
 	}
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, detail)
--- a/interfaces.go
+++ b/interfaces.go
@@ -199,12 +199,15 @@
 
 // Suspects remembers requests during which upstreams died.
 type Suspects interface {
-	// Allowed reports whether the fingerprint may run once more.
-	Allowed(f Fingerprint) bool
+	// Admit waits until the request may run, or returns an OutcomeError that
+	// says not run. After nil, one of Lost, Completed and Ended follows.
+	Admit(ctx context.Context, f Fingerprint) error
 	// Lost notes that an upstream died while it ran the request.
 	Lost(f Fingerprint, u UpstreamKey)
 	// Completed notes that the request ended well.
 	Completed(f Fingerprint)
+	// Ended notes that the run ended and says nothing about the request.
+	Ended(f Fingerprint)
 }
 
 // Dumper is a part of a process that shows its state on request.
--- a/notifier/notifier.go
+++ b/notifier/notifier.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	n := notifier.New(clock, members, link, core)
+//	n := notifier.New(clock, members, link, configuration, core)
 //	go n.Run(ctx)
 //	if err := n.Admit(ctx, fingerprint); err != nil {
 //		return err // says not run
@@ -42,6 +42,7 @@
 	clock   redwingshunt.Clock
 	members redwingshunt.Members
 	link    redwingshunt.Link
+	config  redwingshunt.Configuration
 	wake    chan struct{}
 
 	mu    sync.Mutex
@@ -54,12 +55,14 @@
 	clock redwingshunt.Clock,
 	members redwingshunt.Members,
 	link redwingshunt.Link,
+	config redwingshunt.Configuration,
 	core *quarantiner.Core,
 ) *Notifier {
 	n := &Notifier{
 		clock:   clock,
 		members: members,
 		link:    link,
+		config:  config,
 		wake:    make(chan struct{}, 1),
 		core:    core,
 		known:   make(map[redwingshunt.InstanceID]redwingshunt.Incarnation),
@@ -68,11 +71,13 @@
 	return n
 }
 
-// Admit waits until a request may run, or returns an error that says not run.
-// After nil, one of Lost, Completed and Ended must follow.
+// Admit implements redwingshunt.Suspects.
 func (n *Notifier) Admit(ctx context.Context, f redwingshunt.Fingerprint) error {
 	for {
 		n.mu.Lock()
+		if snapshot := n.config.Current(); snapshot != nil {
+			n.core.Limit(snapshot.Document.Fleet.Losses)
+		}
 		v := n.core.Start(n.clock.Now(), f)
 		n.mu.Unlock()
 		switch v.Kind {
@@ -94,13 +99,6 @@
 	}
 }
 
-// Allowed implements redwingshunt.Suspects.
-func (n *Notifier) Allowed(f redwingshunt.Fingerprint) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.core.Allowed(n.clock.Now(), f)
-}
-
 // Lost implements redwingshunt.Suspects.
 func (n *Notifier) Lost(f redwingshunt.Fingerprint, u redwingshunt.UpstreamKey) {
 	n.mu.Lock()
@@ -117,7 +115,7 @@
 	n.signal()
 }
 
-// Ended notes that a run ended and says nothing about the request.
+// Ended implements redwingshunt.Suspects.
 func (n *Notifier) Ended(f redwingshunt.Fingerprint) {
 	n.mu.Lock()
 	n.core.End(n.clock.Now(), f)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// Limit changes the number of losses at which a fingerprint is refused.
+func (c *Core) Limit(losses int) { c.limit = max(1, losses) }
+
 // Len returns the number of suspects.
 func (c *Core) Len() int { return len(c.suspects) }
 
@@ -146,11 +149,6 @@
 	return len(s.losses)
 }
 
-// Allowed reports whether a fingerprint is below the limit.
-func (c *Core) Allowed(now time.Time, f redwingshunt.Fingerprint) bool {
-	return c.Losses(now, f) < c.limit
-}
-
 // Start asks to run a request now.
 func (c *Core) Start(now time.Time, f redwingshunt.Fingerprint) Verdict {
 	s := c.find(now, f)
