Drive the scheduler cores on an instance

Package coordinator blocks callers until their request may run, carries the messages of the cores over the links and follows the view of the fleet.

--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,241 @@
+// Package coordinator drives the cores of package scheduler on one instance: it
+// feeds them messages, announcements and time, sends what they decide over the
+// links, and blocks callers until their request may run.
+//
+// Each service of the document has a desk: the queue of this router and, while
+// this instance is the owner of the service in its region or stands by, the
+// owner core. A desk is worked by one goroutine at a time, under its lock, and
+// never waits for another desk or for the network.
+//
+// # Usage
+//
+//	c := coordinator.New(coordinator.Options{
+//		Members: members, Link: link, Configuration: configuration, Clock: clock,
+//	})
+//	go c.Run(ctx)
+//	grant, err := c.Acquire(ctx, request, nil)
+//	if err != nil {
+//		return err // not run
+//	}
+//	defer c.Release(grant, result)
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const (
+	tickPeriod    = 50 * time.Millisecond
+	viewPeriod    = 250 * time.Millisecond
+	metricsPeriod = 5 * time.Second
+	// settle is the time in which routers report to a new owner before it grants.
+	settle = 500 * time.Millisecond
+	// statusClientClosed is the status of a request whose caller went away.
+	statusClientClosed = 499
+)
+
+// Options are the surroundings of a coordinator. Logger and Metrics may be nil.
+type Options struct {
+	Members       redwingshunt.Members
+	Link          redwingshunt.Link
+	Configuration redwingshunt.Configuration
+	Clock         redwingshunt.Clock
+	Logger        *slog.Logger
+	Metrics       tally.Scope
+}
+
+// Coordinator is the shell around the cores. It implements
+// redwingshunt.Scheduler, redwingshunt.Directory and redwingshunt.Dumper.
+type Coordinator struct {
+	options Options
+	tickets atomic.Uint64
+
+	mu    sync.Mutex // guards what follows, never held while a desk works
+	desks map[redwingshunt.ServiceID]*desk
+	view  []redwingshunt.Instance
+}
+
+var (
+	_ redwingshunt.Scheduler = (*Coordinator)(nil)
+	_ redwingshunt.Directory = (*Coordinator)(nil)
+	_ redwingshunt.Dumper    = (*Coordinator)(nil)
+)
+
+// New returns a coordinator that receives messages at once and decides as soon
+// as there is a configuration.
+func New(options Options) *Coordinator {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	if options.Metrics == nil {
+		options.Metrics = tally.NoopScope
+	}
+	c := &Coordinator{options: options, desks: map[redwingshunt.ServiceID]*desk{}}
+	link := options.Link
+	link.Handle(redwingshunt.KindDemand, c.receiveState)
+	link.Handle(redwingshunt.KindCharge, c.receiveState)
+	link.Handle(redwingshunt.KindGrant, c.receiveGrants)
+	link.Handle(redwingshunt.KindLedger, c.receiveLedger)
+	link.Handle(redwingshunt.KindAnnounce, c.receiveAnnouncement)
+	c.configure()
+	return c
+}
+
+// Run lets time pass for the cores until the context ends.
+func (c *Coordinator) Run(ctx context.Context) error {
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	view := time.NewTicker(viewPeriod)
+	defer view.Stop()
+	metrics := time.NewTicker(metricsPeriod)
+	defer metrics.Stop()
+	for {
+		changed := c.options.Configuration.Watch()
+		c.configure()
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-changed:
+				waiting = false
+			case <-tick.C:
+				c.each(func(d *desk) { d.pass() })
+			case <-view.C:
+				c.look()
+			case <-metrics.C:
+				c.each(func(d *desk) { d.measure(c.options.Metrics) })
+			}
+		}
+	}
+}
+
+// Acquire implements redwingshunt.Scheduler.
+func (c *Coordinator) Acquire(ctx context.Context, r *redwingshunt.Request, avoid redwingshunt.Set[redwingshunt.UpstreamID]) (redwingshunt.Grant, error) {
+	snapshot := c.options.Configuration.Current()
+	if snapshot == nil {
+		return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonNoConfiguration,
+			http.StatusServiceUnavailable, "this instance has no configuration yet").After(time.Second)
+	}
+	d := c.desk(r.Service)
+	if d == nil {
+		return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonUnknownService,
+			http.StatusNotFound, "the configuration has no such service")
+	}
+	ticket := c.tickets.Add(1)
+	answer := d.arrive(ticket, r, avoid)
+	select {
+	case a := <-answer:
+		return a.grant, a.err()
+	case <-ctx.Done():
+	}
+	d.cancel(ticket)
+	return redwingshunt.Grant{}, left(ctx)
+}
+
+// left returns why a waiting caller's context ended.
+func left(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return redwingshunt.NotRun(redwingshunt.ReasonDeadline, http.StatusGatewayTimeout,
+			"the deadline passed while the request waited for an upstream")
+	}
+	return redwingshunt.NotRun(redwingshunt.ReasonCancelled, statusClientClosed,
+		"the caller went away while the request waited")
+}
+
+// Charge implements redwingshunt.Scheduler.
+func (c *Coordinator) Charge(g redwingshunt.Grant, delta redwingshunt.Cost) {
+	if d := c.desk(g.Service); d != nil {
+		d.step(scheduler.Charged{Ticket: g.ID, Delta: delta})
+	}
+}
+
+// Release implements redwingshunt.Scheduler.
+func (c *Coordinator) Release(g redwingshunt.Grant, r redwingshunt.Result) {
+	if d := c.desk(g.Service); d != nil {
+		d.step(scheduler.Released{Ticket: g.ID, Result: r})
+	}
+}
+
+// Announce implements redwingshunt.Directory: it passes the announcement to the
+// owner of the service in the region of the upstream, and to its standby.
+func (c *Coordinator) Announce(u redwingshunt.Upstream, load redwingshunt.LoadReport, ttl time.Duration) {
+	address, _ := u.Address.MarshalText()
+	c.relay(&wire.Announcement{
+		Id: string(u.ID), Service: string(u.Service), Region: string(u.Region), Zone: string(u.Zone),
+		Address: string(address), Slots: uint32(max(0, u.Slots)), Version: u.Version,
+		Running: uint32(max(0, load.Running)), Waiting: uint32(max(0, load.Waiting)),
+		TtlMs: uint32(max(time.Millisecond, ttl) / time.Millisecond),
+	})
+}
+
+// Leave implements redwingshunt.Directory. Owners of all regions hear it, since
+// the key does not tell the region.
+func (c *Coordinator) Leave(key redwingshunt.UpstreamKey) {
+	for _, region := range scheduler.Regions(c.options.Members.Live()) {
+		c.relay(&wire.Announcement{Id: string(key.ID), Service: string(key.Service), Region: string(region)})
+	}
+}
+
+// relay sends an announcement to the instances that keep the service.
+func (c *Coordinator) relay(m *wire.Announcement) {
+	members := c.options.Members.Live()
+	ranked := scheduler.Rank(members, redwingshunt.RegionID(m.Region), redwingshunt.ServiceID(m.Service))
+	if regions := scheduler.Regions(members); len(ranked) == 0 && len(regions) > 0 {
+		ranked = scheduler.Rank(members, regions[0], redwingshunt.ServiceID(m.Service))
+	}
+	life := time.Duration(m.TtlMs) * time.Millisecond
+	for i, target := range ranked[:min(2, len(ranked))] {
+		ttl, ok := scheduler.Relay(c.options.Clock.Now(), redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
+		if !ok && life > 0 {
+			continue
+		}
+		m.TtlMs = uint32(ttl / time.Millisecond)
+		if target.ID == c.options.Members.Self().ID {
+			c.announced(m)
+			continue
+		}
+		c.send(target.ID, redwingshunt.KindAnnounce, m)
+	}
+}
+
+func (c *Coordinator) send(to redwingshunt.InstanceID, kind redwingshunt.MessageKind, m proto.Message) {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		c.options.Logger.Error("a message could not be encoded", "kind", kind.String(), "error", err)
+		return
+	}
+	c.options.Link.Send(to, redwingshunt.Message{Kind: kind, Payload: payload})
+}
+
+// desk returns the desk of a service, or nil when the document has none.
+func (c *Coordinator) desk(id redwingshunt.ServiceID) *desk {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.desks[id]
+}
+
+// each works all desks, one after the other.
+func (c *Coordinator) each(work func(*desk)) {
+	c.mu.Lock()
+	desks := make([]*desk, 0, len(c.desks))
+	for _, d := range c.desks {
+		desks = append(desks, d)
+	}
+	c.mu.Unlock()
+	for _, d := range desks {
+		work(d)
+	}
+}
--- /dev/null
+++ b/coordinator/desk.go
@@ -0,0 +1,296 @@
+package coordinator
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+)
+
+const (
+	// dumpLimit bounds the entries of each list in a dump.
+	dumpLimit = 50
+	// metricsLimit bounds the accounts of one service that metrics show.
+	metricsLimit = 100
+)
+
+// answer ends the wait of one caller.
+type answer struct {
+	grant   redwingshunt.Grant
+	refusal *redwingshunt.OutcomeError
+}
+
+func (a answer) err() error {
+	if a.refusal == nil {
+		return nil
+	}
+	return a.refusal
+}
+
+// waiter is a caller that waits.
+type waiter struct {
+	account redwingshunt.AccountID
+	answer  chan answer // holds one
+}
+
+// desk holds the cores of one service.
+type desk struct {
+	coordinator *Coordinator
+	service     redwingshunt.ServiceID
+
+	mu      sync.Mutex
+	rule    redwingshunt.Service
+	queue   *scheduler.Queue
+	owner   *scheduler.Owner // set while this instance is owner or stands by
+	config  scheduler.Configured
+	duty    scheduler.Duty
+	term    uint64
+	waiters map[uint64]waiter
+	inbox   []scheduler.Event // messages from this instance to itself
+}
+
+func newDesk(c *Coordinator, service redwingshunt.ServiceID) *desk {
+	self := c.options.Members.Self()
+	return &desk{
+		coordinator: c, service: service, waiters: map[uint64]waiter{},
+		queue: scheduler.NewQueue(scheduler.QueueOptions{
+			Self: self.ID, Incarnation: self.Incarnation, Region: self.Region, Zone: self.Zone, Service: service,
+		}),
+	}
+}
+
+func (d *desk) now() time.Time { return d.coordinator.options.Clock.Now() }
+
+// step works an event of the queue.
+func (d *desk) step(e scheduler.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.feed(e)
+}
+
+// stepOwner works an event of the owner, if there is one here.
+func (d *desk) stepOwner(e scheduler.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.feedOwner(e)
+}
+
+func (d *desk) feed(e scheduler.Event) {
+	d.carry(d.queue.Step(d.now(), e))
+	d.deliver()
+}
+
+func (d *desk) feedOwner(e scheduler.Event) {
+	if d.owner == nil {
+		return
+	}
+	d.carry(d.owner.Step(d.now(), e))
+	d.deliver()
+}
+
+// deliver works the messages of this instance to itself.
+func (d *desk) deliver() {
+	for len(d.inbox) > 0 {
+		e := d.inbox[0]
+		d.inbox = d.inbox[1:]
+		if _, ok := e.(scheduler.Granted); ok {
+			d.carry(d.queue.Step(d.now(), e))
+			continue
+		}
+		if d.owner != nil {
+			d.carry(d.owner.Step(d.now(), e))
+		}
+	}
+}
+
+// carry carries the actions of a core out.
+func (d *desk) carry(actions []scheduler.Action) {
+	self := d.coordinator.options.Members.Self().ID
+	for _, a := range actions {
+		switch a := a.(type) {
+		case scheduler.SendState:
+			d.sendState(self, a)
+		case scheduler.SendGrants:
+			if a.To == self {
+				d.inbox = append(d.inbox, scheduler.Granted{From: self, Grants: a.Grants})
+				continue
+			}
+			d.coordinator.send(a.To, redwingshunt.KindGrant, a.Grants)
+		case scheduler.SendLedger:
+			d.coordinator.send(a.To, redwingshunt.KindLedger, a.Ledger)
+		case scheduler.Assign:
+			d.assign(a)
+		case scheduler.Refuse:
+			d.end(a.Ticket, answer{refusal: a.Err})
+		}
+	}
+}
+
+func (d *desk) sendState(self redwingshunt.InstanceID, a scheduler.SendState) {
+	if a.To == self {
+		d.inbox = append(d.inbox, scheduler.Reported{From: self, State: a.State})
+		return
+	}
+	kind := redwingshunt.KindCharge
+	if a.Demand {
+		kind = redwingshunt.KindDemand
+	}
+	d.coordinator.send(a.To, kind, a.State)
+}
+
+func (d *desk) assign(a scheduler.Assign) {
+	d.end(a.Ticket, answer{grant: redwingshunt.Grant{
+		ID: a.Ticket, Service: d.service, Account: d.waiters[a.Ticket].account,
+		Upstream: a.Upstream, Owner: a.Owner,
+	}})
+}
+
+// end gives a caller its answer.
+func (d *desk) end(ticket uint64, a answer) {
+	w, ok := d.waiters[ticket]
+	if !ok {
+		return
+	}
+	delete(d.waiters, ticket)
+	w.answer <- a
+}
+
+// arrive queues a request and returns where its answer comes.
+func (d *desk) arrive(ticket uint64, r *redwingshunt.Request, avoid redwingshunt.Set[redwingshunt.UpstreamID]) <-chan answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := waiter{account: r.Account, answer: make(chan answer, 1)}
+	d.waiters[ticket] = w
+	e := scheduler.Arrived{
+		Ticket: ticket, Account: r.Account, Bytes: int64(len(r.Body)), Estimate: r.Estimate, Deadline: r.Deadline,
+	}
+	if latest := d.now().Add(d.rule.Wait); d.rule.Wait > 0 && (e.Deadline.IsZero() || latest.Before(e.Deadline)) {
+		e.Deadline = latest
+	}
+	for _, id := range avoid.Sorted() {
+		e.Avoid = append(e.Avoid, string(id))
+	}
+	d.feed(e)
+	return w.answer
+}
+
+// cancel takes a waiting request out. A slot that it was granted at the same
+// moment goes back unused.
+func (d *desk) cancel(ticket uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, waits := d.waiters[ticket]; waits {
+		delete(d.waiters, ticket)
+		d.feed(scheduler.Cancelled{Ticket: ticket})
+		return
+	}
+	d.feed(scheduler.Released{Ticket: ticket})
+}
+
+// configure takes the document in force.
+func (d *desk) configure(rule redwingshunt.Service, config scheduler.Configured) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rule, d.config = rule, config
+	d.feed(config)
+	d.feedOwner(config)
+}
+
+// serve takes the part of this instance in the service. Instances in gone are
+// no longer alive.
+func (d *desk) serve(duty scheduler.Duty, gone []redwingshunt.InstanceID, period time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	was := d.duty
+	d.duty = duty
+	d.queue.SetPeriod(period)
+	d.keep(duty.Keeps)
+	for _, id := range gone {
+		d.feedOwner(scheduler.Gone{Instance: id})
+	}
+	d.feedOwner(scheduler.Peered{Peers: duty.Peers})
+	switch {
+	case duty.Active && !was.Active:
+		d.term = max(d.term+1, uint64(d.now().UnixMicro()))
+		d.feedOwner(scheduler.Elected{Term: d.term, Settle: settle})
+	case was.Active && !duty.Active:
+		d.feedOwner(scheduler.Demoted{})
+	}
+	d.feed(scheduler.Owned{ID: duty.Owner})
+}
+
+// keep makes the owner core when this instance is to keep one. It stays when
+// the instance no longer does, since others may ask it for what it knows.
+func (d *desk) keep(keeps bool) {
+	if !keeps || d.owner != nil {
+		return
+	}
+	self := d.coordinator.options.Members.Self()
+	d.owner = scheduler.NewOwner(scheduler.OwnerOptions{
+		Self: self.ID, Incarnation: self.Incarnation, Region: self.Region, Service: d.service,
+	})
+	d.feedOwner(d.config)
+}
+
+// pass lets time go by.
+func (d *desk) pass() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.feed(scheduler.Ticked{})
+	d.feedOwner(scheduler.Ticked{})
+}
+
+// measure reports to the metrics.
+func (d *desk) measure(scope tally.Scope) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	scope = scope.Tagged(map[string]string{"service": string(d.service)})
+	scope.Gauge("queue_waiting").Update(float64(d.queue.Waiting()))
+	scope.Gauge("queue_running").Update(float64(d.queue.Running()))
+	if d.owner == nil || !d.duty.Active {
+		return
+	}
+	scope.Gauge("owner_waiting").Update(float64(d.owner.Waiting()))
+	scope.Gauge("owner_slots").Update(float64(d.owner.Slots()))
+	scope.Gauge("owner_taken").Update(float64(d.owner.Taken()))
+	for _, s := range d.owner.Standings(metricsLimit) {
+		account := scope.Tagged(map[string]string{"account": string(s.Account)})
+		account.Gauge("account_waiting").Update(float64(s.Waiting))
+		account.Gauge("account_running").Update(float64(s.Running))
+		account.Gauge("account_gap_seconds").Update(s.Gap.Seconds())
+	}
+}
+
+// deskDump is the state of one service.
+type deskDump struct {
+	Service  redwingshunt.ServiceID  `json:"service"`
+	Owner    redwingshunt.InstanceID `json:"owner"`
+	Active   bool                    `json:"active"`
+	Standby  bool                    `json:"standby"`
+	Waiting  int                     `json:"waiting"`
+	Running  int                     `json:"running"`
+	Lines    []scheduler.Line        `json:"lines,omitempty"`
+	Slots    int                     `json:"slots,omitempty"`
+	Taken    int                     `json:"taken,omitempty"`
+	Accounts []scheduler.Standing    `json:"accounts,omitempty"`
+	Windows  []scheduler.Window      `json:"windows,omitempty"`
+}
+
+func (d *desk) dump() deskDump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := deskDump{
+		Service: d.service, Owner: d.duty.Owner, Active: d.duty.Active, Standby: d.duty.Keeps && !d.duty.Active,
+		Waiting: d.queue.Waiting(), Running: d.queue.Running(), Lines: d.queue.Lines(d.now(), dumpLimit),
+	}
+	if d.owner == nil || !d.duty.Keeps {
+		return s
+	}
+	s.Slots, s.Taken = d.owner.Slots(), d.owner.Taken()
+	s.Accounts = d.owner.Standings(dumpLimit)
+	s.Windows = d.owner.Windows(dumpLimit)
+	return s
+}
--- /dev/null
+++ b/coordinator/receive.go
@@ -0,0 +1,183 @@
+package coordinator
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/limiter"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+func (c *Coordinator) receiveState(from redwingshunt.InstanceID, payload []byte) {
+	m := &wire.State{}
+	if d := c.parse(from, payload, m, m.GetService); d != nil {
+		d.stepOwner(scheduler.Reported{From: from, State: m})
+	}
+}
+
+func (c *Coordinator) receiveGrants(from redwingshunt.InstanceID, payload []byte) {
+	m := &wire.Grants{}
+	if d := c.parse(from, payload, m, m.GetService); d != nil {
+		d.step(scheduler.Granted{From: from, Grants: m})
+	}
+}
+
+func (c *Coordinator) receiveLedger(from redwingshunt.InstanceID, payload []byte) {
+	m := &wire.Ledger{}
+	if d := c.parse(from, payload, m, m.GetService); d != nil {
+		d.stepOwner(scheduler.Exchanged{From: from, Ledger: m})
+	}
+}
+
+func (c *Coordinator) receiveAnnouncement(from redwingshunt.InstanceID, payload []byte) {
+	m := &wire.Announcement{}
+	if d := c.parse(from, payload, m, m.GetService); d != nil {
+		c.announced(m)
+	}
+}
+
+// parse decodes a message and returns the desk of its service, or nil.
+func (c *Coordinator) parse(from redwingshunt.InstanceID, payload []byte, m proto.Message, service func() string) *desk {
+	if err := proto.Unmarshal(payload, m); err != nil {
+		c.options.Logger.Warn("a message could not be decoded", "from", from, "error", err)
+		return nil
+	}
+	return c.desk(redwingshunt.ServiceID(service()))
+}
+
+// announced hands an announcement to the owner core of this instance.
+func (c *Coordinator) announced(m *wire.Announcement) {
+	d := c.desk(redwingshunt.ServiceID(m.Service))
+	if d == nil {
+		return
+	}
+	id := redwingshunt.UpstreamID(m.Id)
+	if m.TtlMs == 0 {
+		d.stepOwner(scheduler.Left{ID: id})
+		return
+	}
+	address, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		c.options.Logger.Warn("an upstream announced a bad address", "upstream", id, "error", err)
+		return
+	}
+	d.stepOwner(scheduler.Announced{
+		Upstream: redwingshunt.Upstream{
+			ID: id, Service: d.service, Region: redwingshunt.RegionID(m.Region),
+			Zone: redwingshunt.ZoneID(m.Zone), Address: address, Slots: int(m.Slots), Version: m.Version,
+		},
+		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting), At: c.options.Clock.Now()},
+		TTL:  time.Duration(m.TtlMs) * time.Millisecond,
+	})
+}
+
+// configure takes the document in force, with a desk for each service.
+func (c *Coordinator) configure() {
+	snapshot := c.options.Configuration.Current()
+	if snapshot == nil || snapshot.Document == nil {
+		return
+	}
+	document := snapshot.Document
+	config := configured(document)
+	added := false
+	for _, s := range document.Services {
+		c.mu.Lock()
+		d := c.desks[s.Name]
+		if d == nil {
+			d = newDesk(c, s.Name)
+			c.desks[s.Name] = d
+			added = true
+		}
+		c.mu.Unlock()
+		d.configure(s, config)
+	}
+	c.prune(document)
+	if added {
+		c.mu.Lock()
+		c.view = nil
+		c.mu.Unlock()
+	}
+	c.look()
+}
+
+// prune drops desks of services that are gone and have no work.
+func (c *Coordinator) prune(document *redwingshunt.Document) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, d := range c.desks {
+		known := slices.ContainsFunc(document.Services, func(s redwingshunt.Service) bool { return s.Name == id })
+		if !known && d.idle() {
+			delete(c.desks, id)
+		}
+	}
+}
+
+// idle reports whether nothing waits or runs.
+func (d *desk) idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.Waiting()+d.queue.Running() == 0
+}
+
+func configured(document *redwingshunt.Document) scheduler.Configured {
+	config := scheduler.Configured{
+		Gap:      document.Fleet.Gap,
+		Accounts: make(map[redwingshunt.AccountID]scheduler.AccountRule, len(document.Accounts)),
+	}
+	for _, a := range document.Accounts {
+		config.Accounts[a.Name] = scheduler.AccountRule{
+			Share:    max(1, a.Share),
+			Parallel: a.Parallel,
+			Bound:    limiter.Bound{Requests: a.Queue, Bytes: a.Bytes},
+		}
+	}
+	return config
+}
+
+// look takes the view of the fleet when it has changed.
+func (c *Coordinator) look() {
+	members := c.options.Members.Live()
+	self := c.options.Members.Self()
+	c.mu.Lock()
+	before := c.view
+	if slices.Equal(before, members) {
+		c.mu.Unlock()
+		return
+	}
+	c.view = slices.Clone(members)
+	c.mu.Unlock()
+	gone := missing(before, members)
+	home := scheduler.Rank(members, self.Region, "")
+	c.each(func(d *desk) {
+		d.serve(scheduler.DutyOf(members, self, d.service), gone, scheduler.Period(len(home)))
+	})
+}
+
+// missing returns the instances that were seen before and no longer are.
+func missing(before, now []redwingshunt.Instance) []redwingshunt.InstanceID {
+	var list []redwingshunt.InstanceID
+	for _, old := range before {
+		if !slices.ContainsFunc(now, func(i redwingshunt.Instance) bool { return i.ID == old.ID }) {
+			list = append(list, old.ID)
+		}
+	}
+	return list
+}
+
+// Dump implements redwingshunt.Dumper.
+func (c *Coordinator) Dump() any {
+	var list []deskDump
+	c.each(func(d *desk) {
+		if len(list) < dumpLimit {
+			list = append(list, d.dump())
+		}
+	})
+	slices.SortFunc(list, func(a, b deskDump) int { return cmp.Compare(a.Service, b.Service) })
+	return map[string]any{"services": list}
+}
--- a/measurer/fault_test.go
+++ b/measurer/fault_test.go
@@ -144,6 +144,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := NewFleet(test.scenario)
 			r := f.Run()
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -101,10 +101,14 @@
 		return
 	}
 	ranked := scheduler.Rank(n.view, n.instance.Region, service)
+	life := time.Duration(m.TtlMs) * time.Millisecond
 	for i, target := range ranked[:min(2, len(ranked))] {
-		if scheduler.Relays(f.now, redwingshunt.UpstreamID(m.Id), i, len(ranked), m.TtlMs == 0) {
-			f.send(n, target.ID, redwingshunt.KindAnnounce, m)
+		ttl, ok := scheduler.Relay(f.now, redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
+		if !ok && life > 0 {
+			continue
 		}
+		m.TtlMs = uint32(ttl / time.Millisecond)
+		f.send(n, target.ID, redwingshunt.KindAnnounce, m)
 	}
 }
 
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -296,3 +296,27 @@
 	})
 	return list[:min(limit, len(list))]
 }
+
+// Window is the state of one upstream for dumps.
+type Window struct {
+	Upstream redwingshunt.UpstreamID `json:"upstream"`
+	Lender   redwingshunt.InstanceID `json:"lender,omitempty"` // owner of the region that lends it
+	Window   int                     `json:"window"`
+	Running  int                     `json:"running"`
+	Lent     int                     `json:"lent,omitempty"`
+	Foreign  int                     `json:"foreign,omitempty"`
+	Leaving  bool                    `json:"leaving,omitempty"`
+}
+
+// Windows returns the state of up to limit upstreams.
+func (o *Owner) Windows(limit int) []Window {
+	views := o.pool.Views()
+	list := make([]Window, 0, min(limit, len(views)))
+	for _, v := range views[:min(limit, len(views))] {
+		list = append(list, Window{
+			Upstream: v.Key.ID, Lender: v.Key.Lender, Window: v.Window, Running: v.Own,
+			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving,
+		})
+	}
+	return list
+}
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -82,13 +82,13 @@
 	if len(o.ready) == 0 {
 		return o.part(p, lent)
 	}
+	if !p.backlogged {
+		return max(0, lent-o.waiting)
+	}
 	level, ok := o.level(now)
 	if !ok {
 		return lent // nothing waits for long
 	}
-	if !p.backlogged {
-		return max(0, lent-o.waiting)
-	}
 	gap := o.units(o.gap)
 	lag := level - p.level
 	switch {
@@ -178,7 +178,7 @@
 		}
 	}
 	if len(o.ready) == 0 {
-		return min(used, may)
+		return min(may, max(used, o.spared(now, p, used)))
 	}
 	if !p.backlogged {
 		return min(maxAsk, may+min(o.waiting, p.slots))
@@ -196,3 +196,16 @@
 	}
 	return n
 }
+
+// spared returns the slots of a peer to keep without work. A region without
+// upstreams keeps what it used lately, so that a request does not wait for an
+// exchange with another region.
+func (o *Owner) spared(now time.Time, p *peer, used int) int {
+	if used >= p.peak || now.Sub(p.peaked) > spareTime {
+		p.peak, p.peaked = used, now
+	}
+	if o.pool.Slots() > 0 {
+		return 0
+	}
+	return p.peak
+}
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -36,6 +36,9 @@
 	levelParts = 64
 	// horizonStep is the step in which the horizon is told.
 	horizonStep = 100 * time.Millisecond
+	// spareTime is the time for which a region without upstreams keeps slots that
+	// it does not use.
+	spareTime = 15 * time.Second
 	// maxAsk bounds the slots that are asked of one peer.
 	maxAsk = 256
 )
@@ -59,6 +62,8 @@
 	horizon     time.Duration
 	ask         int // slots that the peer wants of this owner
 	asked       int // slots last asked of the peer
+	peak        int // slots used lately
+	peaked      time.Time
 	using       int // slots last told to be held of the peer
 	told        told
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -41,6 +41,7 @@
 	released []*wire.Released
 	unacked  bool // grants arrived since the last state
 	full     time.Time
+	earliest time.Time // no deadline passes before; zero when there is none
 	actions  []Action
 }
 
@@ -150,6 +151,7 @@
 	t := &ticket{Arrived: e, line: l, since: now}
 	l.tickets = append(l.tickets, t)
 	q.tickets[e.Ticket] = t
+	q.expect(e.Deadline)
 }
 
 func (q *Queue) cancel(now time.Time, id uint64) {
@@ -186,17 +188,36 @@
 
 // expire refuses requests whose deadline has passed.
 func (q *Queue) expire(now time.Time) {
-	for _, id := range sortedKeys(q.tickets) {
-		t := q.tickets[id]
-		if t.Deadline.IsZero() || now.Before(t.Deadline) {
-			continue
+	if q.earliest.IsZero() || now.Before(q.earliest) {
+		return
+	}
+	q.earliest = time.Time{}
+	var passed []uint64
+	for id, t := range q.tickets {
+		switch {
+		case t.Deadline.IsZero():
+		case now.Before(t.Deadline):
+			q.expect(t.Deadline)
+		default:
+			passed = append(passed, id)
 		}
+	}
+	slices.Sort(passed)
+	for _, id := range passed {
+		t := q.tickets[id]
 		q.remove(now, t)
 		t.line.changed = true
 		q.refuse(id, deadlinePassed())
 	}
 }
 
+// expect notes when the next deadline passes.
+func (q *Queue) expect(deadline time.Time) {
+	if !deadline.IsZero() && (q.earliest.IsZero() || deadline.Before(q.earliest)) {
+		q.earliest = deadline
+	}
+}
+
 // grant takes slots from the owner.
 func (q *Queue) grant(now time.Time, e Granted) {
 	m := e.Grants
@@ -204,6 +225,8 @@
 		return
 	}
 	if m.Term > q.term {
+		// An owner that was elected since: it knows nothing of what runs.
+		q.due, q.describe = q.term > 0, true
 		q.term, q.seen = m.Term, 0
 	}
 	if m.Resync {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -95,27 +96,27 @@
 }
 
 const (
-	// relaySlot is the time in which an upstream announces itself about once.
-	relaySlot = time.Second
-	// standbyTurn is the number of announcements of which one goes to the
+	// standbyTurn is the number of announcements of which about one goes to the
 	// instance that stands by.
 	standbyTurn = 3
 	// routersPerTurn and mostTurn thin out announcements in large regions.
 	routersPerTurn = 60
-	mostTurn       = 3
+	mostTurn       = 2
+	// turnMargin lengthens the life of announcements that are thinned out.
+	turnMargin = 2
 )
 
-// Relays reports whether an announcement that arrived now is passed on to the
-// instance with the given place in Rank. All routers of a region agree without
-// a word as far as their clocks do. A leaving upstream is always passed on.
-func Relays(now time.Time, id redwingshunt.UpstreamID, place, routers int, leaving bool) bool {
-	if leaving {
-		return true
-	}
+// Relay reports whether an announcement that arrived now is passed on to the
+// instance with the given place in Rank, and for how long it holds there. It
+// needs no memory of earlier announcements, which may have come to any router.
+func Relay(now time.Time, id redwingshunt.UpstreamID, ttl time.Duration, place, routers int) (time.Duration, bool) {
 	turn := min(mostTurn, 1+routers/routersPerTurn)
 	if place > 0 {
 		turn = standbyTurn
 	}
-	slot := uint64(now.UnixNano()/int64(relaySlot)) + xxhash.Sum64String(string(id))
-	return slot%uint64(turn) == 0
+	if turn == 1 {
+		return ttl, true
+	}
+	seed := strconv.AppendInt([]byte(id), now.UnixNano(), 10)
+	return ttl * time.Duration(turn*turnMargin), xxhash.Sum64(seed)%uint64(turn) == 0
 }
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -76,7 +76,7 @@
 	}
 	o.acknowledge(r, s)
 	for _, released := range s.Released {
-		o.release(now, r, released)
+		o.release(now, r, released, s.Term)
 	}
 	newest := s.Sequence > r.sequence
 	if newest {
@@ -105,8 +105,8 @@
 }
 
 // release ends a run as the router tells.
-func (o *Owner) release(now time.Time, r *router, released *wire.Released) {
-	run := r.runs[o.keyOf(released.Id, released.Term)]
+func (o *Owner) release(now time.Time, r *router, released *wire.Released, current uint64) {
+	run := r.runs[keyOf(released.Id, released.Term, current)]
 	if run == nil {
 		return
 	}
@@ -124,9 +124,11 @@
 	o.end(run)
 }
 
-func (o *Owner) keyOf(id, term uint64) grantKey {
+// keyOf returns the name of a grant; a term of zero means the one that the
+// router's message is about.
+func keyOf(id, term, current uint64) grantKey {
 	if term == 0 {
-		term = o.term
+		term = current
 	}
 	return grantKey{term: term, id: id}
 }
@@ -136,7 +138,7 @@
 func (o *Owner) running(now time.Time, r *router, s *wire.State, newest bool) {
 	listed := map[grantKey]bool{}
 	for _, entry := range s.Running {
-		key := o.keyOf(entry.Id, entry.Term)
+		key := keyOf(entry.Id, entry.Term, s.Term)
 		listed[key] = true
 		run := r.runs[key]
 		if run == nil && newest && entry.Upstream != "" {
