Schedule fairly over the fleet instead of first come, first served

Cause: each instance served its own queue in the order of arrival, so an account that floods one instance took what others were due.

The coordinator now asks the owner of each service.

The demo counted tokens of answers only while the scheduler charges prompts too, and gave alpha fewer senders than its share can use, so it showed gaps between accounts that were not backlogged; both are mended.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/redwingshunt/redwingshunt/administrator"
 	"github.com/redwingshunt/redwingshunt/announcer"
 	"github.com/redwingshunt/redwingshunt/certifier"
+	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
@@ -55,7 +56,7 @@
 	logger     *slog.Logger
 	members    *memberTable
 	linker     *linker.Linker
-	scheduling *scheduling
+	scheduling *coordinator.Coordinator
 	configured *configuration
 	dispatcher *dispatcher.Dispatcher
 	listener   *listener.Listener
@@ -114,8 +115,15 @@
 		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
-	d.scheduling = newScheduling(d.members, d.linker)
 	d.metrics = newMetrics(d)
+	d.scheduling = coordinator.New(coordinator.Options{
+		Members:       d.members,
+		Link:          d.linker,
+		Configuration: d.configured,
+		Clock:         wallClock{},
+		Logger:        d.logger,
+		Metrics:       d.metrics.scope,
+	})
 	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
 	d.listener = listener.New(listener.Options{
 		Chain:         newChain(d.dispatcher, d.metrics.observer, rand.Text, d.logger),
@@ -143,6 +151,7 @@
 	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
+	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
 	d.logger.Info("serving", "instance", string(d.settings.Name),
 		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
 	select {
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
 	"github.com/redwingshunt/redwingshunt/observer"
@@ -15,8 +17,11 @@
 // adminTimeout bounds the header of a request to the administration API.
 const adminTimeout = 5 * time.Second
 
-// now is the clock of the shell.
-func now() time.Time { return time.Now() }
+// wallClock is the clock of the shell.
+type wallClock struct{}
+
+// Now returns the time of the instance.
+func (wallClock) Now() time.Time { return time.Now() }
 
 // parts plugs the daemon into the administration API.
 func (d *Daemon) parts() administrator.Parts {
@@ -31,6 +36,7 @@
 			"members":    d.members,
 			"links":      d.linker,
 			"dispatcher": d.dispatcher,
+			"scheduling": d.scheduling,
 		},
 		Drainer: d,
 		Metrics: d.metrics.handler,
@@ -66,6 +72,7 @@
 
 // metrics are the scope of the daemon and what fills it.
 type metrics struct {
+	scope    tally.Scope
 	observer *observer.Observer
 	handler  http.Handler
 	closer   io.Closer
@@ -74,6 +81,7 @@
 func newMetrics(d *Daemon) *metrics {
 	scope, handler, closer := reporter.New()
 	return &metrics{
+		scope: scope,
 		observer: observer.New(scope, observer.Sources{
 			Configuration: d.configured,
 			Members:       d.members,
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc/credentials"
@@ -64,7 +65,7 @@
 		d.logger.Warn("PLAIN TEXT: callers, upstreams, operators and other instances are not encrypted or verified")
 		return nil
 	}
-	certificates, err := certifier.Open(d.settings.TLS, now)
+	certificates, err := certifier.Open(d.settings.TLS, time.Now)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -7,7 +7,8 @@
 //	account   share  senders  requests   tokens   tokens/share
 //	alpha         4       12       310    12400           3100
 //
-// The gap is the greatest difference of tokens/share between two accounts that
+// Tokens are those of prompts and answers, which is what a request costs. The
+// gap is the greatest difference of tokens/share between two accounts that
 // were backlogged all the time, in seconds of the service's whole capacity.
 //
 // # Usage
@@ -67,9 +68,9 @@
 // long requests, small ones, and one that floods a single instance.
 func members() []member {
 	return []member{
-		{account: account("alpha", 4, "north"), senders: 12, tokens: 80, node: -1},
-		{account: account("beta", 2, "north"), senders: 12, tokens: 20, node: 0},
-		{account: account("gamma", 1, "south"), senders: 12, tokens: 40, node: 2},
+		{account: account("alpha", 4, "north"), senders: 60, tokens: 80, node: -1},
+		{account: account("beta", 2, "north"), senders: 24, tokens: 20, node: 0},
+		{account: account("gamma", 1, "south"), senders: 24, tokens: 40, node: 2},
 		{account: account("flood", 1, "south"), senders: 100, tokens: 10, node: 2},
 	}
 }
--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -81,7 +81,7 @@
 // send keeps one request of an account in flight.
 func (l *load) send(ctx context.Context, index, sender int) {
 	m := l.members[index]
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[]}`, serviceName, m.tokens)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"stream_options":{"include_usage":true},"max_tokens":%d,"messages":[]}`, serviceName, m.tokens)
 	for turn := sender; ctx.Err() == nil; turn++ {
 		node := m.node
 		if node < 0 {
@@ -96,7 +96,8 @@
 	}
 }
 
-// request sends one chat completion and counts its tokens as they come.
+// request sends one chat completion and counts the tokens of its answer as they
+// come, and those of its prompt at the end.
 func (l *load) request(ctx context.Context, index int, address, body string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+address+"/v1/chat/completions", strings.NewReader(body))
@@ -131,9 +132,12 @@
 	}
 	var chunk struct {
 		Choices []json.RawMessage `json:"choices"`
+		Usage   struct {
+			Prompt int64 `json:"prompt_tokens"`
+		} `json:"usage"`
 	}
-	if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
-		l.service[index].tokens.Add(1)
+	if json.Unmarshal([]byte(data), &chunk) == nil {
+		l.service[index].tokens.Add(int64(len(chunk.Choices)) + chunk.Usage.Prompt)
 	}
 }
 
