Plug the administration API, metrics and TLS into the daemon

Three instances join over mutual TLS with certificates that keygen made, are looked at and drained from the command line, and no key shows up in their logs, dumps or metrics (TestSecuredFleet). Plain text is warned of in the log.

--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -12,9 +12,10 @@
 // newChain returns the filters that each request passes, in their order. The
 // dispatcher at the end asks the scheduler for a grant, reads the answer
 // through the accountant and writes it to the caller.
-func newChain(dispatcher redwingshunt.Handler, newID func() string, logger *slog.Logger) redwingshunt.Handler {
+func newChain(dispatcher redwingshunt.Handler, observe redwingshunt.Filter, newID func() string, logger *slog.Logger) redwingshunt.Handler {
 	return redwingshunt.Chain(dispatcher,
 		responder.New(logger).Filter,
+		observe,
 		authenticator.New().Filter,
 		classifier.New(newID).Filter,
 	)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,6 +59,7 @@
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
+	operations *operations
 	sockets    sockets
 	dumpers    map[string]redwingshunt.Dumper
 }
@@ -66,6 +67,7 @@
 // sockets are the open listening sockets of a daemon.
 type sockets struct {
 	callers, links, admin net.Listener
+	metrics               net.Listener // nil when they are part of admin
 }
 
 // New returns a daemon that listens but does not serve yet.
@@ -80,6 +82,10 @@
 		d.closeSockets()
 		return nil, trace.Wrap(err)
 	}
+	if d.operations, err = newOperations(settings); err != nil {
+		d.closeSockets()
+		return nil, trace.Wrap(err)
+	}
 	d.configured = configured
 	d.assemble()
 	return d, nil
@@ -102,12 +108,15 @@
 		Identify: d.members.identify,
 		Lost:     d.members.lost,
 		Logger:   d.logger,
+
+		Credentials: d.operations.links(),
 	})
 	d.members.attach(d.linker)
 	d.scheduling = newScheduling(d.members, d.linker)
+	d.operations.observer = d.newObserver()
 	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, rand.Text, d.logger),
+		Chain:         newChain(d.dispatcher, d.operations.observer.Filter, rand.Text, d.logger),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -117,7 +126,7 @@
 		}),
 		Logger: d.logger,
 	})
-	d.grpc = grpc.NewServer()
+	d.grpc = grpc.NewServer(d.operations.serverOptions()...)
 	wire.RegisterInstancesServer(d.grpc, d.linker)
 	d.dumpers = map[string]redwingshunt.Dumper{
 		"members":    d.members,
@@ -133,15 +142,24 @@
 	defer stop()
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
-	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.sockets.admin)) })
-	group.Go(func() error { return d.listener.Serve(d.sockets.callers) })
+	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.operations.secure(d.sockets.admin))) })
+	group.Go(func() error { return d.listener.Serve(d.operations.secure(d.sockets.callers)) })
+	group.Go(func() error { return d.serveMetrics(background) })
+	group.Go(func() error { d.operations.observer.Run(background); return nil })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	d.logger.Info("serving", "instance", string(d.settings.Name),
 		"listen", d.Listen().String(), "link", addressOf(d.sockets.links).String(), "admin", d.Admin().String())
-	<-ctx.Done()
+	if d.settings.Plain {
+		d.logger.Warn("PLAIN TEXT: keys and requests travel without encryption; give tls in the settings")
+	}
+	select {
+	case <-ctx.Done():
+		d.operations.Drain()
+	case <-d.operations.draining:
+	}
 	d.shutdown()
 	stop()
-	return trace.Wrap(group.Wait())
+	return trace.NewAggregate(group.Wait(), d.operations.closer.Close())
 }
 
 // Listen returns the address for callers and upstreams.
@@ -171,7 +189,11 @@
 		{d.settings.Listen, &d.sockets.callers},
 		{d.settings.Link, &d.sockets.links},
 		{d.settings.Admin, &d.sockets.admin},
+		{d.settings.Metrics, &d.sockets.metrics},
 	} {
+		if !s.address.IsValid() {
+			continue
+		}
 		socket, err := config.Listen(context.Background(), "tcp", s.address.String())
 		if err != nil {
 			return trace.Wrap(err)
@@ -182,7 +204,7 @@
 }
 
 func (d *Daemon) closeSockets() {
-	for _, socket := range []net.Listener{d.sockets.callers, d.sockets.links, d.sockets.admin} {
+	for _, socket := range []net.Listener{d.sockets.callers, d.sockets.links, d.sockets.admin, d.sockets.metrics} {
 		if socket != nil {
 			_ = socket.Close()
 		}
