--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -160,7 +160,7 @@
 	if record.Start != 0 {
 		j.start = record.Start
 	}
-	persist := replicator.Persist{Entries: encoder.ParseEntries(record.Entries)}
+	persist := replicator.Persist{Entries: encoder.ParseEntries(record.Entries), Commit: record.Commit}
 	if record.Hard != nil {
 		hard := encoder.ParseHardState(record.Hard)
 		persist.HardState = &hard
@@ -222,7 +222,9 @@
 }
 
 func convert(r Record) *wire.LogRecord {
-	record := &wire.LogRecord{Group: uint32(r.Group), Entries: encoder.Entries(r.Persist.Entries)}
+	record := &wire.LogRecord{
+		Group: uint32(r.Group), Entries: encoder.Entries(r.Persist.Entries), Commit: r.Persist.Commit,
+	}
 	if r.Persist.HardState != nil {
 		record.Hard = encoder.HardState(*r.Persist.HardState)
 	}
@@ -297,6 +299,7 @@
 			Group:    uint32(group),
 			Hard:     encoder.HardState(stored.HardState),
 			Snapshot: encoder.SnapshotMeta(stored.Snapshot),
+			Commit:   stored.Commit,
 		})
 		for entries := range slices.Chunk(stored.Entries, readEntries) {
 			records = append(records, &wire.LogRecord{Group: uint32(group), Entries: encoder.Entries(entries)})
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -21,9 +21,10 @@
 // network is a set of instances and the links between them, with losses,
 // doubled messages, delays and partitions from a fixed seed.
 type network struct {
-	t      *testing.T
-	root   string
-	groups int
+	t       *testing.T
+	root    string
+	groups  int
+	compact int
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -81,7 +82,7 @@
 		Self: name, Members: members{n, name}, Link: link{n, name}, Clock: clock{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Files:  n.files(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
-		Groups: n.groups,
+		Groups: n.groups, Compact: n.compact,
 		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
 			p.machines[g] = &register{}
 			return p.machines[g]
--- a/recorder/group.go
+++ b/recorder/group.go
@@ -190,7 +190,7 @@
 // snapshotIfDue stores a snapshot when the entries since the last one outweigh
 // it, so that writing snapshots costs no more than writing entries.
 func (g *group) snapshotIfDue() {
-	due := g.bytes >= max(snapshotBytes, g.size) || g.entries >= snapshotEntries
+	due := g.bytes >= max(g.recorder.options.Compact, g.size) || g.entries >= snapshotEntries
 	if !due || g.saving {
 		return
 	}
--- a/recorder/options.go
+++ b/recorder/options.go
@@ -22,11 +22,14 @@
 	retryDelay      = 50 * time.Millisecond  // between attempts that were refused
 	operationDelay  = 200 * time.Millisecond // between looks at a change of membership
 	transferTimeout = time.Second            // for handing over leaders before a stop
-	snapshotBytes   = 4 << 20                // of entries after which a snapshot is due, at least
 	snapshotEntries = 20_000                 // after which a snapshot is due
 	entryOverhead   = 64                     // bytes that an entry counts besides its data
 )
 
+// DefaultCompact is the size in bytes of the entries after which a snapshot is
+// due, at least.
+const DefaultCompact = 4 << 20
+
 // ErrFolderLost means that the folder holds no vote any more, because its disk
 // is older than what the replica had promised or because the replica has been
 // replaced. The next New begins a new folder in its place, which takes part
@@ -55,6 +58,7 @@
 	Initial   []redwingshunt.InstanceID // voters of the first membership
 	Bootstrap bool                      // this one of Initial makes the first membership, if nobody has one yet
 	Groups    int                       // groups, from GroupControl on; the same on all instances for good
+	Compact   int                       // bytes of entries after which a snapshot is due; zero is DefaultCompact
 	Machines  func(redwingshunt.GroupID) redwingshunt.StateMachine
 }
 
@@ -75,6 +79,9 @@
 	if o.Bootstrap && !slices.Contains(o.Initial, o.Self) {
 		return nil, trace.BadParameter("instance %s cannot make the first membership without being part of it", o.Self)
 	}
+	if o.Compact == 0 {
+		o.Compact = DefaultCompact
+	}
 	r := &Recorder{
 		options: o,
 		calls:   make(chan func(), queueLength),
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -20,6 +20,7 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
 	"github.com/redwingshunt/redwingshunt/replicator"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // operation is an input of the register model: a write of a value or a read.
@@ -187,7 +188,12 @@
 		is.NoErr(n.whole("d", "a", "b", "d"))
 		time.Sleep(5 * time.Second)
 		is.True(errors.Is(<-n.running["c"].ended, ErrFolderLost))
+		folder := n.running["c"].Status().Folder
 		delete(n.running, "c")
+		n.start("c") // begins a new folder, which holds no vote
+		time.Sleep(5 * time.Second)
+		is.True(n.running["c"].Status().Folder != folder)
+		is.True(errors.Is(n.whole("c"), nil))
 	})
 }
 
@@ -266,3 +272,88 @@
 		is.Equal(value, "1")
 	})
 }
+
+// TestLaggingVoterGetsSnapshot keeps a voter away until the entries that it
+// lacks are gone, and restarts all voters from their snapshots afterwards.
+func TestLaggingVoterGetsSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		n.compact = 10_000
+		for _, name := range []redwingshunt.InstanceID{"a", "b"} {
+			n.halt(name)
+			n.start(name)
+		}
+		_, err := n.propose("router", "+", 10*time.Second)
+		is.NoErr(err)
+		n.halt("c")
+		var clients sync.WaitGroup
+		const commands = 1500
+		for range commands {
+			clients.Go(func() {
+				_, err := n.propose("router", "+", 10*time.Second)
+				is.NoErr(err)
+			})
+		}
+		clients.Wait()
+		n.start("c")
+		time.Sleep(5 * time.Second)
+		is.True(n.running["c"].Status().Groups[1].Snapshot > 1)
+		for _, name := range []redwingshunt.InstanceID{"a", "b", "c"} {
+			n.halt(name)
+		}
+		for _, name := range []redwingshunt.InstanceID{"a", "b", "c"} {
+			n.start(name)
+		}
+		value, err := n.propose("router", "read", 10*time.Second)
+		is.NoErr(err)
+		is.Equal(value, strconv.Itoa(commands+1))
+		time.Sleep(2 * time.Second)
+		for _, name := range []redwingshunt.InstanceID{"a", "b", "c"} {
+			is.Equal(n.running[name].machines[1].value, commands+1)
+		}
+	})
+}
+
+func TestSessions(t *testing.T) {
+	is := is.New(t)
+	s, applied := newSessions(), 0
+	execute := func(index uint64, c *wire.LogCommand) (string, bool) {
+		answer, ok := s.execute(index, c, func() []byte {
+			applied++
+			return fmt.Append(nil, applied)
+		})
+		return string(answer), ok
+	}
+	first := &wire.LogCommand{Session: 1, Sequence: 1, Floor: 1, Base: 1}
+	second := &wire.LogCommand{Session: 1, Sequence: 2, Floor: 2, Base: 1}
+	for index := range uint64(3) {
+		answer, ok := execute(index+2, first)
+		is.Equal(answer, "1") // also after a restart from a snapshot
+		is.True(ok)
+		s = parseSessions(s.encode())
+	}
+	_, ok := execute(5, second)
+	is.True(ok)
+	_, ok = execute(6, first) // the proposer has had this answer
+	is.True(!ok)
+	_, ok = execute(sessionWindow+2, &wire.LogCommand{Session: 2, Sequence: 1, Base: 1}) // from too long ago
+	is.True(!ok)
+	is.Equal(applied, 2)
+	execute(sweepPeriod*100, &wire.LogCommand{Session: 3, Sequence: 1, Base: sweepPeriod * 100})
+	is.Equal(len(s.byNumber), 1) // idle sessions are gone
+}
+
+func TestWindowDropsCopies(t *testing.T) {
+	is := is.New(t)
+	w := &window{}
+	is.True(w.add(1))
+	is.True(!w.add(1))
+	is.True(w.add(3))
+	is.True(w.add(2))
+	is.True(!w.add(2))
+	is.True(w.add(10 * windowSize))
+	is.True(!w.add(3)) // too old to tell
+	is.True(w.add(10*windowSize - 1))
+	is.True(!w.add(10 * windowSize))
+}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -39,6 +39,7 @@
 	snapshot    SnapshotMeta
 	memberships []membershipAt // oldest first, never empty
 	commit      uint64
+	startCommit uint64 // committed before the start
 
 	role        Role
 	leader      MemberID
@@ -80,16 +81,17 @@
 // Stored gives a replica that waits to be added by a leader.
 func New(config Config, stored Stored, now time.Time) *Core {
 	c := &Core{
-		self:     config.Self,
-		start:    config.Start,
-		random:   rand.New(rand.NewPCG(config.Seed, config.Start)),
-		trail:    config.Trail,
-		wall:     now,
-		hard:     stored.HardState,
-		snapshot: stored.Snapshot,
-		commit:   stored.Snapshot.Index,
-		role:     RoleFollower,
-		starts:   make(map[MemberID]uint64),
+		self:        config.Self,
+		start:       config.Start,
+		random:      rand.New(rand.NewPCG(config.Seed, config.Start)),
+		trail:       config.Trail,
+		wall:        now,
+		hard:        stored.HardState,
+		snapshot:    stored.Snapshot,
+		commit:      stored.Snapshot.Index,
+		startCommit: stored.Commit,
+		role:        RoleFollower,
+		starts:      make(map[MemberID]uint64),
 	}
 	if c.trail == 0 {
 		c.trail = TrailingEntries
@@ -105,6 +107,8 @@
 // Step takes one event at a time and returns the actions that it causes.
 func (c *Core) Step(now time.Time, event Event) []Action {
 	c.advance(now)
+	c.commitTo(min(c.startCommit, c.log.last()))
+	c.startCommit = 0
 	switch e := event.(type) {
 	case Received:
 		c.receive(e.Message)
@@ -312,7 +316,7 @@
 		return
 	}
 	c.sequence++
-	persist := Persist{Sequence: c.sequence, Snapshot: c.unsavedSnapshot}
+	persist := Persist{Sequence: c.sequence, Snapshot: c.unsavedSnapshot, Commit: c.commit}
 	if c.hardChanged {
 		hard := c.hard
 		persist.HardState = &hard
--- a/replicator/events.go
+++ b/replicator/events.go
@@ -67,6 +67,7 @@
 	HardState *HardState
 	Snapshot  *Snapshot
 	Entries   []Entry
+	Commit    uint64 // known to be committed; lets a restart apply entries at once
 }
 
 // Send asks for the best-effort delivery of a message.
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -71,12 +71,3 @@
 		Alive: id == c.self || c.alive(id),
 	}
 }
-
-// Stored returns what a restart needs, for writing the journal anew.
-func (c *Core) Stored() Stored {
-	s := Stored{HardState: c.hard, Snapshot: c.snapshot}
-	if c.snapshot.Index < c.log.last() {
-		s.Entries = c.log.slice(c.snapshot.Index+1, c.log.last())
-	}
-	return s
-}
--- a/replicator/stored.go
+++ b/replicator/stored.go
@@ -14,6 +14,7 @@
 	if p.Snapshot != nil {
 		s.addSnapshot(p.Snapshot.SnapshotMeta)
 	}
+	s.Commit = max(s.Commit, p.Commit)
 	return s.addEntries(p.Entries)
 }
 
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -181,4 +181,5 @@
 	HardState HardState
 	Snapshot  SnapshotMeta
 	Entries   []Entry // from Snapshot.Index+1 on
+	Commit    uint64  // known to be committed; may lag behind
 }
