Add the state machine of the configuration, its spread and its submission

Operators race with equal bases, resend after a lost answer and edit sections of their own; routers restart empty, are cut off and meet stale peers. The registrar decides on a change against the state that the change meets: base of the section, key and rights of the team, the merged document as a whole. The first answer to a submission is kept under its ID, and history keeps old texts as edits back.

A text that hides another section under a quoted key, or ends the document with a mark, reads well alone and not after joining; both are refused.

Ruled out: whole sections in commands and pushes, since one of 460 accounts has about 50 KB and a usual change 100 bytes.

--- /dev/null
+++ b/merger/edit.go
@@ -0,0 +1,50 @@
+package merger
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// ErrMismatch means that an edit does not belong to the text.
+var ErrMismatch = errors.New("the edit does not belong to this text")
+
+// Compare returns the edit that turns one text into another. Its size is that
+// of the smallest run of bytes around all differences, and a few bytes more.
+func Compare(before, after []byte) *wire.Edit {
+	short := min(len(before), len(after))
+	prefix := 0
+	for prefix < short && before[prefix] == after[prefix] {
+		prefix++
+	}
+	suffix := 0
+	for suffix < short-prefix && before[len(before)-1-suffix] == after[len(after)-1-suffix] {
+		suffix++
+	}
+	return &wire.Edit{
+		Prefix: uint32(prefix),
+		Suffix: uint32(suffix),
+		Middle: append([]byte{}, after[prefix:len(after)-suffix]...),
+		Sum:    xxhash.Sum64(after),
+	}
+}
+
+// Apply returns the text after an edit. The error wraps ErrMismatch when the
+// text is not the one that the edit was made for.
+func Apply(before []byte, edit *wire.Edit) ([]byte, error) {
+	prefix, suffix := int(edit.GetPrefix()), int(edit.GetSuffix())
+	if prefix+suffix > len(before) {
+		return nil, fmt.Errorf("%w: %d bytes are too few", ErrMismatch, len(before))
+	}
+	after := make([]byte, 0, prefix+suffix+len(edit.GetMiddle()))
+	after = append(after, before[:prefix]...)
+	after = append(after, edit.GetMiddle()...)
+	after = append(after, before[len(before)-suffix:]...)
+	if xxhash.Sum64(after) != edit.GetSum() {
+		return nil, fmt.Errorf("%w: the sum differs", ErrMismatch)
+	}
+	return after, nil
+}
--- /dev/null
+++ b/publisher/install.go
@@ -0,0 +1,169 @@
+package publisher
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
+	"github.com/redwingshunt/redwingshunt/registrar"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// accepted takes the configuration of the log, which is newer or known.
+func (c *Core) accepted(now time.Time, state registrar.State) {
+	if state.Revision <= c.state.Revision {
+		return
+	}
+	age := Never
+	if c.quorum {
+		age = 0
+	}
+	since := c.install(now, state, age)
+	for _, to := range c.outward() {
+		c.publish(now, to, since)
+	}
+}
+
+// install moves this instance to a larger revision, passes it down the tree and
+// returns the revision before.
+func (c *Core) install(now time.Time, state registrar.State, age time.Duration) redwingshunt.Revision {
+	since := c.state.Revision
+	c.remember(state)
+	c.state = state
+	c.seen = max(c.seen, state.Revision)
+	c.tries = 0
+	c.confirmed = time.Time{}
+	c.confirm(now, age)
+	for _, to := range c.children() {
+		c.publish(now, to, since)
+	}
+	if c.settled {
+		c.actions = append(c.actions, Installed{State: state})
+	}
+	return since
+}
+
+// remember keeps the edits from the state before to the next one.
+func (c *Core) remember(next registrar.State) {
+	for _, part := range next.Parts {
+		before := merger.Find(c.state.Parts, part.Section)
+		if part.Revision <= before.Revision {
+			continue
+		}
+		c.recent = append(c.recent, &wire.SectionUpdate{
+			Section:  string(part.Section),
+			Base:     uint64(before.Revision),
+			Revision: uint64(part.Revision),
+			Edit:     merger.Compare(before.Text, part.Text),
+		})
+	}
+	if surplus := len(c.recent) - maxRecent; surplus > 0 {
+		c.recent = c.recent[surplus:]
+	}
+}
+
+// publish sends what an instance needs that has reached the revision since.
+func (c *Core) publish(now time.Time, to redwingshunt.InstanceID, since redwingshunt.Revision) {
+	message := &wire.Publish{
+		Since:    uint64(since),
+		Revision: uint64(c.state.Revision),
+		At:       c.state.At.UnixNano(),
+		Age:      milliseconds(c.Age(now)),
+	}
+	for _, part := range c.state.Parts {
+		if part.Revision > since {
+			message.Sections = append(message.Sections, c.updates(part, since)...)
+		}
+	}
+	c.send(to, encode(redwingshunt.KindPublish, message))
+}
+
+// updates returns the edits that bring a section forward, or its whole text
+// when an edit is missing or the text is shorter.
+func (c *Core) updates(part merger.Part, since redwingshunt.Revision) []*wire.SectionUpdate {
+	whole := []*wire.SectionUpdate{{
+		Section: string(part.Section), Revision: uint64(part.Revision), Text: part.Text,
+	}}
+	var edits []*wire.SectionUpdate
+	size := 0
+	for _, update := range c.recent {
+		if update.GetSection() != string(part.Section) || update.GetRevision() <= uint64(since) {
+			continue
+		}
+		edits = append(edits, update)
+		size += proto.Size(update)
+	}
+	if len(edits) == 0 || edits[0].GetBase() > uint64(since) || size >= len(part.Text) {
+		return whole
+	}
+	return edits
+}
+
+// published takes a newer configuration from a peer.
+func (c *Core) published(now time.Time, from redwingshunt.InstanceID, message *wire.Publish) {
+	revision := redwingshunt.Revision(message.GetRevision())
+	c.hear(now, revision, message.GetAge())
+	if revision <= c.state.Revision || revision == c.refused {
+		return
+	}
+	if message.GetSince() > uint64(c.state.Revision) {
+		c.ask(now, from, c.state.Revision)
+		return
+	}
+	parts, ok := forward(c.state.Parts, message)
+	if !ok { // the peer skipped a revision that this instance has
+		c.ask(now, from, 0)
+		return
+	}
+	state, err := c.read(revision, time.Unix(0, message.GetAt()), parts)
+	if err != nil {
+		c.refused = revision
+		c.actions = append(c.actions, Refused{Revision: revision, Err: err})
+		return
+	}
+	c.install(now, state, time.Duration(message.GetAge())*time.Millisecond)
+}
+
+// forward applies the updates of a message. It fails when an edit does not start
+// from the text that this instance has.
+func forward(parts []merger.Part, message *wire.Publish) ([]merger.Part, bool) {
+	for _, update := range message.GetSections() {
+		part := merger.Find(parts, redwingshunt.Section(update.GetSection()))
+		if update.GetRevision() <= uint64(part.Revision) {
+			continue
+		}
+		part.Text = update.GetText()
+		if update.GetEdit() != nil {
+			before := merger.Find(parts, part.Section)
+			text, err := merger.Apply(before.Text, update.GetEdit())
+			if err != nil || update.GetBase() != uint64(before.Revision) {
+				return nil, false
+			}
+			part.Text = text
+		}
+		part.Revision = redwingshunt.Revision(update.GetRevision())
+		parts = merger.Put(parts, part)
+	}
+	return parts, true
+}
+
+func (c *Core) read(revision redwingshunt.Revision, at time.Time, parts []merger.Part) (registrar.State, error) {
+	document, findings := c.document("revision "+revision.String(), merger.Join(parts))
+	if err := findings.Err(); err != nil {
+		return registrar.State{}, trace.Wrap(err)
+	}
+	return registrar.State{Revision: revision, At: at, Document: document, Parts: parts}, nil
+}
+
+func encode(kind redwingshunt.MessageKind, message proto.Message) redwingshunt.Message {
+	payload, err := proto.Marshal(message)
+	if err != nil { // only for text that is not UTF-8, and there is none
+		payload = nil
+	}
+	return redwingshunt.Message{Kind: kind, Payload: payload}
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(min(d, Never) / time.Millisecond) }
--- /dev/null
+++ b/registrar/fence.go
@@ -0,0 +1,39 @@
+package registrar
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// fence takes, renews or refuses the lease of a name. Each new holder gets the
+// next number, whoever held the name before; a renewal keeps it. The lease is
+// measured by the clocks of the proposers, which need not agree: safety comes
+// from the number, the lease only keeps holders from taking turns.
+func (r *Registrar) fence(c *wire.FenceCommand, at time.Time) *wire.RegistrarReply {
+	if c.GetName() == "" || c.GetHolder() == "" || len(c.GetName()) > MaxID || len(c.GetHolder()) > MaxID {
+		return &wire.RegistrarReply{Error: fmt.Sprintf("name and holder must have 1 to %d bytes", MaxID)}
+	}
+	record := r.fences[c.GetName()]
+	if record == nil && len(r.fences) >= MaxFences {
+		return &wire.RegistrarReply{Error: fmt.Sprintf("there are %d fencing numbers already", MaxFences)}
+	}
+	if record == nil {
+		record = &wire.FenceRecord{Name: c.GetName()}
+		r.fences[c.GetName()] = record
+	}
+	if record.GetHolder() != c.GetHolder() {
+		if remaining := time.Unix(0, record.GetUntil()).Sub(at); remaining > 0 && record.GetNumber() > 0 {
+			return &wire.RegistrarReply{Fence: &wire.FenceReply{
+				Number: record.GetNumber(), Holder: record.GetHolder(), Remaining: int64(remaining),
+			}}
+		}
+		record.Number++
+		record.Holder = c.GetHolder()
+	}
+	record.Until = at.Add(time.Duration(c.GetLease())).UnixNano()
+	return &wire.RegistrarReply{Fence: &wire.FenceReply{
+		Granted: true, Number: record.GetNumber(), Holder: record.GetHolder(), Remaining: c.GetLease(),
+	}}
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,170 @@
+// Package registrar is the state machine of the control group: the
+// configuration document by sections, the answers to submissions, the history
+// of accepted changes, and the fencing numbers.
+//
+// Every voter applies the same commands in the same order and reaches the same
+// state. A command carries the time of its proposer; the registrar reads no
+// clock. It checks a change against the state that the change meets, not the
+// one that its sender saw:
+//
+//   - the base revision must be the one of the section, so that of two racing
+//     changes of one section exactly one is accepted and the other is told what
+//     changed; changes of different sections do not conflict;
+//   - the team must still have the key by which it was authenticated and may
+//     edit each section that changes;
+//   - the merged document must be valid as a whole;
+//   - at least one team must remain that may edit the section teams.
+//
+// The answer to a submission is kept under its ID, so that a resend gets the
+// first answer. It is kept for KeepAnswers and for the newest MaxAnswers, which
+// is shorter only above MaxAnswers submissions within KeepAnswers. A resend
+// after that meets a newer base and is refused; it is never executed twice.
+//
+// The history keeps the newest MaxChanges changes with revision, time, section,
+// team, size and submission ID. Old texts are kept as edits back from the text
+// in force, the newest MaxEdits bytes of them.
+//
+// # Usage
+//
+//	r := registrar.New(registrar.Options{
+//		Document: parser.Document,
+//		Section:  parser.Section,
+//		Accepted: publisher.Accept, // told each new configuration
+//	})
+//	answer := r.Apply(index, command) // see Submit, Fence, History and Text
+package registrar
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// Bounds of the state.
+const (
+	KeepAnswers = 7 * 24 * time.Hour // how long the answer to a submission is kept
+	MaxAnswers  = 20_000             // answers kept at most
+	MaxChanges  = 20_000             // changes in the history
+	MaxEdits    = 16 << 20           // bytes of edits back to old texts
+	MaxFences   = 4_096              // names with a fencing number
+	MaxText     = 8 << 20            // bytes of a submitted text
+	MaxID       = 128                // bytes of a submission ID, a name or a holder
+
+	maxStep     = time.Hour // one command advances the clock by this at most
+	maxFindings = 50        // findings in a kept answer
+)
+
+// Bootstrap is the team that submits the first document. It may edit every
+// section as long as the document has no team.
+const Bootstrap redwingshunt.TeamID = "bootstrap"
+
+// DocumentFunc reads a whole document; it is parser.Document.
+type DocumentFunc func(name string, text []byte) (*redwingshunt.Document, redwingshunt.Findings)
+
+// SectionFunc reads one section, merges it into a copy of whole, which may be
+// nil, and checks the result as a whole; it is parser.Section.
+type SectionFunc func(name string, section redwingshunt.Section, text []byte, whole *redwingshunt.Document) (*redwingshunt.Document, redwingshunt.Findings)
+
+// State is an accepted configuration. It is not changed once handed out.
+type State struct {
+	Revision redwingshunt.Revision
+	At       time.Time
+	Document *redwingshunt.Document
+	Parts    []merger.Part
+}
+
+// Options configure a registrar.
+type Options struct {
+	Document DocumentFunc
+	Section  SectionFunc
+	// Accepted is told each configuration that Apply or Restore puts in force.
+	// It must return quickly; may be nil.
+	Accepted func(State)
+}
+
+// Registrar is the state machine of the control group. It is used by one
+// goroutine at a time.
+type Registrar struct {
+	options Options
+	state   State
+	clock   time.Time // by which answers expire; see advance
+	answers answers
+	history history
+	fences  map[string]*wire.FenceRecord
+}
+
+var _ redwingshunt.StateMachine = (*Registrar)(nil)
+
+// New returns a registrar without a document.
+func New(options Options) *Registrar {
+	r := &Registrar{options: options}
+	r.reset()
+	return r
+}
+
+func (r *Registrar) reset() {
+	r.state = State{}
+	r.clock = time.Time{}
+	r.answers = newAnswers()
+	r.history = history{}
+	r.fences = make(map[string]*wire.FenceRecord)
+}
+
+// State returns the configuration in force; its revision is zero without one.
+func (r *Registrar) State() State { return r.state }
+
+// Apply executes a committed command and returns an encoded RegistrarReply.
+func (r *Registrar) Apply(_ uint64, command []byte) []byte {
+	reply := r.apply(command)
+	answer, err := proto.MarshalOptions{Deterministic: true}.Marshal(reply)
+	if err != nil { // only for text that is not UTF-8
+		return nil
+	}
+	return answer
+}
+
+func (r *Registrar) apply(command []byte) *wire.RegistrarReply {
+	var c wire.RegistrarCommand
+	if err := proto.Unmarshal(command, &c); err != nil {
+		return &wire.RegistrarReply{Error: "the command cannot be read: " + err.Error()}
+	}
+	at := time.Unix(0, c.GetAt())
+	r.advance(at)
+	switch {
+	case c.GetSubmit() != nil:
+		return &wire.RegistrarReply{Receipt: r.submit(c.GetSubmit(), at)}
+	case c.GetFence() != nil:
+		return r.fence(c.GetFence(), at)
+	case c.GetHistory() != nil:
+		return &wire.RegistrarReply{Changes: r.history.list(c.GetHistory())}
+	case c.GetText() != nil:
+		return r.text(c.GetText())
+	}
+	return &wire.RegistrarReply{Error: "the command is of an unknown kind"}
+}
+
+// advance moves the clock of the state machine forward. A proposer whose clock
+// jumps years ahead shortens the promise of kept answers by maxStep only.
+func (r *Registrar) advance(at time.Time) {
+	if r.clock.IsZero() {
+		r.clock = at
+	}
+	if at.After(r.clock.Add(maxStep)) {
+		at = r.clock.Add(maxStep)
+	}
+	if at.After(r.clock) {
+		r.clock = at
+	}
+}
+
+// accept puts a configuration in force.
+func (r *Registrar) accept(s State) {
+	r.state = s
+	if r.options.Accepted != nil {
+		r.options.Accepted(s)
+	}
+}
--- /dev/null
+++ b/registrar/snapshot.go
@@ -0,0 +1,113 @@
+package registrar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const format = 1 // of a snapshot
+
+// Snapshot encodes the whole state.
+func (r *Registrar) Snapshot() ([]byte, error) {
+	s := &wire.RegistrarState{
+		Format:      format,
+		Revision:    uint64(r.state.Revision),
+		At:          encodeTime(r.state.At),
+		Clock:       encodeTime(r.clock),
+		Changes:     r.history.changes,
+		Floor:       r.history.floor,
+		Submissions: r.answers.queue,
+	}
+	for _, part := range r.state.Parts {
+		s.Sections = append(s.Sections, &wire.SectionRecord{
+			Section: string(part.Section), Revision: uint64(part.Revision), Text: part.Text,
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.fences)) {
+		s.Fences = append(s.Fences, r.fences[name])
+	}
+	snapshot, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	return snapshot, trace.Wrap(err)
+}
+
+// Restore replaces the state by a snapshot. The state is unchanged after an
+// error.
+func (r *Registrar) Restore(snapshot []byte) error {
+	var s wire.RegistrarState
+	if err := proto.Unmarshal(snapshot, &s); err != nil {
+		return trace.Wrap(err, "a snapshot of the control group cannot be read")
+	}
+	if s.GetFormat() != format {
+		return trace.BadParameter("a snapshot of the control group has format %d, expected %d", s.GetFormat(), format)
+	}
+	state, err := r.decodeState(&s)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.reset()
+	r.clock = decodeTime(s.GetClock())
+	r.history = decodeHistory(&s)
+	for _, record := range s.GetSubmissions() {
+		r.answers.put(record)
+	}
+	for _, record := range s.GetFences() {
+		r.fences[record.GetName()] = record
+	}
+	if state.Revision != 0 {
+		r.accept(state)
+	}
+	return nil
+}
+
+// decodeState reads the sections of a snapshot and parses the document.
+func (r *Registrar) decodeState(s *wire.RegistrarState) (State, error) {
+	state := State{Revision: redwingshunt.Revision(s.GetRevision()), At: decodeTime(s.GetAt())}
+	for _, record := range s.GetSections() {
+		state.Parts = append(state.Parts, merger.Part{
+			Section:  redwingshunt.Section(record.GetSection()),
+			Revision: redwingshunt.Revision(record.GetRevision()),
+			Text:     record.GetText(),
+		})
+	}
+	if state.Revision == 0 {
+		return state, nil
+	}
+	document, findings := r.options.Document(fmt.Sprintf("revision %d", state.Revision), merger.Join(state.Parts))
+	state.Document = document
+	return state, trace.Wrap(findings.Err())
+}
+
+func decodeHistory(s *wire.RegistrarState) history {
+	h := history{changes: s.GetChanges(), floor: s.GetFloor()}
+	for _, change := range h.changes {
+		h.bytes += sizeOf(change)
+		if change.GetRevision() <= h.floor {
+			h.bare++
+		}
+	}
+	return h
+}
+
+// encodeTime returns the Unix time in nanoseconds, zero for the zero time.
+func encodeTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func decodeTime(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
--- /dev/null
+++ b/registrar/submit.go
@@ -0,0 +1,202 @@
+package registrar
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// submit answers a submission, the same way each time that it is sent.
+func (r *Registrar) submit(c *wire.SubmitCommand, at time.Time) *wire.ReceiptRecord {
+	if first := r.answers.find(c.GetId()); first != nil {
+		return repeat(first, c)
+	}
+	receipt, next := r.evaluate(c, at)
+	if c.GetDry() {
+		receipt.Accepted = false
+		return receipt
+	}
+	if next != nil {
+		r.history.add(changeOf(c, r.state, *next))
+		r.accept(*next)
+	}
+	r.answers.add(c, receipt, r.clock)
+	return receipt
+}
+
+// repeat returns the first answer to a submission that was sent again.
+func repeat(first *wire.SubmissionRecord, c *wire.SubmitCommand) *wire.ReceiptRecord {
+	same := first.GetTeam() == c.GetTeam() && first.GetSection() == c.GetSection() &&
+		first.GetBase() == c.GetBase() && bytes.Equal(first.GetDigest(), c.GetDigest())
+	if !same {
+		return refuse(first.GetReceipt().GetRevision(), c, "the submission ID was used for another submission; choose a new one")
+	}
+	receipt := proto.CloneOf(first.GetReceipt())
+	receipt.Repeated = true
+	return receipt
+}
+
+// refuse returns a receipt with one finding.
+func refuse(revision uint64, c *wire.SubmitCommand, text string) *wire.ReceiptRecord {
+	return &wire.ReceiptRecord{
+		Revision: revision,
+		Section:  c.GetSection(),
+		Findings: []*wire.FindingRecord{{File: "-", Text: text}},
+	}
+}
+
+// evaluate decides on a submission without changing the state. The new state is
+// nil when the submission is refused or changes nothing.
+func (r *Registrar) evaluate(c *wire.SubmitCommand, at time.Time) (*wire.ReceiptRecord, *State) {
+	section := redwingshunt.Section(c.GetSection())
+	current := uint64(r.state.Revision)
+	if text := checkForm(c); text != "" {
+		return refuse(current, c, text), nil
+	}
+	if text := r.forbidden(c, section); text != "" {
+		return refuse(current, c, text), nil
+	}
+	if conflict := r.conflict(section, c.GetBase()); conflict != "" {
+		return &wire.ReceiptRecord{Revision: current, Section: c.GetSection(), Conflict: conflict}, nil
+	}
+	text, err := r.textOf(c, section)
+	if err != nil {
+		return refuse(current, c, "the change cannot be applied: "+err.Error()), nil
+	}
+	next, findings := r.merge(section, text)
+	if len(findings) == 0 {
+		findings = r.checkMerged(c, next)
+	}
+	if len(findings) > 0 {
+		return &wire.ReceiptRecord{Revision: current, Section: c.GetSection(), Findings: encodeFindings(findings)}, nil
+	}
+	if len(changed(r.state.Parts, next.Parts)) == 0 {
+		return &wire.ReceiptRecord{Accepted: true, Revision: current, Section: c.GetSection()}, nil
+	}
+	r.number(next, at)
+	return &wire.ReceiptRecord{Accepted: true, Revision: uint64(next.Revision), Section: c.GetSection()}, next
+}
+
+// checkForm returns what is wrong with a command, whatever the state.
+func checkForm(c *wire.SubmitCommand) string {
+	switch {
+	case c.GetId() == "" || len(c.GetId()) > MaxID:
+		return fmt.Sprintf("the submission ID must have 1 to %d bytes", MaxID)
+	case len(c.GetText()) > MaxText:
+		return fmt.Sprintf("the text must have at most %d bytes", MaxText)
+	case c.GetSection() != "" && !isSection(redwingshunt.Section(c.GetSection())):
+		return fmt.Sprintf("there is no section %q", c.GetSection())
+	}
+	return ""
+}
+
+func isSection(section redwingshunt.Section) bool {
+	for _, s := range redwingshunt.Sections() {
+		if s == section {
+			return true
+		}
+	}
+	return false
+}
+
+// conflict returns what changed since the base of a submission, or nothing.
+func (r *Registrar) conflict(section redwingshunt.Section, base uint64) string {
+	revision := uint64(r.state.Revision)
+	if section != "" {
+		revision = uint64(merger.Find(r.state.Parts, section).Revision)
+	}
+	if base == revision {
+		return ""
+	}
+	return r.history.since(section, base, revision)
+}
+
+// textOf returns the whole submitted text.
+func (r *Registrar) textOf(c *wire.SubmitCommand, section redwingshunt.Section) ([]byte, error) {
+	if c.GetEdit() == nil {
+		return c.GetText(), nil
+	}
+	return merger.Apply(merger.Find(r.state.Parts, section).Text, c.GetEdit())
+}
+
+// merge returns the state with a submitted text in it, not numbered yet. The
+// parts joined again must read as the same document, since that is what other
+// instances and a restart read.
+func (r *Registrar) merge(section redwingshunt.Section, text []byte) (*State, redwingshunt.Findings) {
+	document, parts, findings := r.read(section, text)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	for _, part := range parts {
+		if merger.Marked(part.Text) {
+			return nil, redwingshunt.Findings{{File: "-", Path: string(part.Section), Text: "the marks --- and ... may not be used within the document"}}
+		}
+	}
+	joined, findings := r.options.Document("-", merger.Join(parts))
+	if len(findings) > 0 || !reflect.DeepEqual(document, joined) || section == "" && !r.separate(document, parts) {
+		return nil, redwingshunt.Findings{{File: "-", Text: "the key of each section must stand at the beginning of a line"}}
+	}
+	return &State{Document: document, Parts: parts}, nil
+}
+
+// separate reports whether each part holds its own section and nothing else.
+func (r *Registrar) separate(document *redwingshunt.Document, parts []merger.Part) bool {
+	for _, part := range parts {
+		alone, findings := r.options.Section("-", part.Section, part.Text, document)
+		if len(findings) > 0 || !reflect.DeepEqual(document, alone) {
+			return false
+		}
+	}
+	return true
+}
+
+// read parses a submitted text and cuts it into parts.
+func (r *Registrar) read(section redwingshunt.Section, text []byte) (*redwingshunt.Document, []merger.Part, redwingshunt.Findings) {
+	if section == "" {
+		document, findings := r.options.Document("-", text)
+		return document, merger.Split(text), findings
+	}
+	document, findings := r.options.Section("-", section, text, r.state.Document)
+	part := merger.Part{Section: section, Text: merger.Closed(text)}
+	return document, merger.Put(r.state.Parts, part), findings
+}
+
+// number gives the next revision to a state and to the parts that differ.
+func (r *Registrar) number(next *State, at time.Time) {
+	next.Revision = r.state.Revision + 1
+	next.At = at
+	for i, part := range next.Parts {
+		before := merger.Find(r.state.Parts, part.Section)
+		next.Parts[i].Revision = before.Revision
+		if !bytes.Equal(before.Text, part.Text) || before.Revision == 0 {
+			next.Parts[i].Revision = next.Revision
+		}
+	}
+	for _, before := range r.state.Parts {
+		if merger.Find(next.Parts, before.Section).Revision == 0 { // removed
+			gone := merger.Part{Section: before.Section, Revision: before.Revision}
+			if len(before.Text) > 0 {
+				gone.Revision = next.Revision
+			}
+			next.Parts = merger.Put(next.Parts, gone)
+		}
+	}
+}
+
+// changed returns the sections of which the text differs, in document order.
+func changed(before, after []merger.Part) []redwingshunt.Section {
+	var sections []redwingshunt.Section
+	for _, section := range redwingshunt.Sections() {
+		if !bytes.Equal(merger.Find(before, section).Text, merger.Find(after, section).Text) {
+			sections = append(sections, section)
+		}
+	}
+	return sections
+}
