--- a/daemon/promises.go
+++ b/daemon/promises.go
@@ -23,12 +23,6 @@
 	notifier  *notifier.Notifier
 }
 
-// wallClock is the clock of the machine.
-type wallClock struct{}
-
-// Now implements redwingshunt.Clock.
-func (wallClock) Now() time.Time { return time.Now() }
-
 // noLog stands for the log on an instance that has none.
 type noLog struct{}
 
