--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -29,12 +29,16 @@
 }
 
 // startFleet runs daemons on 127.0.0.1, 127.0.0.2, ... with examples/three.yaml.
-func startFleet(t *testing.T, count int) []*node {
+func startFleet(t *testing.T, count int, change ...func(*Options)) []*node {
 	t.Helper()
 	var nodes []*node
 	var seeds []netip.AddrPort
 	for i := range count {
-		d, err := New(testSettings(i, seeds), Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		options := Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+		for _, f := range change {
+			f(&options)
+		}
+		d, err := New(testSettings(i, seeds), options)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -46,6 +46,8 @@
 
 const (
 	maxSuspects = 4096
+	// maxLosses bounds the losses remembered of one suspect, whatever the limit.
+	maxLosses = 16
 	// sameLoss is the time within which an upstream is lost only once.
 	sameLoss = time.Second
 	// memory is how long a loss is remembered.
@@ -287,7 +289,7 @@
 			s = &suspect{others: make(map[redwingshunt.InstanceID]sighting)}
 			c.suspects[f] = s
 		}
-		if len(s.losses) < c.limit {
+		if len(s.losses) < maxLosses {
 			s.losses = append(s.losses, loss)
 		}
 	}
