--- a/replayer/replayer_test.go
+++ b/replayer/replayer_test.go
@@ -38,7 +38,7 @@
 	return nil
 }
 
-func exchange(w http.ResponseWriter, ctx context.Context, stream bool) *redwingshunt.Exchange {
+func exchange(ctx context.Context, w http.ResponseWriter, stream bool) *redwingshunt.Exchange {
 	return &redwingshunt.Exchange{
 		Writer:  w,
 		HTTP:    httptest.NewRequest(http.MethodPost, "/", nil).WithContext(ctx),
@@ -81,7 +81,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			cancel()
 			first := httptest.NewRecorder()
-			e := exchange(first, ctx, test.stream)
+			e := exchange(ctx, first, test.stream)
 			is.Equal(chain.Serve(ctx, e), test.err)
 			is.Equal(c.ended, test.ended)
 			if test.err != nil {
@@ -96,7 +96,7 @@
 				return
 			}
 			second := httptest.NewRecorder()
-			is.NoErr(chain.Serve(t.Context(), exchange(second, t.Context(), test.stream)))
+			is.NoErr(chain.Serve(t.Context(), exchange(t.Context(), second, test.stream)))
 			is.Equal(second.Body.String(), test.body)
 			is.Equal(second.Code, http.StatusCreated)
 			is.Equal(second.Header().Get(replayer.HeaderReplayed), "true")
@@ -120,7 +120,7 @@
 					t.Fatal("the request went on")
 					return nil
 				}))
-			err := chain.Serve(t.Context(), exchange(httptest.NewRecorder(), t.Context(), false))
+			err := chain.Serve(t.Context(), exchange(t.Context(), httptest.NewRecorder(), false))
 			outcome := redwingshunt.OutcomeOf(err)
 			is.Equal(outcome.Reason, reason)
 			notRun := state == redwingshunt.ClaimConflict
