Join the log, the configuration and claims to the daemon

Groups of claims are fixed at eight a voter, so the document's groups can change without changing the log.

--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -1,23 +1,24 @@
 package daemon
 
 import (
-	"log/slog"
+	"crypto/rand"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/authenticator"
 	"github.com/redwingshunt/redwingshunt/classifier"
-	"github.com/redwingshunt/redwingshunt/observer"
+	"github.com/redwingshunt/redwingshunt/replayer"
 	"github.com/redwingshunt/redwingshunt/responder"
 )
 
 // newChain returns the filters that each request passes, in their order. The
 // dispatcher at the end asks the scheduler for a grant, reads the answer
 // through the accountant and writes it to the caller.
-func newChain(dispatcher redwingshunt.Handler, observer *observer.Observer, newID func() string, logger *slog.Logger) redwingshunt.Handler {
-	return redwingshunt.Chain(dispatcher,
-		responder.New(logger).Filter,
-		observer.Filter,
+func (d *Daemon) newChain() redwingshunt.Handler {
+	return redwingshunt.Chain(d.dispatcher,
+		responder.New(d.logger).Filter,
+		d.metrics.observer.Filter,
 		authenticator.New().Filter,
-		classifier.New(newID).Filter,
+		classifier.New(rand.Text).Filter,
+		replayer.New(d.control.guarantor).Filter,
 	)
 }
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/claimer"
+	"github.com/redwingshunt/redwingshunt/guarantor"
+	"github.com/redwingshunt/redwingshunt/keeper"
+	"github.com/redwingshunt/redwingshunt/parser"
+	"github.com/redwingshunt/redwingshunt/recorder"
+	"github.com/redwingshunt/redwingshunt/registrar"
+	"github.com/redwingshunt/redwingshunt/submitter"
+	"github.com/redwingshunt/redwingshunt/subscriber"
+)
+
+// quorumInterval is how often a voter looks whether it is in touch with a
+// quorum.
+const quorumInterval = 500 * time.Millisecond
+
+// handoverLimit bounds handing over kept answers and the lead of the log when
+// the instance stops.
+const handoverLimit = 3 * time.Second
+
+// control is the durable state of the fleet as one instance takes part in it:
+// the log, the configuration that it holds, and claims.
+type control struct {
+	logger    *slog.Logger
+	recorder  *recorder.Recorder
+	subscribe *subscriber.Subscriber
+	submitter *submitter.Submitter
+	keeper    *keeper.Keeper
+	guarantor *guarantor.Guarantor
+	quorum    atomic.Bool
+	stop      context.CancelFunc
+	stopped   chan struct{}
+}
+
+// newControl opens the data folder. With a fixed document, the configuration of
+// the log is not used.
+func newControl(d *Daemon, fixed *fixedConfiguration) (*control, redwingshunt.Configuration, error) {
+	c := &control{logger: d.logger, stopped: make(chan struct{})}
+	c.subscribe = subscriber.New(subscriber.Options{
+		Link:     d.linker,
+		Members:  d.members,
+		Clock:    wallClock{},
+		Document: parser.Document,
+		Quorum:   c.quorum.Load,
+		Seed:     uint64(d.members.Self().Incarnation),
+		Logger:   d.logger,
+	})
+	voters := d.settings.Voters
+	log, err := recorder.New(recorder.Options{
+		Self:      d.settings.Name,
+		Members:   d.members,
+		Link:      d.linker,
+		Clock:     wallClock{},
+		Logger:    d.logger,
+		Folder:    d.settings.Data,
+		Initial:   voters,
+		Bootstrap: len(voters) > 0 && voters[0] == d.settings.Name && d.settings.Data != "",
+		Groups:    1 + redwingshunt.MaxGroups,
+		Machines:  c.machine,
+	})
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	c.recorder = log
+	c.submitter = submitter.New(submitter.Options{
+		Log: log, View: c.subscribe, Clock: wallClock{}, Section: parser.Section, Logger: d.logger,
+	})
+	var configuration redwingshunt.Configuration = c.subscribe
+	if fixed != nil {
+		configuration = fixed
+	}
+	c.keeper = keeper.New(wallClock{}, d.members, d.linker, configuration)
+	c.guarantor = guarantor.New(wallClock{}, log, d.members, configuration, c.keeper)
+	return c, configuration, nil
+}
+
+// machine returns the empty state of a group.
+func (c *control) machine(group redwingshunt.GroupID) redwingshunt.StateMachine {
+	if group != redwingshunt.GroupControl {
+		return claimer.New()
+	}
+	return registrar.New(registrar.Options{
+		Document: parser.Document,
+		Section:  parser.Section,
+		Accepted: c.subscribe.Accept,
+	})
+}
+
+// run takes part until ctx ends; the log goes on until close.
+func (c *control) run(ctx context.Context) {
+	logContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	c.stop = stop
+	go func() {
+		defer close(c.stopped)
+		err := c.recorder.Run(logContext)
+		if err != nil && !errors.Is(err, context.Canceled) {
+			c.logger.Error("the log of this instance has stopped; requests are still routed",
+				"error", err.Error(), "next", "restart the instance; see redwingshunt repair")
+		}
+	}()
+	go c.subscribe.Run(ctx)
+	go c.guarantor.Run(ctx)
+	go c.watchQuorum(ctx)
+}
+
+func (c *control) watchQuorum(ctx context.Context) {
+	ticker := time.NewTicker(quorumInterval)
+	defer ticker.Stop()
+	for {
+		groups := c.recorder.Status().Groups
+		c.quorum.Store(len(groups) > 0 && groups[0].Role != "" && groups[0].Leader != "")
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// close hands over what other instances can hold, and stops the log.
+func (c *control) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverLimit)
+	defer cancel()
+	if left := c.keeper.Handover(ctx); left > 0 {
+		c.logger.Warn("kept answers found no other instance", "answers", left)
+	}
+	c.stop()
+	<-c.stopped
+}
+
+// Logs returns the state of the logs for the administration API.
+func (c *control) Logs() []administrator.LogStatus {
+	var logs []administrator.LogStatus
+	for _, g := range c.recorder.Status().Groups {
+		entry := administrator.LogStatus{
+			Group: g.Group, Role: string(g.Role), Leader: g.Leader, Term: g.Term,
+			Commit: g.Commit, Last: g.Last, Pending: g.Pending, Lost: g.Lost,
+		}
+		for _, m := range g.Members {
+			entry.Members = append(entry.Members, administrator.LogMember{
+				Instance: m.Instance, Voter: m.Voter, Alive: m.Alive, Lag: m.Lag,
+			})
+		}
+		logs = append(logs, entry)
+	}
+	return logs
+}
+
+// Changes returns the newest accepted changes.
+func (c *control) Changes(ctx context.Context, limit int) ([]administrator.Change, error) {
+	found, err := c.submitter.Changes(ctx, limit, 0)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	changes := make([]administrator.Change, 0, len(found))
+	for _, f := range found {
+		changes = append(changes, administrator.Change{
+			Revision: f.Revision, Section: f.Section, Team: f.Team, At: f.At, ID: f.ID,
+		})
+	}
+	return changes, nil
+}
+
+// Text returns the document as it was at a revision.
+func (c *control) Text(ctx context.Context, revision redwingshunt.Revision) ([]byte, error) {
+	part, err := c.submitter.Text(ctx, "", revision)
+	return part.Text, trace.Wrap(err)
+}
+
+// Replace makes an instance a voter in place of a lost one.
+func (c *control) Replace(ctx context.Context, lost, fresh redwingshunt.InstanceID) error {
+	return trace.Wrap(c.recorder.Replace(ctx, lost, fresh))
+}
+
+// Backup writes the committed state.
+func (c *control) Backup(w io.Writer) error {
+	return trace.Wrap(c.recorder.Backup(w))
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -57,7 +56,9 @@
 	members    *memberTable
 	linker     *linker.Linker
 	scheduling *coordinator.Coordinator
-	configured *configuration
+	fixed      *fixedConfiguration // nil when the document is that of the log
+	configured redwingshunt.Configuration
+	control    *control
 	dispatcher *dispatcher.Dispatcher
 	listener   *listener.Listener
 	grpc       *grpc.Server
@@ -77,7 +78,10 @@
 		d.sockets.close()
 		return nil, trace.Wrap(err)
 	}
-	d.assemble()
+	if err := d.assemble(); err != nil {
+		d.sockets.close()
+		return nil, trace.Wrap(err)
+	}
 	return d, nil
 }
 
@@ -86,16 +90,16 @@
 	if err := d.openCertificates(); err != nil {
 		return err
 	}
-	configured, err := newConfiguration(d.settings, d.options.Document)
+	fixed, err := newFixedConfiguration(d.settings, d.options.Document)
 	if err != nil {
 		return err
 	}
-	d.configured = configured
+	d.fixed = fixed
 	return d.sockets.open(d.settings)
 }
 
 // assemble connects the parts. The order of the chain stands in chain.go.
-func (d *Daemon) assemble() {
+func (d *Daemon) assemble() error {
 	self := redwingshunt.Instance{
 		ID:          d.settings.Name,
 		Incarnation: redwingshunt.Incarnation(time.Now().UnixMicro()),
@@ -115,6 +119,12 @@
 		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
+	control, configured, err := newControl(d, d.fixed)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.control = control
+	d.configured = configured
 	d.metrics = newMetrics(d)
 	d.scheduling = coordinator.New(coordinator.Options{
 		Members:       d.members,
@@ -126,7 +136,7 @@
 	})
 	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, d.metrics.observer, rand.Text, d.logger),
+		Chain:         d.newChain(),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -139,12 +149,14 @@
 	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
 	wire.RegisterInstancesServer(d.grpc, d.linker)
 	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
+	return nil
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.control.run(background)
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -25,22 +25,33 @@
 
 // parts plugs the daemon into the administration API.
 func (d *Daemon) parts() administrator.Parts {
-	return administrator.Parts{
+	parts := administrator.Parts{
 		Version:       redwingshunt.Version,
 		Members:       d.members,
 		Configuration: d.configured,
 		Bootstrap:     d.settings.Bootstrap,
 		Readiness:     d,
 		Fleet:         d,
+		Log:           d.control,
+		History:       d.control,
+		Repairer:      d.control,
+		Archiver:      d.control,
 		Dumpers: map[string]redwingshunt.Dumper{
 			"members":    d.members,
 			"links":      d.linker,
 			"dispatcher": d.dispatcher,
 			"scheduling": d.scheduling,
+			"log":        d.control.recorder,
+			"document":   d.control.subscribe,
+			"answers":    d.control.keeper,
 		},
 		Drainer: d,
 		Metrics: d.metrics.handler,
 	}
+	if d.fixed == nil {
+		parts.Submitter = d.control.submitter
+	}
+	return parts
 }
 
 // Ready returns an empty text, or why the instance does not serve callers.
@@ -86,6 +97,7 @@
 			Configuration: d.configured,
 			Members:       d.members,
 			Readiness:     d,
+			Log:           d.control,
 			Traffic:       d.linker.Traffic,
 		}),
 		handler: handler,
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -28,6 +28,7 @@
 		_ = d.listener.Close()
 	}
 	d.dispatcher.Close()
+	d.control.close()
 	d.linker.Close()
 	d.grpc.Stop()
 	_ = d.admin.Close()
--- a/log.go
+++ b/log.go
@@ -41,3 +41,8 @@
 	// Restore replaces the state by a snapshot.
 	Restore(snapshot []byte) error
 }
+
+// MaxGroups bounds Document.Fleet.Groups. Every voter keeps that many groups of
+// claims beside GroupControl, used or not, since the groups of a log are the
+// same for good; their heartbeats share messages, so unused ones cost nothing.
+const MaxGroups = 8
--- a/parser/document.go
+++ b/parser/document.go
@@ -116,7 +116,7 @@
 
 var fleetObject = object(
 	optional("gap", func(f *redwingshunt.FleetConfiguration) *time.Duration { return &f.Gap }, duration(100*time.Millisecond, time.Hour)),
-	optional("groups", func(f *redwingshunt.FleetConfiguration) *int { return &f.Groups }, integer[int](1, 64)),
+	optional("groups", func(f *redwingshunt.FleetConfiguration) *int { return &f.Groups }, integer[int](1, redwingshunt.MaxGroups)),
 	optional("keep", func(f *redwingshunt.FleetConfiguration) *time.Duration { return &f.Keep }, duration(time.Minute, 30*day)),
 	optional("space", func(f *redwingshunt.FleetConfiguration) *int64 { return &f.Space }, size(1<<20, 1<<40)),
 	optional("budget", func(f *redwingshunt.FleetConfiguration) *int { return &f.Budget }, integer[int](0, 100)),
