--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -23,7 +23,7 @@
 	temporarySuffix = ".tmp"
 
 	rotateFactor = 4       // a journal is written anew at this many times its first size, or later
-	readEntries  = 1 << 10 // entries in one record of a new journal
+	recordBytes  = 1 << 20 // entries in one record, if there are more
 )
 
 // DefaultRotate is the size in bytes from which a journal is written anew.
@@ -168,7 +168,7 @@
 	if record.Snapshot != nil {
 		persist.Snapshot = &replicator.Snapshot{SnapshotMeta: encoder.ParseSnapshotMeta(record.Snapshot)}
 	}
-	if persist.HardState == nil && persist.Snapshot == nil && persist.Entries == nil {
+	if persist.HardState == nil && persist.Snapshot == nil && persist.Entries == nil && persist.Commit == 0 {
 		return nil
 	}
 	return j.add(redwingshunt.GroupID(record.Group), persist)
@@ -195,14 +195,14 @@
 }
 
 func (j *Journal) writeAll(records []Record) error {
-	converted := make([]*wire.LogRecord, len(records))
-	for i, r := range records {
+	var converted []*wire.LogRecord
+	for _, r := range records {
 		if r.Persist.Snapshot != nil {
 			if err := j.saveSnapshot(r.Group, *r.Persist.Snapshot); err != nil {
 				return err
 			}
 		}
-		converted[i] = convert(r)
+		converted = append(converted, convert(r)...)
 	}
 	if err := j.write(converted); err != nil {
 		return err
@@ -221,17 +221,35 @@
 	return nil
 }
 
-func convert(r Record) *wire.LogRecord {
-	record := &wire.LogRecord{
-		Group: uint32(r.Group), Entries: encoder.Entries(r.Persist.Entries), Commit: r.Persist.Commit,
-	}
+// convert returns the records that hold a change.
+func convert(r Record) []*wire.LogRecord {
+	record := &wire.LogRecord{Group: uint32(r.Group)}
 	if r.Persist.HardState != nil {
 		record.Hard = encoder.HardState(*r.Persist.HardState)
 	}
 	if r.Persist.Snapshot != nil {
 		record.Snapshot = encoder.SnapshotMeta(r.Persist.Snapshot.SnapshotMeta)
 	}
-	return record
+	records := divide(r.Group, r.Persist.Entries, r.Persist.Commit)
+	if record.Hard == nil && record.Snapshot == nil {
+		return records
+	}
+	return append([]*wire.LogRecord{record}, records...)
+}
+
+// divide returns records of a bounded size for entries. The last one has the
+// commit index, which may concern any of them.
+func divide(group redwingshunt.GroupID, entries []replicator.Entry, commit uint64) []*wire.LogRecord {
+	var records []*wire.LogRecord
+	first, size := 0, 0
+	for i, e := range entries {
+		size += len(e.Data)
+		if size >= recordBytes {
+			records = append(records, &wire.LogRecord{Group: uint32(group), Entries: encoder.Entries(entries[first : i+1])})
+			first, size = i+1, 0
+		}
+	}
+	return append(records, &wire.LogRecord{Group: uint32(group), Entries: encoder.Entries(entries[first:]), Commit: commit})
 }
 
 // write appends records to the file and syncs it.
@@ -299,11 +317,8 @@
 			Group:    uint32(group),
 			Hard:     encoder.HardState(stored.HardState),
 			Snapshot: encoder.SnapshotMeta(stored.Snapshot),
-			Commit:   stored.Commit,
 		})
-		for entries := range slices.Chunk(stored.Entries, readEntries) {
-			records = append(records, &wire.LogRecord{Group: uint32(group), Entries: encoder.Entries(entries)})
-		}
+		records = append(records, divide(group, stored.Entries, stored.Commit)...)
 	}
 	var data []byte
 	for _, record := range append(records, &wire.LogRecord{}) {
@@ -339,29 +354,6 @@
 	return groups
 }
 
-// Erase empties a folder, which gets a new identity when it is next opened.
-func Erase(files FileSystem) error {
-	lock, err := files.Lock(lockName)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer lock.Close()
-	names, err := files.List()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	slices.Sort(names) // the journal before the snapshots that it names
-	for _, name := range names {
-		if name == lockName {
-			continue
-		}
-		if err := files.Remove(name); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	return trace.Wrap(files.Sync())
-}
-
 // Close releases the folder.
 func (j *Journal) Close() error {
 	if j.file != nil {
--- a/recorder/options.go
+++ b/recorder/options.go
@@ -113,7 +113,7 @@
 	}
 	if lost(journal) {
 		r.options.Logger.Warn("data folder holds no vote any more; a new one begins", "folder", journal.Folder())
-		if err := errors.Join(journal.Close(), journaler.Erase(files)); err != nil {
+		if err := errors.Join(journal.Close(), journaler.SetAside(files)); err != nil {
 			return err
 		}
 		if journal, err = journaler.Open(options); err != nil {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -45,6 +45,7 @@
 	leader      MemberID
 	leaderHeard time.Duration
 	electionAt  time.Duration
+	campaigns   int // since a leader was heard
 	votes       map[MemberID]bool
 	starts      map[MemberID]uint64 // newest start seen of each member
 
@@ -207,6 +208,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.leaderHeard = c.now
+	c.campaigns = 0
 	c.resetElection(ElectionTimeout, ElectionSpread)
 	switch m.Kind {
 	case MessageAppend:
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -17,6 +17,14 @@
 	c.electionAt = c.now + timeout + time.Duration(c.random.Int64N(int64(spread)))
 }
 
+// backOff sets the time of the next campaign should the present one fail. A
+// replica that cannot reach a quorum asks ever less often.
+func (c *Core) backOff() {
+	wait := min(CampaignRetry<<min(c.campaigns, 8), CampaignRetryMax)
+	c.campaigns++
+	c.resetElection(wait, wait)
+}
+
 // leaderAlive reports whether a leader was heard lately. After its start a
 // replica behaves as if it had just heard one, so that a living leader can
 // check its disk before it votes.
@@ -45,7 +53,7 @@
 
 // campaign asks the voters whether they would elect this replica.
 func (c *Core) campaign() {
-	c.resetElection(RetransmitTimeout, RetransmitTimeout)
+	c.backOff()
 	if !c.mayVote() {
 		return
 	}
@@ -65,7 +73,6 @@
 	c.leader = MemberID{}
 	c.votes = make(map[MemberID]bool)
 	c.setHard(HardState{Term: c.hard.Term + 1, Vote: c.self})
-	c.resetElection(RetransmitTimeout, RetransmitTimeout)
 	c.askVoters(Message{Kind: MessageVote, Forced: forced})
 	c.send(Message{Kind: MessageVoteReply, To: c.self})
 }
@@ -136,6 +143,7 @@
 // handleCampaign stands for election because the leader hands over.
 func (c *Core) handleCampaign(m Message) {
 	if c.mayVote() && c.leader == m.From {
+		c.backOff()
 		c.standForElection(true)
 	}
 }
@@ -145,6 +153,7 @@
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
 	c.leader = c.self
+	c.campaigns = 0
 	c.progress = make(map[MemberID]*progress)
 	c.transferee = MemberID{}
 	c.loading = false
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -14,6 +14,8 @@
 	HeartbeatPeriod    = time.Second            // leader to each member
 	ElectionTimeout    = 2 * time.Second        // silence of the leader before an election, at least
 	ElectionSpread     = time.Second            // random addition to ElectionTimeout
+	CampaignRetry      = 500 * time.Millisecond // after a campaign without result, at least; doubled each time
+	CampaignRetryMax   = 2 * time.Second
 	RetransmitTimeout  = 500 * time.Millisecond // an append or a chunk without acknowledgement is sent again
 	MaxAdvance         = time.Second            // most that one call advances the time of the core
 	MaxAppendBytes     = 256 << 10              // entries in one message
