--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -138,6 +138,22 @@
 	})
 }
 
+// TestProposalAfterLeaderLoss commits a command within 5 s of the loss of the
+// leader, by simulated time.
+func TestProposalAfterLeaderLoss(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(t, seed, "a", "b", "c", "router")
+			_, err := n.propose("router", "+", 5*time.Second)
+			is.New(t).NoErr(err)
+			time.Sleep(time.Duration(seed) * 100 * time.Millisecond)
+			n.halt(n.leader())
+			_, err = n.propose("router", "+", 5*time.Second)
+			is.New(t).NoErr(err)
+		})
+	}
+}
+
 func TestIsolatedLeaderServesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -58,7 +58,8 @@
 	for _, member := range c.membership() {
 		p := c.progress[member.ID]
 		if p == nil {
-			p = &progress{next: c.log.last() + 1, probing: true, heard: c.now}
+			next := max(c.log.last(), c.log.base+1) // the last entry, if there is one, as a probe
+			p = &progress{next: next, probing: true, heard: c.now}
 		}
 		tracked[member.ID] = p
 	}
