--- a/recorder/client.go
+++ b/recorder/client.go
@@ -127,9 +127,9 @@
 // target returns the leader of a group as far as known, or else a voter, each
 // in its turn.
 func (r *Recorder) target(group redwingshunt.GroupID) redwingshunt.InstanceID {
+	voters := r.voters()
 	r.client.mu.Lock()
 	defer r.client.mu.Unlock()
-	voters := r.voters()
 	if leader := r.client.leaders[group]; leader != "" {
 		return leader
 	}
