Tell accounts and upstreams as the owners of services know them

The coordinator tells its state, and the command line asks each instance and takes the widest view. The observer no longer repeats what the coordinator publishes by account. Windows carry what the upstream announced last.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -90,13 +90,15 @@
 
 // AccountReader tells how the client accounts are served.
 type AccountReader interface {
-	// Accounts returns one entry an account and service, ordered by both.
+	// Accounts returns one entry an account and service that this instance knows,
+	// ordered by both.
 	Accounts() []AccountStatus
 }
 
 // UpstreamReader tells what is known of the upstreams.
 type UpstreamReader interface {
-	// Upstreams returns one entry an upstream, ordered by service and name.
+	// Upstreams returns one entry an upstream, ordered by service and name; none
+	// for a service that this instance does not own.
 	Upstreams() []UpstreamStatus
 }
 
--- a/administrator/types.go
+++ b/administrator/types.go
@@ -99,31 +99,48 @@
 	ID       string                `json:"id"` // of the submission
 }
 
+// The views that an instance has of an account.
+const (
+	ViewRegion   = "region"   // of the whole region, as the owner of the service
+	ViewInstance = "instance" // of the requests that wait on it
+)
+
 // AccountStatus tells how one account is served by one service.
 type AccountStatus struct {
-	Account  redwingshunt.AccountID `json:"account"`
-	Service  redwingshunt.ServiceID `json:"service"`
-	Share    redwingshunt.Share     `json:"share"`
-	Received redwingshunt.Cost      `json:"received"` // service received, in the unit of the service
-	Gap      redwingshunt.Cost      `json:"gap"`      // behind the most served backlogged account, a share
-	Backlog  int                    `json:"backlog"`  // requests that wait
-	Running  int                    `json:"running"`
-	Wait     Duration               `json:"wait"` // of the request that has waited longest
+	Account  redwingshunt.AccountID  `json:"account"`
+	Service  redwingshunt.ServiceID  `json:"service"`
+	Instance redwingshunt.InstanceID `json:"instance"` // who tells
+	View     string                  `json:"view"`     // ViewRegion or ViewInstance
+	Share    redwingshunt.Share      `json:"share"`
+	Virtual  int64                   `json:"virtual"` // service a share, in the unit of the service; idle time counts as served
+	Gap      Duration                `json:"gap"`     // ahead of the least served backlogged account, in time of the whole service
+	Backlog  int                     `json:"backlog"` // requests that wait
+	Running  int                     `json:"running"`
+	Wait     Duration                `json:"wait"` // of the oldest request that waits on the instance
 }
 
-// UpstreamStatus is what this instance knows of one upstream.
+// The health of an upstream.
+const (
+	HealthAlive   = "alive"
+	HealthLeaving = "leaving" // gets no new requests
+	HealthEjected = "ejected" // failed, and gets no requests for a while
+)
+
+// UpstreamStatus is what the owner of a service knows of one upstream.
 type UpstreamStatus struct {
 	ID      redwingshunt.UpstreamID `json:"id"`
 	Service redwingshunt.ServiceID  `json:"service"`
 	Region  redwingshunt.RegionID   `json:"region"`
 	Zone    redwingshunt.ZoneID     `json:"zone"`
+	Lender  redwingshunt.InstanceID `json:"lender,omitempty"` // owner of the region that lends slots of it
 	Address string                  `json:"address"`
 	Version string                  `json:"version,omitempty"`
-	Slots   int                     `json:"slots"`
-	Window  int                     `json:"window"`  // requests that the fleet lets run at once
-	Running int                     `json:"running"` // as the upstream reported last
-	Waiting int                     `json:"waiting"` // as the upstream reported last
-	Health  string                  `json:"health"`  // alive, leaving or ejected
+	Slots   int                     `json:"slots"`   // as announced
+	Window  int                     `json:"window"`  // requests that may be with it at once
+	Running int                     `json:"running"` // requests of the region
+	Lent    int                     `json:"lent"`    // slots lent to other regions
+	Foreign int                     `json:"foreign"` // other requests, from its load reports
+	Health  string                  `json:"health"`
 }
 
 // DumpVersion numbers the form of a dump.
--- a/cmd/redwingshunt/commander/verb_accounts.go
+++ b/cmd/redwingshunt/commander/verb_accounts.go
@@ -1,10 +1,14 @@
 package commander
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/requester"
 )
 
 // VerbAccountsSetup is the verb accounts.
@@ -14,10 +18,14 @@
 	Options: &VerbAccountsOptions{},
 	Parse:   parseVerbAccounts,
 	Usage: `Usage: redwingshunt accounts [OPTION]...
-Shows how the client accounts are served, as the asked instance knows it:
-the service received in the unit of the service, the gap behind the most served
-backlogged account in that unit a share, the requests that wait and run, and how
-long the oldest has waited.
+Shows how the client accounts are served, as the instances that --admin names know
+it. The owner of a service in a region knows all accounts of its region; when it is
+among those asked, it is shown in place of what waits on single instances.
+
+VIRTUAL is the service received a share, in the unit of the service, where idle time
+counts as served. GAP is how far the account is ahead of the least served backlogged
+one, in time of the service's whole capacity. WAIT is how long the oldest request on
+the instance has waited.
 
 Options:
   --service NAME    this service alone
@@ -51,7 +59,7 @@
 		return err
 	}
 	defer client.Close()
-	all, err := client.Accounts(ctx)
+	all, err := askAccounts(ctx, console, client)
 	if err != nil {
 		return err
 	}
@@ -64,11 +72,41 @@
 	return printAccounts(console, chosen)
 }
 
+// askAccounts asks each instance and takes the widest views.
+func askAccounts(ctx context.Context, console *Console, client *requester.Client) ([]administrator.AccountStatus, error) {
+	answers, err := askEach(console, client, func(each *requester.Client) ([]administrator.AccountStatus, error) {
+		return each.Accounts(ctx)
+	})
+	return widest(slices.Concat(answers...)), err
+}
+
+// widest leaves out the views of single instances for services of which a
+// region is seen, and orders by service, account and instance.
+func widest(all []administrator.AccountStatus) []administrator.AccountStatus {
+	regional := make(redwingshunt.Set[redwingshunt.ServiceID])
+	for _, a := range all {
+		if a.View == administrator.ViewRegion {
+			regional.Add(a.Service)
+		}
+	}
+	all = filter(all, func(a administrator.AccountStatus) bool {
+		return a.View == administrator.ViewRegion || !regional.Has(a.Service)
+	})
+	slices.SortFunc(all, func(a, b administrator.AccountStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Account, b.Account), cmp.Compare(a.Instance, b.Instance))
+	})
+	return all
+}
+
 // printAccounts prints a table of accounts.
 func printAccounts(console *Console, accounts []administrator.AccountStatus) error {
-	rows := [][]any{{"ACCOUNT", "SERVICE", "SHARE", "RECEIVED", "GAP", "BACKLOG", "RUNNING", "WAIT"}}
+	rows := [][]any{{"SERVICE", "ACCOUNT", "SHARE", "SEEN BY", "VIRTUAL", "GAP", "BACKLOG", "RUNNING", "WAIT"}}
 	for _, a := range accounts {
-		rows = append(rows, []any{a.Account, a.Service, a.Share, a.Received, a.Gap, a.Backlog, a.Running, a.Wait.Round(time.Millisecond)})
+		seen := string(a.Instance) + " (" + a.View + ")"
+		rows = append(rows, []any{
+			a.Service, a.Account, a.Share, seen, a.Virtual, a.Gap.Round(time.Millisecond),
+			a.Backlog, a.Running, a.Wait.Round(time.Millisecond),
+		})
 	}
 	return console.Table(rows)
 }
--- a/cmd/redwingshunt/commander/verb_top.go
+++ b/cmd/redwingshunt/commander/verb_top.go
@@ -95,10 +95,10 @@
 	if view.Status, err = client.Status(ctx); err != nil {
 		return err
 	}
-	if view.Accounts, err = client.Accounts(ctx); withoutPart(err) != nil {
+	if view.Accounts, err = askAccounts(ctx, console, client); withoutPart(err) != nil {
 		return err
 	}
-	if view.Upstreams, err = client.Upstreams(ctx); withoutPart(err) != nil {
+	if view.Upstreams, err = askUpstreams(ctx, console, client); withoutPart(err) != nil {
 		return err
 	}
 	if v.options.JSON {
--- a/cmd/redwingshunt/commander/verb_upstreams.go
+++ b/cmd/redwingshunt/commander/verb_upstreams.go
@@ -1,9 +1,12 @@
 package commander
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/requester"
 )
 
 // VerbUpstreamsSetup is the verb upstreams.
@@ -13,8 +16,10 @@
 	Options: &VerbUpstreamsOptions{},
 	Parse:   parseVerbUpstreams,
 	Usage: `Usage: redwingshunt upstreams [OPTION]...
-Shows the upstreams that the asked instance knows: how many requests each says it
-can run, how many the fleet lets run there (window), and what it reported last.
+Shows the upstreams as the owners of their services know them, among the instances
+that --admin names. SLOTS is what an upstream announced, WINDOW how many requests may
+be with it at once, RUNNING those of the owner's region, LENT the slots lent to other
+regions, FOREIGN other requests that its load reports show.
 
 Options:
   --service NAME    this service alone
@@ -46,7 +51,7 @@
 		return err
 	}
 	defer client.Close()
-	all, err := client.Upstreams(ctx)
+	all, err := askUpstreams(ctx, console, client)
 	if err != nil {
 		return err
 	}
@@ -59,11 +64,27 @@
 	return printUpstreams(console, chosen)
 }
 
+// askUpstreams asks each instance and orders by service and name.
+func askUpstreams(ctx context.Context, console *Console, client *requester.Client) ([]administrator.UpstreamStatus, error) {
+	answers, err := askEach(console, client, func(each *requester.Client) ([]administrator.UpstreamStatus, error) {
+		return each.Upstreams(ctx)
+	})
+	all := slices.Concat(answers...)
+	slices.SortFunc(all, func(a, b administrator.UpstreamStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Lender, b.Lender))
+	})
+	return all, err
+}
+
 // printUpstreams prints a table of upstreams.
 func printUpstreams(console *Console, upstreams []administrator.UpstreamStatus) error {
-	rows := [][]any{{"UPSTREAM", "SERVICE", "ZONE", "ADDRESS", "SLOTS", "WINDOW", "RUNNING", "WAITING", "HEALTH"}}
+	rows := [][]any{{"SERVICE", "UPSTREAM", "ZONE", "ADDRESS", "SLOTS", "WINDOW", "RUNNING", "LENT", "FOREIGN", "HEALTH"}}
 	for _, u := range upstreams {
-		rows = append(rows, []any{u.ID, u.Service, u.Zone, u.Address, u.Slots, u.Window, u.Running, u.Waiting, u.Health})
+		health := u.Health
+		if u.Lender != "" {
+			health += ", lent by " + string(u.Lender)
+		}
+		rows = append(rows, []any{u.Service, u.ID, u.Zone, u.Address, u.Slots, u.Window, u.Running, u.Lent, u.Foreign, health})
 	}
 	return console.Table(rows)
 }
--- /dev/null
+++ b/coordinator/state.go
@@ -0,0 +1,40 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/scheduler"
+)
+
+// State is what this instance knows of one service.
+type State struct {
+	Service  redwingshunt.ServiceID
+	Active   bool                 // this instance owns the service in its region
+	Lines    []scheduler.Line     // accounts that wait on this instance
+	Accounts []scheduler.Standing // accounts of the region, when Active
+	Windows  []scheduler.Window   // upstreams that the region uses, when Active
+}
+
+// States returns what this instance knows of each service, ordered by name,
+// with at most limit entries in each list.
+func (c *Coordinator) States(limit int) []State {
+	var list []State
+	c.each(func(d *desk) { list = append(list, d.state(limit)) })
+	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
+
+// state returns what the desk knows.
+func (d *desk) state(limit int) State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := State{Service: d.service, Lines: d.queue.Lines(d.now(), limit)}
+	if d.owner != nil && d.duty.Active {
+		s.Active = true
+		s.Accounts = d.owner.Standings(limit)
+		s.Windows = d.owner.Windows(limit)
+	}
+	return s
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -34,7 +34,6 @@
 	Configuration redwingshunt.Configuration
 	Members       redwingshunt.Members
 	Readiness     administrator.Readiness
-	Accounts      administrator.AccountReader
 	Upstreams     administrator.UpstreamReader
 	Log           administrator.LogReader
 	Traffic       func() []linker.Traffic
@@ -83,7 +82,6 @@
 		o.gauges[s] = false
 	}
 	o.observeInstance(now)
-	o.observeAccounts()
 	o.observeUpstreams()
 	o.observeLogs()
 	o.observeTraffic()
@@ -131,20 +129,6 @@
 	o.set(series{name: "ready"}, oneIf(ready))
 }
 
-func (o *Observer) observeAccounts() {
-	if o.sources.Accounts == nil {
-		return
-	}
-	for _, a := range o.sources.Accounts.Accounts() {
-		labels := series{key: "account", value: string(a.Account), other: "service", otherSays: string(a.Service)}
-		o.set(labels.named("account_received"), float64(a.Received))
-		o.set(labels.named("account_gap"), float64(a.Gap))
-		o.set(labels.named("account_backlog"), float64(a.Backlog))
-		o.set(labels.named("account_running"), float64(a.Running))
-		o.set(labels.named("account_wait_seconds"), a.Wait.Seconds())
-	}
-}
-
 // named returns the series of another name with the same labels.
 func (s series) named(name string) series {
 	s.name = name
@@ -157,11 +141,15 @@
 	}
 	sums := make(map[series]int)
 	for _, u := range o.sources.Upstreams.Upstreams() {
+		if u.Lender != "" {
+			continue // its own region counts it
+		}
 		service := series{key: "service", value: string(u.Service), other: "zone", otherSays: string(u.Zone)}
 		sums[service.named("upstream_slots")] += u.Slots
 		sums[service.named("upstream_window")] += u.Window
 		sums[service.named("upstream_running")] += u.Running
-		sums[service.named("upstream_waiting")] += u.Waiting
+		sums[service.named("upstream_lent")] += u.Lent
+		sums[service.named("upstream_foreign")] += u.Foreign
 		sums[series{name: "upstreams", key: "service", value: string(u.Service), other: "health", otherSays: u.Health}]++
 	}
 	for s, sum := range sums {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -306,6 +306,8 @@
 	Lent     int                     `json:"lent,omitempty"`
 	Foreign  int                     `json:"foreign,omitempty"`
 	Leaving  bool                    `json:"leaving,omitempty"`
+
+	Announced redwingshunt.Upstream `json:"-"` // as it was announced last
 }
 
 // Windows returns the state of up to limit upstreams.
@@ -315,7 +317,7 @@
 	for _, v := range views[:min(limit, len(views))] {
 		list = append(list, Window{
 			Upstream: v.Key.ID, Lender: v.Key.Lender, Window: v.Window, Running: v.Own,
-			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving,
+			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving, Announced: v.Upstream,
 		})
 	}
 	return list
