Show the document as it was submitted, comments included

A section is kept as its team wrote it; writing it anew lost the comments. The line that names the base is taken off before a text is submitted, and findings keep their place in the file. Logs that are alike share a line of the status.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -39,6 +39,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
 )
 
 // Parts are what the routes of one instance work on. Members and Configuration
@@ -52,6 +53,7 @@
 	Fleet         FleetReader
 	Log           LogReader
 	Submitter     redwingshunt.Submitter
+	Texts         TextReader
 	History       HistoryReader
 	Accounts      AccountReader
 	Upstreams     UpstreamReader
@@ -80,6 +82,15 @@
 	Logs() []LogStatus
 }
 
+// TextReader tells the document in force as it was submitted, comments included.
+// A subscriber.Subscriber is one. Without it, the document is written anew.
+type TextReader interface {
+	// Part returns the text of a section.
+	Part(section redwingshunt.Section) merger.Part
+	// Text returns the text of the whole document.
+	Text() []byte
+}
+
 // HistoryReader tells the accepted changes of the document.
 type HistoryReader interface {
 	// Changes returns the newest changes, newest first, at most limit.
--- a/administrator/read.go
+++ b/administrator/read.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/merger"
 	"github.com/redwingshunt/redwingshunt/parser"
 )
 
@@ -146,7 +148,27 @@
 	if section != "" {
 		revision = snapshot.Sections[section]
 	}
-	return writeDocument(w, snapshot.Document, section, revision)
+	text, err := s.textInForce(snapshot, section)
+	if err != nil {
+		return err
+	}
+	writeDocument(w, text, revision)
+	return nil
+}
+
+// textInForce returns the document, or one section of it, as it was submitted
+// where that is known.
+func (s *server) textInForce(snapshot *redwingshunt.Snapshot, section redwingshunt.Section) ([]byte, error) {
+	if section != "" && !slices.Contains(redwingshunt.Sections(), section) {
+		return nil, invalid(fmt.Sprintf("there is no section %q", section), "see docs/API.md for the sections")
+	}
+	switch {
+	case s.parts.Texts == nil:
+		return parser.Encode(snapshot.Document, section)
+	case section == "":
+		return s.parts.Texts.Text(), nil
+	}
+	return s.parts.Texts.Part(section).Text, nil
 }
 
 // getPast answers with the document as it was at a revision.
@@ -162,23 +184,18 @@
 	if err != nil {
 		return err
 	}
-	document, findings := parser.Document("revision "+text, past)
-	if err := findings.Err(); err != nil {
-		return err
+	if section != "" {
+		past = merger.Find(merger.Split(past), section).Text
 	}
-	return writeDocument(w, document, section, redwingshunt.Revision(revision))
+	writeDocument(w, past, redwingshunt.Revision(revision))
+	return nil
 }
 
-// writeDocument answers with a document or one section of it.
-func writeDocument(w http.ResponseWriter, document *redwingshunt.Document, section redwingshunt.Section, revision redwingshunt.Revision) error {
-	text, err := parser.Encode(document, section)
-	if err != nil {
-		return invalid(err.Error(), "see docs/API.md for the sections")
-	}
+// writeDocument answers with YAML and its revision.
+func writeDocument(w http.ResponseWriter, text []byte, revision redwingshunt.Revision) {
 	w.Header().Set("Content-Type", "application/yaml")
 	w.Header().Set("ETag", strconv.Quote(revision.String()))
 	_, _ = w.Write(text)
-	return nil
 }
 
 func (s *server) getDump(w http.ResponseWriter, _ *http.Request) error {
--- a/cmd/redwingshunt/commander/verb_diff.go
+++ b/cmd/redwingshunt/commander/verb_diff.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/parser"
+	"github.com/redwingshunt/redwingshunt/requester"
 )
 
 // VerbDiffSetup is the verb diff.
@@ -73,42 +74,52 @@
 		return err
 	}
 	defer client.Close()
-	before, _, err := client.Document(ctx, "", redwingshunt.Revision(v.options.From))
+	before, err := v.revision(ctx, client, v.options.From)
 	if err != nil {
 		return err
 	}
-	var after []byte
+	var after *redwingshunt.Document
 	if v.file == "" {
-		after, _, err = client.Document(ctx, "", redwingshunt.Revision(v.options.To))
+		after, err = v.revision(ctx, client, v.options.To)
 	} else {
 		after, err = v.merge(console, before)
 	}
 	if err != nil {
 		return err
 	}
-	return v.print(console, diffLines(splitLines(before), splitLines(after)))
+	old, err := parser.Encode(before, "")
+	if err != nil {
+		return err
+	}
+	next, err := parser.Encode(after, "")
+	if err != nil {
+		return err
+	}
+	return v.print(console, diffLines(splitLines(old), splitLines(next)))
 }
 
-// merge returns the document in force as the file would change it.
-func (v *VerbDiff) merge(console *Console, before []byte) ([]byte, error) {
-	text, err := readFile(console, v.file)
+// revision returns the document at a revision, zero for the one in force.
+func (v *VerbDiff) revision(ctx context.Context, client *requester.Client, revision uint64) (*redwingshunt.Document, error) {
+	text, _, err := client.Document(ctx, "", redwingshunt.Revision(revision))
 	if err != nil {
 		return nil, err
 	}
-	whole, findings := parser.Document("in force", before)
-	if err := findings.Err(); err != nil {
+	document, findings := parser.Document("from "+client.Target().String(), text)
+	return document, findings.Err()
+}
+
+// merge returns the document in force as the file would change it.
+func (v *VerbDiff) merge(console *Console, whole *redwingshunt.Document) (*redwingshunt.Document, error) {
+	text, err := readFile(console, v.file)
+	if err != nil {
 		return nil, err
 	}
-	section := onlySection(text)
-	if section == "" {
-		whole, findings = parser.Document(v.file, text)
-	} else {
-		whole, findings = parser.Section(v.file, section, text, whole)
-	}
-	if err := findings.Err(); err != nil {
-		return nil, err
+	if section := onlySection(text); section != "" {
+		document, findings := parser.Section(v.file, section, text, whole)
+		return document, findings.Err()
 	}
-	return parser.Encode(whole, "")
+	document, findings := parser.Document(v.file, text)
+	return document, findings.Err()
 }
 
 // print prints the changed lines.
--- a/cmd/redwingshunt/commander/verb_status.go
+++ b/cmd/redwingshunt/commander/verb_status.go
@@ -167,22 +167,36 @@
 		return err
 	}
 	for _, asked := range f.Asked {
-		for _, l := range asked.Logs {
-			fmt.Fprintf(console.Out, "log %d on %s: %s\n", l.Group, asked.Instance, describeLog(l))
-		}
+		printLogs(console, asked)
 	}
 	return nil
 }
 
+// printLogs prints the logs of one instance, those alike in one line.
+func printLogs(console *Console, asked administrator.Status) {
+	groups := make(map[string][]string)
+	var order []string
+	for _, l := range asked.Logs {
+		text := describeLog(l)
+		if groups[text] == nil {
+			order = append(order, text)
+		}
+		groups[text] = append(groups[text], fmt.Sprint(l.Group))
+	}
+	for _, text := range order {
+		fmt.Fprintf(console.Out, "log %s on %s: %s\n", strings.Join(groups[text], " "), asked.Instance, text)
+	}
+}
+
 // describeLog sums up a log in words.
 func describeLog(l administrator.LogStatus) string {
 	leader := string(l.Leader)
 	if leader == "" {
 		leader = "none known"
 	}
-	words := []string{
-		"leader " + leader, fmt.Sprintf("term %d", l.Term), fmt.Sprintf("commit %d", l.Commit),
-		fmt.Sprintf("voters %v", l.Voters()),
+	words := []string{"leader " + leader}
+	if len(l.Members) > 0 {
+		words = append(words, fmt.Sprintf("voters %v", l.Voters()))
 	}
 	if learners := l.Learners(); len(learners) > 0 {
 		words = append(words, fmt.Sprintf("catching up %v", learners))
--- a/cmd/redwingshunt/commander/verb_submit.go
+++ b/cmd/redwingshunt/commander/verb_submit.go
@@ -59,6 +59,7 @@
 type VerbSubmit struct {
 	options VerbSubmitOptions
 	file    string
+	cut     int // lines of the file that are not submitted
 }
 
 // resendPause is the time between two sendings of a submission.
@@ -106,7 +107,10 @@
 	if err != nil {
 		return redwingshunt.Submission{}, err
 	}
-	base, ok := readBase(text)
+	base, text, ok := cutBase(text)
+	if ok {
+		v.cut = 1
+	}
 	if v.options.Base != nil {
 		base, ok = *v.options.Base, true
 	}
@@ -122,12 +126,15 @@
 	}, nil
 }
 
-// readBase reads the line that show puts first.
-func readBase(text []byte) (uint64, bool) {
-	line, _, _ := bytes.Cut(text, []byte("\n"))
-	var base uint64
+// cutBase takes away the line that show puts first, and returns the revision
+// in it.
+func cutBase(text []byte) (base uint64, rest []byte, ok bool) {
+	line, rest, _ := bytes.Cut(text, []byte("\n"))
 	n, err := fmt.Sscanf(string(line)+"\n", baseFormat, &base)
-	return base, err == nil && n == 1
+	if err != nil || n != 1 {
+		return 0, text, false
+	}
+	return base, rest, true
 }
 
 // onlySection returns the section of a text that holds one section, or an empty
@@ -188,15 +195,19 @@
 	return !errors.As(err, &problem) || problem.Reason == administrator.ReasonUnknown
 }
 
-// refused prints the findings of a refused submission with the name of the
-// file in front.
+// refused prints the findings of a refused submission with their place in the
+// file.
 func (v *VerbSubmit) refused(console *Console, s redwingshunt.Submission, err error) error {
 	var problem *administrator.Problem
 	if !errors.As(err, &problem) || problem.Receipt == nil {
 		return err
 	}
 	for i := range problem.Receipt.Findings {
-		problem.Receipt.Findings[i].File = v.file
+		finding := &problem.Receipt.Findings[i]
+		finding.File = v.file
+		if finding.Line > 0 {
+			finding.Line += v.cut
+		}
 	}
 	if v.options.JSON {
 		if err := console.JSON(problem.Receipt); err != nil {
