--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,9 @@
 	// Document is in force from the start, instead of the file that the
 	// settings name; may be nil.
 	Document *redwingshunt.Document
+	// Log commits the claims of non-idempotent requests instead of the log of
+	// the instance; may be nil.
+	Log redwingshunt.Log
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
 }
@@ -60,6 +63,7 @@
 	configured redwingshunt.Configuration
 	control    *control
 	dispatcher *dispatcher.Dispatcher
+	promises   *promises
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
@@ -134,7 +138,10 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
-	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
+	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
+	d.dispatcher = dispatcher.New(dispatcher.Options{
+		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
+	})
 	d.listener = listener.New(listener.Options{
 		Chain:         d.newChain(),
 		Configuration: d.configured,
@@ -152,6 +159,14 @@
 	return nil
 }
 
+// log returns the log that claims are committed to.
+func (d *Daemon) log() redwingshunt.Log {
+	if d.options.Log != nil {
+		return d.options.Log
+	}
+	return d.control.recorder
+}
+
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -161,6 +176,7 @@
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
 	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+	group.Go(func() error { return d.promises.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
