--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -22,7 +22,6 @@
 	handlers  map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)
 	pending   chan func()
 	all       map[redwingshunt.InstanceID]*Coordinator
-	stop      []func()
 }
 
 // member is one instance of a fleet. It implements Link, Members,
--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -69,6 +69,7 @@
 type node struct {
 	instance redwingshunt.Instance
 	index    int
+	home     redwingshunt.RegionID // region as the cores know it
 	offset   time.Duration
 	alive    bool
 	side     int // instances on different sides of a partition do not hear each other
@@ -144,6 +145,7 @@
 			ID:     redwingshunt.InstanceID(fmt.Sprintf("%s-r%d", p.Region, i)),
 			Region: p.Region, Zone: zone(i),
 		}}
+		n.home = f.homeOf(p.Region)
 		if f.scenario.Offset > 0 {
 			n.offset = time.Duration(f.random.Int64N(int64(f.scenario.Offset)))
 		}
@@ -161,6 +163,19 @@
 	}
 }
 
+// homeOf returns the region that the cores are told.
+func (f *Fleet) homeOf(region redwingshunt.RegionID) redwingshunt.RegionID {
+	if f.scenario.Policy == PolicyLeased {
+		return "all"
+	}
+	return region
+}
+
+// cored reports whether the policy runs on the cores of package scheduler.
+func (f *Fleet) cored() bool {
+	return f.scenario.Policy == PolicyOwner || f.scenario.Policy == PolicyLeased
+}
+
 // boot starts an instance empty.
 func (f *Fleet) boot(n *node) {
 	n.alive = true
@@ -170,11 +185,11 @@
 	n.duty = scheduler.Duty{}
 	n.view = nil
 	n.queue = scheduler.NewQueue(scheduler.QueueOptions{
-		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.instance.Region,
+		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.home,
 		Zone: n.instance.Zone, Service: service, Period: f.period(n),
 	})
 	n.owner = scheduler.NewOwner(scheduler.OwnerOptions{
-		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.instance.Region, Service: service,
+		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.home, Service: service,
 	})
 	n.local = newLocal(f, n)
 	f.feed(n, f.configured())
@@ -188,7 +203,7 @@
 	}
 	routers := 0
 	for _, other := range f.nodes {
-		if other.instance.Region == n.instance.Region {
+		if other.home == n.home {
 			routers++
 		}
 	}
@@ -276,7 +291,7 @@
 
 // feed takes an event into the queue of an instance.
 func (f *Fleet) feed(n *node, e scheduler.Event) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		return
 	}
 	f.carry(n, n.queue.Step(n.clock(f), e))
@@ -284,7 +299,7 @@
 
 // toOwner takes an event into the owner core of an instance.
 func (f *Fleet) toOwner(n *node, e scheduler.Event) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		return
 	}
 	f.carry(n, n.owner.Step(n.clock(f), e))
--- a/measurer/gauge.go
+++ b/measurer/gauge.go
@@ -18,6 +18,7 @@
 	Inside      float64 // control bytes a daemon a second within regions, sent and received
 	Across      float64 // control bytes a second of a region pair, both ways
 	Busiest     float64 // control bytes a second of the busiest daemon, sent and received
+	Moved       float64 // part of the requests that ran in another region
 	Requests    int
 	Refused     int
 	Overfull    int // most requests that waited within one upstream
@@ -47,6 +48,7 @@
 	offered   float64 // cost that the upstreams could have given so far
 	summed    time.Time
 	late      int
+	away      int
 	kinds     map[redwingshunt.MessageKind]int
 	scale     float64
 	weightSum float64
@@ -125,6 +127,13 @@
 	g.across += bytes
 }
 
+// moved counts a request that runs in another region.
+func (g *gauge) moved(n *node, e *engine) {
+	if !g.warm() && n.instance.Region != e.upstream.Region {
+		g.away++
+	}
+}
+
 // sample takes the state of the fakes.
 func (g *gauge) sample() {
 	f := g.fleet
@@ -189,6 +198,7 @@
 		Gap: g.gap, Excess: g.excess, Wait: g.wait, Ratio: g.ratio,
 		Requests: g.requests, Refused: g.refused, Overfull: g.overfull, Late: g.late, Kinds: g.kinds,
 	}
+	r.Moved = float64(g.away) / float64(max(1, g.requests))
 	if g.slots > 0 {
 		r.Utilisation = g.busy / g.slots
 	}
--- a/measurer/local.go
+++ b/measurer/local.go
@@ -67,7 +67,7 @@
 }
 
 func (l *local) charge(r *request, delta redwingshunt.Cost) {
-	if l.fleet.scenario.Policy == PolicyOwner {
+	if l.fleet.cored() {
 		return
 	}
 	l.ledger.Charge(r.load.Account, exchanger.UnitsOf(delta, r.load.Share))
--- /dev/null
+++ b/measurer/run.go
@@ -0,0 +1,234 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Options choose what is measured.
+type Options struct {
+	Small bool   // only today's sizes
+	Seed  uint64 // of all scenarios; zero takes 1
+}
+
+// Run measures and prints tables in Markdown. Cancelling the context ends it
+// after the current scenario.
+func Run(ctx context.Context, options Options, out io.Writer) error {
+	if options.Seed == 0 {
+		options.Seed = 1
+	}
+	sections := []func(context.Context, Options, io.Writer) error{users, policies, curve}
+	if !options.Small {
+		sections = append(sections, growth)
+	}
+	for _, section := range sections {
+		if err := section(ctx, options, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// size describes one service on a fleet.
+type size struct {
+	name      string
+	regions   []redwingshunt.RegionID
+	zones     int
+	routers   int
+	upstreams int
+	slots     int
+	rate      float64 // tokens a second of one slot
+	accounts  int
+	backlog   int // accounts that always have work waiting
+	least     int // tokens
+	most      int
+	across    time.Duration
+	gap       time.Duration
+	services  int // alike, on the same fleet
+}
+
+var lin = size{
+	name: "Lin, assistant", regions: []redwingshunt.RegionID{"north", "central", "south"}, zones: 1,
+	routers: 9, upstreams: 20, slots: 8, rate: 40, accounts: 15, backlog: 9, least: 40, most: 600,
+	across: 15 * time.Millisecond, gap: time.Second, services: 1,
+}
+
+// app is the plain service of a user: short calls, three upstreams, not full.
+func (z size) app(name string) size {
+	z.name = name
+	z.upstreams, z.slots, z.rate, z.least, z.most, z.backlog = 3, 8, 10, 1, 2, 0
+	return z
+}
+
+// settings of the other user.
+func (z size) settings(name string, across, gap time.Duration) size {
+	z.name, z.across, z.gap = name, across, gap
+	return z
+}
+
+// scenario builds one run. Accounts with a backlog call from very uneven
+// numbers of routers; a few have large shares; the others call now and then.
+func (z size) scenario(policy Policy, seed uint64) *Scenario {
+	s := &Scenario{
+		Name: z.name, Policy: policy, Slots: z.slots, Rate: z.rate, Inside: 500 * time.Microsecond,
+		Across: z.across, Gap: z.gap, Lag: time.Second, Length: 150 * time.Second, Warm: 30 * time.Second, Seed: seed,
+	}
+	n := len(z.regions)
+	for i, region := range z.regions {
+		s.Places = append(s.Places, Place{
+			Region: region, Zones: z.zones,
+			Routers: (z.routers + n - 1 - i) / n, Upstreams: (z.upstreams + n - 1 - i) / n,
+		})
+	}
+	running := z.upstreams * z.slots
+	for i := range z.accounts {
+		l := Load{
+			Account: redwingshunt.AccountID(fmt.Sprintf("account-%03d", i)), Share: 1,
+			Least: z.least, Most: z.most, Clients: 1, Think: 5 * time.Second,
+			Routers: spread(z.routers, i, 1+i%3),
+		}
+		if i < z.backlog {
+			z.flood(&l, i, running)
+		}
+		s.Loads = append(s.Loads, l)
+	}
+	return s
+}
+
+// flood makes an account call without pause, with about three times the
+// requests that run for it at once.
+func (z size) flood(l *Load, i, running int) {
+	l.Share = redwingshunt.Share(max(1, 4-i))
+	count := []int{1, z.routers, max(1, z.routers/3), max(1, z.routers/9)}[i%4]
+	l.Routers = spread(z.routers, i*z.routers/max(1, z.backlog), count)
+	l.Think = 0
+	l.Clients = max(2, 3*int(l.Share)*running/z.backlog/count)
+}
+
+// spread returns count of the routers from first on.
+func spread(routers, first, count int) []int {
+	list := make([]int, 0, count)
+	for i := range count {
+		list = append(list, (first+i)%routers)
+	}
+	return list
+}
+
+func header(out io.Writer, title, first string) {
+	fmt.Fprintf(out, "\n%s\n\n", title)
+	fmt.Fprintf(out, "| %s | gap s | less largest s | utilisation | longest wait / fair | inside B/s | busiest B/s | across B/s a pair | moved | requests |\n", first)
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|")
+}
+
+func row(out io.Writer, name string, r Result) {
+	fmt.Fprintf(out, "| %s | %.2f | %.2f | %.3f | %.2f | %.0f | %.0f | %.0f | %.1f%% | %d |\n",
+		name, r.Gap, r.Excess, r.Utilisation, r.Ratio, r.Inside/2, r.Busiest, r.Across, 100*r.Moved, r.Requests)
+}
+
+// users measures both users' sizes, busy and idle.
+func users(ctx context.Context, options Options, out io.Writer) error {
+	tutor := lin.settings("Kowhai, tutor-model", 8*time.Millisecond, 4*time.Second)
+	header(out, "Today's sizes", "service")
+	for _, z := range []size{lin, lin.app("Lin, fitting-app"), tutor, tutor.app("Kowhai, studio-desk")} {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		row(out, z.name, NewFleet(z.scenario(PolicyOwner, options.Seed)).Run())
+	}
+	idle := lin.scenario(PolicyOwner, options.Seed)
+	idle.Loads = nil
+	row(out, "idle", NewFleet(idle).Run())
+	return nil
+}
+
+// policies compares the ways to share the upstreams at Lin's size.
+func policies(ctx context.Context, options Options, out io.Writer) error {
+	header(out, "Ways compared (Lin, assistant)", "way")
+	for _, p := range []Policy{PolicyOwner, PolicyLeased, PolicyShared, PolicyLocal, PolicyFirst} {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		row(out, string(p), NewFleet(lin.scenario(p, options.Seed)).Run())
+	}
+	header(out, "Ways compared while the holder of the first region dies (3 s from its death)", "way")
+	for _, p := range []Policy{PolicyOwner, PolicyLeased, PolicyShared, PolicyLocal} {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		row(out, string(p), deathOf(lin.scenario(p, options.Seed)))
+	}
+	return nil
+}
+
+// deathOf measures the three seconds from the death of an owner, or of the
+// first router where there is no owner.
+func deathOf(s *Scenario) Result {
+	const at = 60 * time.Second
+	s.Warm, s.Length = at, at+3*time.Second
+	s.Faults = []Fault{{at, func(f *Fleet) {
+		for i, n := range f.nodes {
+			if n.duty.Active || i == len(f.nodes)-1 {
+				f.Kill(i)
+				return
+			}
+		}
+	}}}
+	return NewFleet(s).Run()
+}
+
+// curve measures the gap against the traffic across regions.
+func curve(ctx context.Context, options Options, out io.Writer) error {
+	header(out, "Allowed gap between regions against traffic (work waits in the first region only)", "fleet.gap")
+	for _, gap := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		z := lin
+		z.gap = gap
+		s := z.scenario(PolicyOwner, options.Seed)
+		for i := range s.Loads {
+			l := &s.Loads[i]
+			if i%3 != 0 || l.Think > 0 {
+				continue
+			}
+			l.Clients *= len(l.Routers)
+			l.Routers = []int{0}
+		}
+		row(out, gap.String(), NewFleet(s).Run())
+	}
+	return nil
+}
+
+// growth measures one service of fleets of growing size.
+func growth(ctx context.Context, options Options, out io.Writer) error {
+	header(out, "Growth (one service)", "routers, upstreams, accounts")
+	large := lin
+	large.regions, large.zones, large.across = []redwingshunt.RegionID{"west", "east"}, 4, 30*time.Millisecond
+	large.slots, large.rate, large.least, large.most = 39, 22, 100, 750
+	grow := func(z size, routers, upstreams, accounts, services int) size {
+		z.routers, z.upstreams, z.accounts, z.services = routers, upstreams, accounts, services
+		z.backlog = max(9, accounts/10)
+		return z
+	}
+	sizes := []size{lin, grow(lin, 36, 40, 60, 4), grow(large, 90, 60, 150, 8), grow(large, 360, 146, 460, 30)}
+	var totals []string
+	for _, z := range sizes {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r := NewFleet(z.scenario(PolicyOwner, options.Seed)).Run()
+		row(out, fmt.Sprintf("%d, %d, %d", z.routers, z.upstreams, z.accounts), r)
+		totals = append(totals, fmt.Sprintf("| %d | %d | %.1f | %.1f |", z.routers, z.services,
+			float64(z.services)*r.Inside/1000, (r.Busiest+float64(z.services-1)*r.Inside)/1000))
+	}
+	fmt.Fprintln(out, "\nAll services of the fleet, sent and received (the others alike)")
+	fmt.Fprintln(out, "\n| routers | services | KB/s a daemon | KB/s the busiest owner |\n|---|---|---|---|")
+	for _, t := range totals {
+		fmt.Fprintln(out, t)
+	}
+	return nil
+}
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -12,6 +12,7 @@
 // The policies that can be compared.
 const (
 	PolicyOwner  Policy = "owner"  // one owner a service and region, ledgers between owners
+	PolicyLeased Policy = "leased" // one allocator a service for all regions
 	PolicyFirst  Policy = "first"  // first come, first served on each router
 	PolicyLocal  Policy = "local"  // fair queueing on each router, no exchange
 	PolicyShared Policy = "shared" // fair queueing on each router, counters exchanged each second
@@ -29,10 +30,11 @@
 type Load struct {
 	Account redwingshunt.AccountID
 	Share   redwingshunt.Share
-	Routers []int // indexes of the routers that it calls
-	Clients int   // callers on each of them; each resends without pause
-	Least   int   // tokens of the smallest answer
-	Most    int   // tokens of the largest answer
+	Routers []int         // indexes of the routers that it calls
+	Clients int           // callers on each of them; each resends without pause
+	Least   int           // tokens of the smallest answer
+	Most    int           // tokens of the largest answer
+	Think   time.Duration // mean pause of a caller between two requests
 	From    time.Duration
 	Until   time.Duration // zero for the whole time
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -26,13 +26,17 @@
 	var view []redwingshunt.Instance
 	for _, other := range f.nodes {
 		if other.alive && other.side == n.side {
-			view = append(view, other.instance)
+			instance := other.instance
+			instance.Region = other.home
+			view = append(view, instance)
 		}
 	}
 	lost := missing(n.view, view)
 	n.view = view
 	was := n.duty
-	n.duty = scheduler.DutyOf(view, n.instance, service)
+	self := n.instance
+	self.Region = n.home
+	n.duty = scheduler.DutyOf(view, self, service)
 	n.instance.Leaving = slices.ContainsFunc(view, func(i redwingshunt.Instance) bool { return i.ID == n.instance.ID && i.Leaving })
 	for _, id := range lost {
 		f.toOwner(n, scheduler.Gone{Instance: id})
@@ -97,10 +101,10 @@
 
 // relay passes an announcement to the owner and to the one that stands by.
 func (f *Fleet) relay(n *node, m *wire.Announcement) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		return
 	}
-	ranked := scheduler.Rank(n.view, n.instance.Region, service)
+	ranked := scheduler.Rank(n.view, n.home, service)
 	life := time.Duration(m.TtlMs) * time.Millisecond
 	for i, target := range ranked[:min(2, len(ranked))] {
 		ttl, ok := scheduler.Relay(f.now, redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
@@ -121,7 +125,7 @@
 	address, _ := netip.ParseAddrPort(m.Address)
 	f.toOwner(n, scheduler.Announced{
 		Upstream: redwingshunt.Upstream{
-			ID: id, Service: service, Region: redwingshunt.RegionID(m.Region),
+			ID: id, Service: service, Region: f.homeOf(redwingshunt.RegionID(m.Region)),
 			Zone: redwingshunt.ZoneID(m.Zone), Address: address, Slots: int(m.Slots),
 		},
 		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting)},
@@ -133,7 +137,7 @@
 func (f *Fleet) begin(l *Load) {
 	for _, index := range l.Routers {
 		for range l.Clients {
-			f.after(l.From+time.Duration(f.random.Int64N(int64(10*time.Millisecond))), func() { f.arrive(l, index) })
+			f.after(l.From+time.Duration(f.random.Int64N(int64(10*time.Millisecond+l.Think))), func() { f.arrive(l, index) })
 		}
 	}
 }
@@ -158,7 +162,7 @@
 	r.ticket, r.node, r.waiting, r.job, r.told = f.tickets, n, true, nil, 0
 	n.requests[r.ticket] = r
 	f.gauge.queued(r)
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		n.local.arrive(r)
 		return
 	}
@@ -192,6 +196,7 @@
 	if e.leaving() && f.now.Sub(e.left) > leavingGrace {
 		f.gauge.late++
 	}
+	f.gauge.moved(n, e)
 	r.engine = e
 	r.job = &job{request: r, router: n}
 	r.sent = f.now
@@ -246,7 +251,12 @@
 	f.released(n, r, redwingshunt.Result{
 		Cost: redwingshunt.Cost(r.tokens), Total: f.now.Sub(r.sent), First: j.started.Sub(r.sent) + prefill,
 	})
-	f.arrive(r.load, n.index)
+	if r.load.Think == 0 {
+		f.arrive(r.load, n.index)
+		return
+	}
+	pause := time.Duration(f.random.ExpFloat64() * float64(r.load.Think))
+	f.after(pause, func() { f.arrive(r.load, n.index) })
 }
 
 // broken tells the router that an upstream was lost and queues the request anew.
@@ -267,7 +277,7 @@
 }
 
 func (f *Fleet) released(n *node, r *request, result redwingshunt.Result) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		n.local.release(r, result)
 		return
 	}
