Split a service into cells in regions with many routers

Regions with 90 routers or more have two owners of each service, then four and so on; cells exchange ledgers and lend slots as regions do.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -25,6 +25,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,10 +193,14 @@
 // relay sends an announcement to the instances that keep the service.
 func (c *Coordinator) relay(m *wire.Announcement) {
 	members := c.options.Members.Live()
-	ranked := scheduler.Rank(members, redwingshunt.RegionID(m.Region), redwingshunt.ServiceID(m.Service))
-	if regions := scheduler.Regions(members); len(ranked) == 0 && len(regions) > 0 {
-		ranked = scheduler.Rank(members, regions[0], redwingshunt.ServiceID(m.Service))
+	region, service := redwingshunt.RegionID(m.Region), redwingshunt.ServiceID(m.Service)
+	if regions := scheduler.Regions(members); !slices.Contains(regions, region) && len(regions) > 0 {
+		region = regions[0] // no instance is there
 	}
+	cells := scheduler.Cells(len(scheduler.InRegion(members, region)))
+	cell := scheduler.CellOf(service, m.Id, cells)
+	m.Cell = uint32(cell)
+	ranked := scheduler.Rank(members, region, service, cell)
 	life := time.Duration(m.TtlMs) * time.Millisecond
 	for i, target := range ranked[:min(2, len(ranked))] {
 		ttl, ok := scheduler.Relay(c.options.Clock.Now(), redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
--- a/coordinator/desk.go
+++ b/coordinator/desk.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,10 +45,7 @@
 	mu      sync.Mutex
 	rule    redwingshunt.Service
 	queue   *scheduler.Queue
-	owner   *scheduler.Owner // set while this instance is owner or stands by
-	config  scheduler.Configured
-	duty    scheduler.Duty
-	term    uint64
+	seats   *scheduler.Seats // where this instance owns the service or stands by
 	waiters map[uint64]waiter
 	inbox   []scheduler.Event // messages from this instance to itself
 }
@@ -59,6 +57,7 @@
 		queue: scheduler.NewQueue(scheduler.QueueOptions{
 			Self: self.ID, Incarnation: self.Incarnation, Region: self.Region, Zone: self.Zone, Service: service,
 		}),
+		seats: scheduler.NewSeats(self, service, settle),
 	}
 }
 
@@ -71,7 +70,7 @@
 	d.feed(e)
 }
 
-// stepOwner works an event of the owner, if there is one here.
+// stepOwner works an event of the owners that are here.
 func (d *desk) stepOwner(e scheduler.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -84,10 +83,7 @@
 }
 
 func (d *desk) feedOwner(e scheduler.Event) {
-	if d.owner == nil {
-		return
-	}
-	d.carry(d.owner.Step(d.now(), e))
+	d.carry(d.seats.Step(d.now(), e))
 	d.deliver()
 }
 
@@ -100,9 +96,7 @@
 			d.carry(d.queue.Step(d.now(), e))
 			continue
 		}
-		if d.owner != nil {
-			d.carry(d.owner.Step(d.now(), e))
-		}
+		d.carry(d.seats.Step(d.now(), e))
 	}
 }
 
@@ -120,6 +114,10 @@
 			}
 			d.coordinator.send(a.To, redwingshunt.KindGrant, a.Grants)
 		case scheduler.SendLedger:
+			if a.To == self {
+				d.inbox = append(d.inbox, scheduler.Exchanged{From: self, Ledger: a.Ledger})
+				continue
+			}
 			d.coordinator.send(a.To, redwingshunt.KindLedger, a.Ledger)
 		case scheduler.Assign:
 			d.assign(a)
@@ -194,45 +192,18 @@
 func (d *desk) configure(rule redwingshunt.Service, config scheduler.Configured) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rule, d.config = rule, config
+	d.rule = rule
 	d.feed(config)
 	d.feedOwner(config)
 }
 
-// serve takes the part of this instance in the service. Instances in gone are
-// no longer alive.
-func (d *desk) serve(duty scheduler.Duty, gone []redwingshunt.InstanceID, period time.Duration) {
+// look takes the view of the fleet.
+func (d *desk) look(members []redwingshunt.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	was := d.duty
-	d.duty = duty
-	d.queue.SetPeriod(period)
-	d.keep(duty.Keeps)
-	for _, id := range gone {
-		d.feedOwner(scheduler.Gone{Instance: id})
-	}
-	d.feedOwner(scheduler.Peered{Peers: duty.Peers})
-	switch {
-	case duty.Active && !was.Active:
-		d.term = max(d.term+1, uint64(d.now().UnixMicro()))
-		d.feedOwner(scheduler.Elected{Term: d.term, Settle: settle})
-	case was.Active && !duty.Active:
-		d.feedOwner(scheduler.Demoted{})
-	}
-	d.feed(scheduler.Owned{ID: duty.Owner})
-}
-
-// keep makes the owner core when this instance is to keep one. It stays when
-// the instance no longer does, since others may ask it for what it knows.
-func (d *desk) keep(keeps bool) {
-	if !keeps || d.owner != nil {
-		return
-	}
-	self := d.coordinator.options.Members.Self()
-	d.owner = scheduler.NewOwner(scheduler.OwnerOptions{
-		Self: self.ID, Incarnation: self.Incarnation, Region: self.Region, Service: d.service,
-	})
-	d.feedOwner(d.config)
+	d.feedOwner(scheduler.Viewed{Members: members})
+	d.queue.SetPeriod(d.seats.Period())
+	d.feed(scheduler.Owned{ID: d.seats.Home()})
 }
 
 // pass lets time go by.
@@ -250,13 +221,17 @@
 	scope = scope.Tagged(map[string]string{"service": string(d.service)})
 	scope.Gauge("queue_waiting").Update(float64(d.queue.Waiting()))
 	scope.Gauge("queue_running").Update(float64(d.queue.Running()))
-	if d.owner == nil || !d.duty.Active {
-		return
+	for _, owner := range d.seats.Active() {
+		measureOwner(scope, owner)
 	}
-	scope.Gauge("owner_waiting").Update(float64(d.owner.Waiting()))
-	scope.Gauge("owner_slots").Update(float64(d.owner.Slots()))
-	scope.Gauge("owner_taken").Update(float64(d.owner.Taken()))
-	for _, s := range d.owner.Standings(metricsLimit) {
+}
+
+func measureOwner(scope tally.Scope, owner *scheduler.Owner) {
+	scope = scope.Tagged(map[string]string{"cell": strconv.Itoa(owner.Cell())})
+	scope.Gauge("owner_waiting").Update(float64(owner.Waiting()))
+	scope.Gauge("owner_slots").Update(float64(owner.Slots()))
+	scope.Gauge("owner_taken").Update(float64(owner.Taken()))
+	for _, s := range owner.Standings(metricsLimit) {
 		account := scope.Tagged(map[string]string{"account": string(s.Account)})
 		account.Gauge("account_waiting").Update(float64(s.Waiting))
 		account.Gauge("account_running").Update(float64(s.Running))
@@ -266,31 +241,40 @@
 
 // deskDump is the state of one service.
 type deskDump struct {
-	Service  redwingshunt.ServiceID  `json:"service"`
-	Owner    redwingshunt.InstanceID `json:"owner"`
-	Active   bool                    `json:"active"`
-	Standby  bool                    `json:"standby"`
-	Waiting  int                     `json:"waiting"`
-	Running  int                     `json:"running"`
-	Lines    []scheduler.Line        `json:"lines,omitempty"`
-	Slots    int                     `json:"slots,omitempty"`
-	Taken    int                     `json:"taken,omitempty"`
-	Accounts []scheduler.Standing    `json:"accounts,omitempty"`
-	Windows  []scheduler.Window      `json:"windows,omitempty"`
+	Service redwingshunt.ServiceID  `json:"service"`
+	Owner   redwingshunt.InstanceID `json:"owner"` // that this instance reports to
+	Waiting int                     `json:"waiting"`
+	Running int                     `json:"running"`
+	Lines   []scheduler.Line        `json:"lines,omitempty"`
+	Owned   []ownerDump             `json:"owned,omitempty"`
+	Standby []int                   `json:"standby,omitempty"` // cells
+}
+
+// ownerDump is the state of one cell that this instance owns.
+type ownerDump struct {
+	Cell     int                  `json:"cell"`
+	Waiting  int                  `json:"waiting"`
+	Slots    int                  `json:"slots"`
+	Taken    int                  `json:"taken"`
+	Accounts []scheduler.Standing `json:"accounts,omitempty"`
+	Windows  []scheduler.Window   `json:"windows,omitempty"`
 }
 
 func (d *desk) dump() deskDump {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := deskDump{
-		Service: d.service, Owner: d.duty.Owner, Active: d.duty.Active, Standby: d.duty.Keeps && !d.duty.Active,
+		Service: d.service, Owner: d.seats.Home(),
 		Waiting: d.queue.Waiting(), Running: d.queue.Running(), Lines: d.queue.Lines(d.now(), dumpLimit),
 	}
-	if d.owner == nil || !d.duty.Keeps {
-		return s
+	for _, owner := range d.seats.Active() {
+		s.Owned = append(s.Owned, ownerDump{
+			Cell: owner.Cell(), Waiting: owner.Waiting(), Slots: owner.Slots(), Taken: owner.Taken(),
+			Accounts: owner.Standings(dumpLimit), Windows: owner.Windows(dumpLimit),
+		})
+	}
+	for _, owner := range d.seats.Standby() {
+		s.Standby = append(s.Standby, owner.Cell())
 	}
-	s.Slots, s.Taken = d.owner.Slots(), d.owner.Taken()
-	s.Accounts = d.owner.Standings(dumpLimit)
-	s.Windows = d.owner.Windows(dumpLimit)
 	return s
 }
--- a/coordinator/receive.go
+++ b/coordinator/receive.go
@@ -74,6 +74,7 @@
 		},
 		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting), At: c.options.Clock.Now()},
 		TTL:  time.Duration(m.TtlMs) * time.Millisecond,
+		Cell: int(m.Cell),
 	})
 }
 
@@ -143,31 +144,13 @@
 // look takes the view of the fleet when it has changed.
 func (c *Coordinator) look() {
 	members := c.options.Members.Live()
-	self := c.options.Members.Self()
 	c.mu.Lock()
-	before := c.view
-	if slices.Equal(before, members) {
-		c.mu.Unlock()
-		return
-	}
+	same := slices.Equal(c.view, members)
 	c.view = slices.Clone(members)
 	c.mu.Unlock()
-	gone := missing(before, members)
-	home := scheduler.Rank(members, self.Region, "")
-	c.each(func(d *desk) {
-		d.serve(scheduler.DutyOf(members, self, d.service), gone, scheduler.Period(len(home)))
-	})
-}
-
-// missing returns the instances that were seen before and no longer are.
-func missing(before, now []redwingshunt.Instance) []redwingshunt.InstanceID {
-	var list []redwingshunt.InstanceID
-	for _, old := range before {
-		if !slices.ContainsFunc(now, func(i redwingshunt.Instance) bool { return i.ID == old.ID }) {
-			list = append(list, old.ID)
-		}
+	if !same {
+		c.each(func(d *desk) { d.look(members) })
 	}
-	return list
 }
 
 // Dump implements redwingshunt.Dumper.
--- a/measurer/fault_test.go
+++ b/measurer/fault_test.go
@@ -65,7 +65,7 @@
 func ownerOf(s *Scenario) int {
 	f := NewFleet(s)
 	for i, n := range f.nodes {
-		if n.instance.Region == "a" && n.duty.Active {
+		if n.instance.Region == "a" && n.owns() {
 			return i
 		}
 	}
--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -33,6 +33,9 @@
 	sampling = 100 * time.Millisecond
 )
 
+// firstIncarnation is as long on the wire as one taken from a clock.
+const firstIncarnation = 1_700_000_000
+
 const service redwingshunt.ServiceID = "assistant"
 
 // occurrence is a thing that happens at a time.
@@ -74,9 +77,8 @@
 	alive    bool
 	side     int // instances on different sides of a partition do not hear each other
 	view     []redwingshunt.Instance
-	duty     scheduler.Duty
 	queue    *scheduler.Queue
-	owner    *scheduler.Owner
+	seats    *scheduler.Seats
 	local    *local // of the baselines
 	requests map[uint64]*request
 	sent     int // bytes
@@ -92,7 +94,6 @@
 	calendar calendar
 	order    uint64
 	tickets  uint64
-	terms    uint64
 	nodes    []*node
 	byID     map[redwingshunt.InstanceID]*node
 	engines  []*engine
@@ -143,7 +144,7 @@
 	for i := range p.Routers {
 		n := &node{index: len(f.nodes), alive: true, instance: redwingshunt.Instance{
 			ID:     redwingshunt.InstanceID(fmt.Sprintf("%s-r%d", p.Region, i)),
-			Region: p.Region, Zone: zone(i),
+			Region: p.Region, Zone: zone(i), Incarnation: firstIncarnation,
 		}}
 		n.home = f.homeOf(p.Region)
 		if f.scenario.Offset > 0 {
@@ -182,34 +183,19 @@
 	n.instance.Incarnation++
 	n.instance.Leaving = false
 	n.requests = map[uint64]*request{}
-	n.duty = scheduler.Duty{}
 	n.view = nil
 	n.queue = scheduler.NewQueue(scheduler.QueueOptions{
 		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.home,
-		Zone: n.instance.Zone, Service: service, Period: f.period(n),
-	})
-	n.owner = scheduler.NewOwner(scheduler.OwnerOptions{
-		Self: n.instance.ID, Incarnation: n.instance.Incarnation, Region: n.home, Service: service,
+		Zone: n.instance.Zone, Service: service,
 	})
+	self := n.instance
+	self.Region = n.home
+	n.seats = scheduler.NewSeats(self, service, settle)
 	n.local = newLocal(f, n)
 	f.feed(n, f.configured())
 	f.toOwner(n, f.configured())
 }
 
-// period returns the time between full states.
-func (f *Fleet) period(n *node) time.Duration {
-	if f.scenario.Retells > 0 {
-		return f.scenario.Retells
-	}
-	routers := 0
-	for _, other := range f.nodes {
-		if other.home == n.home {
-			routers++
-		}
-	}
-	return scheduler.Period(routers)
-}
-
 func (f *Fleet) configured() scheduler.Configured {
 	c := scheduler.Configured{Gap: f.scenario.Gap, Accounts: map[redwingshunt.AccountID]scheduler.AccountRule{}}
 	for _, l := range f.scenario.Loads {
@@ -297,12 +283,12 @@
 	f.carry(n, n.queue.Step(n.clock(f), e))
 }
 
-// toOwner takes an event into the owner core of an instance.
+// toOwner takes an event into the owner cores of an instance.
 func (f *Fleet) toOwner(n *node, e scheduler.Event) {
 	if !f.cored() {
 		return
 	}
-	f.carry(n, n.owner.Step(n.clock(f), e))
+	f.carry(n, n.seats.Step(n.clock(f), e))
 }
 
 // carry carries the actions of a core out.
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -171,7 +171,7 @@
 	s.Warm, s.Length = at, at+3*time.Second
 	s.Faults = []Fault{{at, func(f *Fleet) {
 		for i, n := range f.nodes {
-			if n.duty.Active || i == len(f.nodes)-1 {
+			if n.owns() || i == len(f.nodes)-1 {
 				f.Kill(i)
 				return
 			}
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -31,38 +31,19 @@
 			view = append(view, instance)
 		}
 	}
-	lost := missing(n.view, view)
 	n.view = view
-	was := n.duty
-	self := n.instance
-	self.Region = n.home
-	n.duty = scheduler.DutyOf(view, self, service)
-	n.instance.Leaving = slices.ContainsFunc(view, func(i redwingshunt.Instance) bool { return i.ID == n.instance.ID && i.Leaving })
-	for _, id := range lost {
-		f.toOwner(n, scheduler.Gone{Instance: id})
-	}
-	f.toOwner(n, scheduler.Peered{Peers: n.duty.Peers})
-	switch {
-	case n.duty.Active && !was.Active:
-		f.terms++
-		f.toOwner(n, scheduler.Elected{Term: f.terms, Settle: settle})
-	case was.Active && !n.duty.Active:
-		f.toOwner(n, scheduler.Demoted{})
-	}
-	f.feed(n, scheduler.Owned{ID: n.duty.Owner})
-}
-
-// missing returns the instances that were seen before and no longer are.
-func missing(before, now []redwingshunt.Instance) []redwingshunt.InstanceID {
-	var list []redwingshunt.InstanceID
-	for _, old := range before {
-		if !slices.ContainsFunc(now, func(i redwingshunt.Instance) bool { return i.ID == old.ID }) {
-			list = append(list, old.ID)
-		}
+	f.toOwner(n, scheduler.Viewed{Members: view})
+	period := n.seats.Period()
+	if f.scenario.Retells > 0 {
+		period = f.scenario.Retells
 	}
-	return list
+	n.queue.SetPeriod(period)
+	f.feed(n, scheduler.Owned{ID: n.seats.Home()})
 }
 
+// owns reports whether an instance owns the service in its region.
+func (n *node) owns() bool { return len(n.seats.Active()) > 0 }
+
 // announce lets an upstream tell one router of its region that it lives.
 func (f *Fleet) announce(e *engine) {
 	f.after(announcePeriod, func() { f.announce(e) })
@@ -104,7 +85,10 @@
 	if !f.cored() {
 		return
 	}
-	ranked := scheduler.Rank(n.view, n.home, service)
+	cells := scheduler.Cells(len(scheduler.InRegion(n.view, n.home)))
+	cell := scheduler.CellOf(service, m.Id, cells)
+	m.Cell = uint32(cell)
+	ranked := scheduler.Rank(n.view, n.home, service, cell)
 	life := time.Duration(m.TtlMs) * time.Millisecond
 	for i, target := range ranked[:min(2, len(ranked))] {
 		ttl, ok := scheduler.Relay(f.now, redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
@@ -129,7 +113,7 @@
 			Zone: redwingshunt.ZoneID(m.Zone), Address: address, Slots: int(m.Slots),
 		},
 		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting)},
-		TTL:  time.Duration(m.TtlMs) * time.Millisecond,
+		TTL:  time.Duration(m.TtlMs) * time.Millisecond, Cell: int(m.Cell),
 	})
 }
 
@@ -299,8 +283,11 @@
 func (f *Fleet) Leaks() int {
 	taken := 0
 	for _, n := range f.nodes {
-		if n.alive && n.duty.Active {
-			taken += n.owner.Taken()
+		if !n.alive {
+			continue
+		}
+		for _, owner := range n.seats.Active() {
+			taken += owner.Taken()
 		}
 	}
 	for _, e := range f.engines {
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -42,6 +42,7 @@
 	Upstream redwingshunt.Upstream
 	Load     redwingshunt.LoadReport
 	TTL      time.Duration
+	Cell     int
 }
 
 // Left stops new work for an upstream.
@@ -72,6 +73,9 @@
 	Ledger *wire.Ledger
 }
 
+// Viewed gives Seats the view of the fleet.
+type Viewed struct{ Members []redwingshunt.Instance }
+
 // Ticked lets time pass. Any cadence is correct; a few a second suit.
 type Ticked struct{}
 
@@ -88,7 +92,7 @@
 // Cancelled takes a waiting request out of a queue.
 type Cancelled struct{ Ticket uint64 }
 
-// Granted is a grants message of an owner.
+// Granted is a grants message of an instance that owns the service.
 type Granted struct {
 	From   redwingshunt.InstanceID
 	Grants *wire.Grants
@@ -151,6 +155,7 @@
 func (Gone) event()       {}
 func (Peered) event()     {}
 func (Exchanged) event()  {}
+func (Viewed) event()     {}
 func (Ticked) event()     {}
 func (Arrived) event()    {}
 func (Cancelled) event()  {}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -103,7 +103,10 @@
 // send composes the ledger for one peer.
 func (o *Owner) send(now time.Time, p *peer, ask int) {
 	p.sequence++
+	to, cell := instanceOf(p.ID)
 	m := &wire.Ledger{
+		Cell:        uint32(o.options.Cell),
+		To:          uint32(cell),
 		Service:     string(o.options.Service),
 		Incarnation: uint64(o.options.Incarnation),
 		Sequence:    p.sequence,
@@ -130,7 +133,7 @@
 	o.putLoans(p, m)
 	p.sent, p.asked = now, ask
 	p.hello, p.answer, p.reply, p.lentNew = false, false, false, false
-	o.actions = append(o.actions, SendLedger{To: p.ID, Ledger: m})
+	o.actions = append(o.actions, SendLedger{To: to, Ledger: m})
 }
 
 // shift returns by how many bits virtual times are shortened on the wire.
@@ -262,6 +265,9 @@
 // Taken returns the number of slots that are in use, lent or thought so.
 func (o *Owner) Taken() int { return o.pool.Taken() }
 
+// Cell returns the cell that the owner serves.
+func (o *Owner) Cell() int { return o.options.Cell }
+
 // Waiting returns the number of requests that wait for a slot.
 func (o *Owner) Waiting() int { return o.waiting }
 
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -41,6 +41,7 @@
 	Incarnation redwingshunt.Incarnation
 	Region      redwingshunt.RegionID
 	Service     redwingshunt.ServiceID
+	Cell        int
 }
 
 // Owner grants the slots of one service in one region. Before it is elected it
@@ -76,7 +77,7 @@
 
 // NewOwner returns an owner that has not been elected.
 func NewOwner(options OwnerOptions) *Owner {
-	origin := exchanger.Origin{Instance: options.Self, Incarnation: options.Incarnation}
+	origin := exchanger.Origin{Instance: seatOf(options.Self, options.Cell), Incarnation: options.Incarnation}
 	return &Owner{
 		options:  options,
 		pool:     balancer.New(),
@@ -354,7 +355,7 @@
 func (o *Owner) message(r *router) *wire.Grants {
 	if r.out == nil {
 		r.out = &wire.Grants{
-			Service: string(o.options.Service), Term: o.term, Incarnation: r.incarnation,
+			Service: string(o.options.Service), Term: o.term, Incarnation: r.incarnation, Cell: uint32(o.options.Cell),
 		}
 		o.touched = append(o.touched, r)
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -221,7 +221,7 @@
 // grant takes slots from the owner.
 func (q *Queue) grant(now time.Time, e Granted) {
 	m := e.Grants
-	if e.From != q.owner || m.Incarnation != uint64(q.options.Incarnation) || m.Term < q.term {
+	if seatOf(e.From, int(m.Cell)) != q.owner || m.Incarnation != uint64(q.options.Incarnation) || m.Term < q.term {
 		return
 	}
 	if m.Term > q.term {
@@ -239,7 +239,7 @@
 		}
 		q.seen = id
 		q.unacked = true
-		q.bind(now, grantKey{term: m.Term, id: id}, granted)
+		q.bind(now, e.From, grantKey{term: m.Term, id: id}, granted)
 	}
 	if m.Empty {
 		q.refuseAll(now)
@@ -247,7 +247,7 @@
 }
 
 // bind gives a slot to the first request of the account that may use it.
-func (q *Queue) bind(now time.Time, key grantKey, g *wire.Granted) {
+func (q *Queue) bind(now time.Time, owner redwingshunt.InstanceID, key grantKey, g *wire.Granted) {
 	l := q.lines[redwingshunt.AccountID(g.Account)]
 	if l != nil {
 		l.told = max(0, l.told-1)
@@ -260,7 +260,7 @@
 	q.remove(now, t)
 	u := q.upstream(g)
 	q.running[t.Ticket] = &held{ticket: t.Ticket, account: t.Account, grant: key, upstream: u}
-	q.actions = append(q.actions, Assign{Ticket: t.Ticket, Upstream: u, Owner: q.owner})
+	q.actions = append(q.actions, Assign{Ticket: t.Ticket, Upstream: u, Owner: owner})
 }
 
 // choose returns the first request that may run on the granted upstream.
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,20 +12,72 @@
 	"github.com/redwingshunt/redwingshunt"
 )
 
-// Rank orders the live instances of a region for the ownership of a service by
-// rendezvous hashing: the first one owns it, the second one stands by. An
-// instance that is leaving comes last. The order of the others does not change
-// when an instance comes or goes.
-func Rank(members []redwingshunt.Instance, region redwingshunt.RegionID, service redwingshunt.ServiceID) []redwingshunt.Instance {
+// routersPerCell is the number of routers of a region for which a service has
+// one more owner there.
+const routersPerCell = 45
+
+// Cells returns the number of owners of each service in a region with the given
+// number of routers. It is a power of two, so that it changes seldom.
+func Cells(routers int) int {
+	cells := 1
+	for 2*cells*routersPerCell <= routers {
+		cells *= 2
+	}
+	return cells
+}
+
+// CellOf returns the cell to which a router or an upstream belongs.
+func CellOf(service redwingshunt.ServiceID, id string, cells int) int {
+	if cells <= 1 {
+		return 0
+	}
+	return int(xxhash.Sum64String(id+"\x00"+string(service)) % uint64(cells))
+}
+
+// seatOf names the owner of a cell on an instance among peers.
+func seatOf(id redwingshunt.InstanceID, cell int) redwingshunt.InstanceID {
+	if cell == 0 || id == "" {
+		return id
+	}
+	return redwingshunt.InstanceID(string(id) + seatMark + strconv.Itoa(cell))
+}
+
+// seatMark stands between instance and cell in the name of an owner.
+const seatMark = "#"
+
+// instanceOf splits the name of an owner.
+func instanceOf(seat redwingshunt.InstanceID) (redwingshunt.InstanceID, int) {
+	id, cell, ok := strings.Cut(string(seat), seatMark)
+	if !ok {
+		return seat, 0
+	}
+	n, err := strconv.Atoi(cell)
+	if err != nil {
+		return seat, 0
+	}
+	return redwingshunt.InstanceID(id), n
+}
+
+// InRegion returns the instances of a region.
+func InRegion(members []redwingshunt.Instance, region redwingshunt.RegionID) []redwingshunt.Instance {
 	var list []redwingshunt.Instance
 	for _, m := range members {
 		if m.Region == region {
 			list = append(list, m)
 		}
 	}
+	return list
+}
+
+// Rank orders the live instances of a region for the ownership of one cell of a
+// service by rendezvous hashing: the first one owns it, the second one stands
+// by. An instance that is leaving comes last. The order of the others does not
+// change when an instance comes or goes.
+func Rank(members []redwingshunt.Instance, region redwingshunt.RegionID, service redwingshunt.ServiceID, cell int) []redwingshunt.Instance {
+	list := InRegion(members, region)
 	weights := make(map[redwingshunt.InstanceID]uint64, len(list))
 	for _, m := range list {
-		weights[m.ID] = xxhash.Sum64String(string(m.ID) + "\x00" + string(service))
+		weights[m.ID] = xxhash.Sum64String(string(seatOf(m.ID, cell)) + "\x00" + string(service))
 	}
 	slices.SortFunc(list, func(a, b redwingshunt.Instance) int {
 		if a.Leaving != b.Leaving && b.Leaving {
@@ -48,43 +101,51 @@
 	return slices.Compact(list)
 }
 
-// Duty is the part of one instance in a service.
+// Duty is the part of one instance in one cell of a service.
 type Duty struct {
-	Owner  redwingshunt.InstanceID // of the own region; empty when none is alive
+	Owner  redwingshunt.InstanceID // of the cell in the own region; empty when none is alive
 	Active bool                    // this instance is the owner
 	Keeps  bool                    // this instance is the owner or stands by
 	Peers  []Peer                  // for Peered
 }
 
-// DutyOf returns the part of an instance in a service, as the given view of the
-// fleet has it.
-func DutyOf(members []redwingshunt.Instance, self redwingshunt.Instance, service redwingshunt.ServiceID) Duty {
-	home := Rank(members, self.Region, service)
-	if len(home) == 0 {
+// DutyOf returns the part of an instance in one cell of a service, as the given
+// view of the fleet has it.
+func DutyOf(members []redwingshunt.Instance, self redwingshunt.Instance, service redwingshunt.ServiceID, cell int) Duty {
+	home := Rank(members, self.Region, service, cell)
+	if len(home) == 0 || cell >= Cells(len(home)) {
 		return Duty{}
 	}
-	d := Duty{Owner: home[0].ID, Active: home[0].ID == self.ID}
+	d := Duty{Owner: seatOf(home[0].ID, cell), Active: home[0].ID == self.ID}
 	standby := len(home) > 1 && home[1].ID == self.ID
 	d.Keeps = d.Active || standby
 	if standby {
-		d.Peers = []Peer{{ID: home[0].ID, Region: self.Region, Standby: true}}
+		d.Peers = []Peer{{ID: d.Owner, Region: self.Region, Standby: true}}
 	}
 	if !d.Active {
 		return d
 	}
 	for _, region := range Regions(members) {
-		if region == self.Region {
-			continue
-		}
-		away := Rank(members, region, service)
-		d.Peers = append(d.Peers, Peer{ID: away[0].ID, Region: region})
+		d.Peers = append(d.Peers, owners(members, region, service, d.Owner)...)
 	}
 	if len(home) > 1 {
-		d.Peers = append(d.Peers, Peer{ID: home[1].ID, Region: self.Region, Standby: true})
+		d.Peers = append(d.Peers, Peer{ID: seatOf(home[1].ID, cell), Region: self.Region, Standby: true})
 	}
 	return d
 }
 
+// owners returns the owners of all cells of a region but the given one.
+func owners(members []redwingshunt.Instance, region redwingshunt.RegionID, service redwingshunt.ServiceID, but redwingshunt.InstanceID) []Peer {
+	var list []Peer
+	for cell := range Cells(len(InRegion(members, region))) {
+		id := seatOf(Rank(members, region, service, cell)[0].ID, cell)
+		if id != but {
+			list = append(list, Peer{ID: id, Region: region})
+		}
+	}
+	return list
+}
+
 // statesPerSecond bounds the full states that one owner receives a second.
 const statesPerSecond = 20
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -107,6 +107,8 @@
 
 func (q *Queue) send(s *wire.State) {
 	q.sequence++
+	to, cell := instanceOf(q.owner)
+	s.Cell = uint32(cell)
 	s.Service = string(q.options.Service)
 	s.Incarnation = uint64(q.options.Incarnation)
 	s.Sequence = q.sequence
@@ -115,7 +117,7 @@
 	s.Released = q.released
 	q.released = nil
 	q.unacked = false
-	q.actions = append(q.actions, SendState{To: q.owner, State: s, Demand: len(s.Demands) > 0})
+	q.actions = append(q.actions, SendState{To: to, State: s, Demand: len(s.Demands) > 0})
 }
 
 // Line is the queue of one account for dumps.
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -250,8 +250,10 @@
 
 // lose takes a router out. Its running work still loads the upstreams.
 func (o *Owner) lose(now time.Time, id redwingshunt.InstanceID) {
-	if p := o.peers[id]; p != nil {
-		o.forfeit(p)
+	for _, p := range o.order {
+		if instance, _ := instanceOf(p.ID); instance == id {
+			o.forfeit(p)
+		}
 	}
 	r := o.routers[id]
 	if r == nil {
