--- a/measurer/fault_test.go
+++ b/measurer/fault_test.go
@@ -61,6 +61,15 @@
 	return small(flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5), flood(20, 0, 1, 2, 3, 4, 5))
 }
 
+// all returns the indexes of the first n routers.
+func all(n int) []int {
+	list := make([]int, n)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
 // ownerOf returns the index of the owner of region a at the start.
 func ownerOf(s *Scenario) int {
 	f := NewFleet(s)
@@ -135,6 +144,10 @@
 		})},
 		"two floods against small accounts": {scenario: small(
 			flood(100, 0, 1, 2, 3, 4, 5), flood(100, 0, 1, 2, 3, 4, 5), flood(4, 0, 1), flood(4, 2), flood(4, 5))},
+		"two cells in one region": {scenario: with(small(
+			flood(60, 0, 1), flood(30, 2, 3, 4, 5), flood(1, all(96)...)), func(s *Scenario) {
+			s.Places = []Place{{"a", 1, 96, 6}}
+		})},
 		"one router against all": {scenario: small(flood(100, 0), flood(20, 0, 1, 2, 3, 4, 5))},
 		"shares":                 {scenario: with(even(), func(s *Scenario) { s.Loads[0].Share = 4 })},
 		"graceful stop of an owner": {scenario: with(even(), func(s *Scenario) {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -116,6 +116,7 @@
 		Free:        uint32(o.pool.Free()),
 		Slots:       uint32(o.pool.Slots()),
 		Ask:         uint32(ask),
+		Due:         uint32(o.lacking()),
 		Horizon:     uint32(o.longest / horizonStep),
 	}
 	p.told = o.standing(now)
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -77,8 +77,38 @@
 }
 
 // target returns how many slots the peer should have while work waits here.
-// The lag of the peer is kept between a quarter and a half of the allowed gap.
+// The lag of the peer is kept between a quarter and a half of the allowed gap,
+// and it gets this owner's part of what is due to its accounts.
 func (o *Owner) target(now time.Time, p *peer, lent int) int {
+	return max(o.dueTo(p), o.fairTo(now, p, lent))
+}
+
+// dueTo returns this owner's part of the slots that the peer lacks for what is
+// due to its accounts, in proportion to the slots of all that could lend.
+func (o *Owner) dueTo(p *peer) int {
+	slots := o.pool.Slots()
+	if p.due == 0 || slots == 0 {
+		return 0
+	}
+	all := slots
+	for _, other := range o.order {
+		if other != p && !other.Standby {
+			all += other.slots
+		}
+	}
+	return (p.due*slots + all - 1) / all
+}
+
+// lacking returns the slots that are due to accounts beyond the own slots.
+func (o *Owner) lacking() int {
+	due := 0
+	for _, a := range o.ready {
+		due += a.enough
+	}
+	return max(0, due-o.pool.Slots())
+}
+
+func (o *Owner) fairTo(now time.Time, p *peer, lent int) int {
 	if len(o.ready) == 0 {
 		return o.part(p, lent)
 	}
@@ -183,7 +213,7 @@
 	if !p.backlogged {
 		return min(maxAsk, may+min(o.waiting, p.slots))
 	}
-	return min(maxAsk, may+o.lagging(now, p.level-o.units(o.gap)/4))
+	return min(maxAsk, max(may+o.lagging(now, p.level-o.units(o.gap)/4), o.lacking()))
 }
 
 // lagging returns the requests that wait for long below a virtual time.
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -60,6 +60,7 @@
 	free        int
 	slots       int
 	horizon     time.Duration
+	due         int // slots due to its accounts beyond its own
 	ask         int // slots that the peer wants of this owner
 	asked       int // slots last asked of the peer
 	peak        int // slots used lately
@@ -141,7 +142,7 @@
 			o.pool.Borrow(p.ID, v.Upstream, 0)
 		}
 	}
-	p.backlogged, p.free, p.ask = false, 0, 0
+	p.backlogged, p.free, p.ask, p.due = false, 0, 0, 0
 	for _, a := range o.accounts {
 		delete(a.remote, p.ID)
 	}
@@ -173,7 +174,7 @@
 	if !o.active || p.Standby {
 		return
 	}
-	p.ask = int(m.Ask)
+	p.ask, p.due = int(m.Ask), int(m.Due)
 	o.takeHeld(p, m)
 	if m.Loans {
 		o.takeLent(p, m)
