--- /dev/null
+++ b/recorder/seed.go
@@ -0,0 +1,179 @@
+package recorder
+
+import (
+	"context"
+	"errors"
+
+	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/replicator"
+	"github.com/redwingshunt/redwingshunt/replicator/encoder"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// errSeeded means that there is a first membership already.
+var errSeeded = errors.New("another initial voter has state already; this folder has to be added with replace")
+
+// states returns the number of groups of which the folder has state.
+func (r *Recorder) states() uint32 {
+	n := uint32(0)
+	for _, g := range r.groups {
+		if g.seeded() {
+			n++
+		}
+	}
+	return n
+}
+
+// seeded reports whether the folder has state of the group.
+func (g *group) seeded() bool { return g.core.Status().Last > 0 }
+
+// bootstrap makes the first membership out of all initial voters, once each of
+// them has said that its folder is empty. When some have not learnt of it, since
+// this instance stopped meanwhile, they are told again.
+func (r *Recorder) bootstrap(ctx context.Context) {
+	for ctx.Err() == nil {
+		done, err := r.tryBootstrap(ctx)
+		if err != nil {
+			r.options.Logger.Error("no first membership was made", "error", err)
+			return
+		}
+		if done {
+			return
+		}
+		pause(ctx, operationDelay)
+	}
+}
+
+// tryBootstrap reports whether nothing is left to do.
+func (r *Recorder) tryBootstrap(ctx context.Context) (bool, error) {
+	voters, err := r.initialVoters(ctx)
+	if err != nil {
+		return false, nil // one does not answer yet
+	}
+	own, err := r.ownState(ctx)
+	if err != nil {
+		return false, nil
+	}
+	membership := own.first
+	switch {
+	case own.led:
+		return true, nil // the leaders reach the others
+	case own.states == 0 && voters.states > 0:
+		return false, errSeeded
+	case own.states == 0:
+		membership = replicator.NewMembership(voters.ids...)
+	}
+	for _, id := range voters.incomplete {
+		if !membership.Voter(id) {
+			continue
+		}
+		seed := &wire.LogSeed{Membership: encoder.Members(membership), Groups: uint32(r.options.Groups)}
+		reply, err := r.ask(ctx, id.Instance, &wire.LogRequest{Seed: seed})
+		if err != nil || reply.GetOutcome() != wire.LogOutcome_LOG_OUTCOME_APPLIED {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// initialVoters is what the instances of Options.Initial say of their folders.
+type initialVoters struct {
+	ids        []replicator.MemberID
+	incomplete []replicator.MemberID // that lack state of a group; this instance comes first
+	states     uint32                // groups with state, over all folders
+}
+
+// initialVoters asks all of Options.Initial for their folders.
+func (r *Recorder) initialVoters(ctx context.Context) (initialVoters, error) {
+	var voters initialVoters
+	for _, instance := range r.options.Initial {
+		reply, err := r.ask(ctx, instance, &wire.LogRequest{Identify: true})
+		if err != nil {
+			return voters, err
+		}
+		id := replicator.MemberID{Instance: instance, Folder: replicator.FolderID(reply.GetFolder())}
+		voters.ids = append(voters.ids, id)
+		voters.states += reply.GetStates()
+		switch {
+		case int(reply.GetStates()) == r.options.Groups:
+		case instance == r.options.Self:
+			voters.incomplete = append([]replicator.MemberID{id}, voters.incomplete...)
+		default:
+			voters.incomplete = append(voters.incomplete, id)
+		}
+	}
+	return voters, nil
+}
+
+// ownState is what the folder of this instance holds.
+type ownState struct {
+	states uint32                // groups with state
+	led    bool                  // all groups have had a leader
+	first  replicator.Membership // the first membership, if a group still has it
+}
+
+// ownState looks at the groups of this instance.
+func (r *Recorder) ownState(ctx context.Context) (ownState, error) {
+	found := make(chan ownState, 1)
+	err := r.do(ctx, func() {
+		own := ownState{states: r.states(), led: true}
+		for _, g := range r.ordered() {
+			s := g.core.Status()
+			own.led = own.led && s.Last > 1
+			if s.Last == 1 {
+				own.first = s.Membership
+			}
+		}
+		found <- own
+	})
+	if err != nil {
+		return ownState{}, err
+	}
+	select {
+	case own := <-found:
+		return own, nil
+	case <-r.done:
+		return ownState{}, errStopped
+	}
+}
+
+// takeSeed gives the first membership to the groups that have no state, once.
+func (r *Recorder) takeSeed(seed *wire.LogSeed, reply func(*wire.LogReply)) {
+	membership := encoder.ParseMembers(seed.GetMembership())
+	switch {
+	case int(r.states()) == r.options.Groups || r.seeding:
+		reply(&wire.LogReply{Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED})
+		return
+	case !membership.Voter(r.self) || int(seed.GetGroups()) != r.options.Groups:
+		reply(refusal("the first membership is not for this folder"))
+		return
+	}
+	r.seeding = true
+	left := r.options.Groups - int(r.states())
+	for _, g := range r.ordered() {
+		if g.seeded() {
+			continue
+		}
+		record, err := g.seed(membership)
+		if err != nil {
+			r.fail(err)
+			return
+		}
+		r.queue = append(r.queue, job{record: &record, then: func(replicator.Snapshot) {
+			r.startSeeded(g, record)
+			if left--; left == 0 {
+				reply(&wire.LogReply{Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED})
+			}
+		}})
+	}
+}
+
+// startSeeded begins a replica that has got its first membership.
+func (r *Recorder) startSeeded(g *group, record journaler.Record) {
+	snapshot := *record.Persist.Snapshot
+	fresh := newGroup(r, g.id, replicator.Stored{Snapshot: snapshot.SnapshotMeta})
+	if err := fresh.restore(snapshot); err != nil {
+		r.fail(err)
+	}
+	r.groups[g.id] = fresh
+}
