--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -1,12 +1,11 @@
 package daemon
 
 import (
-	"log/slog"
+	"crypto/rand"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/authenticator"
 	"github.com/redwingshunt/redwingshunt/classifier"
-	"github.com/redwingshunt/redwingshunt/observer"
 	"github.com/redwingshunt/redwingshunt/replayer"
 	"github.com/redwingshunt/redwingshunt/responder"
 )
@@ -14,18 +13,12 @@
 // newChain returns the filters that each request passes, in their order. The
 // dispatcher at the end asks the scheduler for a grant, reads the answer
 // through the accountant and writes it to the caller.
-func newChain(
-	dispatcher redwingshunt.Handler,
-	observer *observer.Observer,
-	claimer redwingshunt.Claimer,
-	newID func() string,
-	logger *slog.Logger,
-) redwingshunt.Handler {
-	return redwingshunt.Chain(dispatcher,
-		responder.New(logger).Filter,
-		observer.Filter,
+func (d *Daemon) newChain() redwingshunt.Handler {
+	return redwingshunt.Chain(d.dispatcher,
+		responder.New(d.logger).Filter,
+		d.metrics.observer.Filter,
 		authenticator.New().Filter,
-		classifier.New(newID).Filter,
-		replayer.New(claimer).Filter,
+		classifier.New(rand.Text).Filter,
+		replayer.New(d.promises.guarantor).Filter,
 	)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"log/slog"
 	"net/http"
@@ -45,8 +44,8 @@
 	// Document is in force from the start, instead of the file that the
 	// settings name; may be nil.
 	Document *redwingshunt.Document
-	// Log commits the claims of non-idempotent requests. Without one they are
-	// refused as not run.
+	// Log commits the claims of non-idempotent requests instead of the log of
+	// the instance; may be nil.
 	Log redwingshunt.Log
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
@@ -60,7 +59,9 @@
 	members    *memberTable
 	linker     *linker.Linker
 	scheduling *coordinator.Coordinator
-	configured *configuration
+	fixed      *fixedConfiguration // nil when the document is that of the log
+	configured redwingshunt.Configuration
+	control    *control
 	dispatcher *dispatcher.Dispatcher
 	promises   *promises
 	listener   *listener.Listener
@@ -81,7 +82,10 @@
 		d.sockets.close()
 		return nil, trace.Wrap(err)
 	}
-	d.assemble()
+	if err := d.assemble(); err != nil {
+		d.sockets.close()
+		return nil, trace.Wrap(err)
+	}
 	return d, nil
 }
 
@@ -90,16 +94,16 @@
 	if err := d.openCertificates(); err != nil {
 		return err
 	}
-	configured, err := newConfiguration(d.settings, d.options.Document)
+	fixed, err := newFixedConfiguration(d.settings, d.options.Document)
 	if err != nil {
 		return err
 	}
-	d.configured = configured
+	d.fixed = fixed
 	return d.sockets.open(d.settings)
 }
 
 // assemble connects the parts. The order of the chain stands in chain.go.
-func (d *Daemon) assemble() {
+func (d *Daemon) assemble() error {
 	self := redwingshunt.Instance{
 		ID:          d.settings.Name,
 		Incarnation: redwingshunt.Incarnation(time.Now().UnixMicro()),
@@ -119,6 +123,12 @@
 		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
+	control, configured, err := newControl(d, d.fixed)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.control = control
+	d.configured = configured
 	d.metrics = newMetrics(d)
 	d.scheduling = coordinator.New(coordinator.Options{
 		Members:       d.members,
@@ -128,12 +138,12 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
-	d.promises = newPromises(d.options.Log, d.members, d.linker, d.configured)
+	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
 	})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, d.metrics.observer, d.promises.guarantor, rand.Text, d.logger),
+		Chain:         d.newChain(),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -146,12 +156,22 @@
 	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
 	wire.RegisterInstancesServer(d.grpc, d.linker)
 	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
+	return nil
+}
+
+// log returns the log that claims are committed to.
+func (d *Daemon) log() redwingshunt.Log {
+	if d.options.Log != nil {
+		return d.options.Log
+	}
+	return d.control.recorder
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.control.run(background)
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
--- a/daemon/promises.go
+++ b/daemon/promises.go
@@ -23,14 +23,6 @@
 	notifier  *notifier.Notifier
 }
 
-// noLog stands for the log on an instance that has none.
-type noLog struct{}
-
-// Propose implements redwingshunt.Log.
-func (noLog) Propose(context.Context, redwingshunt.GroupID, []byte) ([]byte, error) {
-	return nil, redwingshunt.ErrNotCommitted
-}
-
 // newPromises connects the parts to the log, the members and the links.
 func newPromises(
 	log redwingshunt.Log,
@@ -38,9 +30,6 @@
 	link redwingshunt.Link,
 	config redwingshunt.Configuration,
 ) *promises {
-	if log == nil {
-		log = noLog{}
-	}
 	p := &promises{keeper: keeper.New(wallClock{}, members, link, config)}
 	p.guarantor = guarantor.New(wallClock{}, log, members, config, p.keeper)
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -31,6 +31,7 @@
 		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
 	}
 	d.dispatcher.Close()
+	d.control.close()
 	d.linker.Close()
 	d.grpc.Stop()
 	_ = d.admin.Close()
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -26,39 +26,24 @@
 	var view []redwingshunt.Instance
 	for _, other := range f.nodes {
 		if other.alive && other.side == n.side {
-			view = append(view, other.instance)
+			instance := other.instance
+			instance.Region = other.home
+			view = append(view, instance)
 		}
 	}
-	lost := missing(n.view, view)
 	n.view = view
-	was := n.duty
-	n.duty = scheduler.DutyOf(view, n.instance, service)
-	n.instance.Leaving = slices.ContainsFunc(view, func(i redwingshunt.Instance) bool { return i.ID == n.instance.ID && i.Leaving })
-	for _, id := range lost {
-		f.toOwner(n, scheduler.Gone{Instance: id})
-	}
-	f.toOwner(n, scheduler.Peered{Peers: n.duty.Peers})
-	switch {
-	case n.duty.Active && !was.Active:
-		f.terms++
-		f.toOwner(n, scheduler.Elected{Term: f.terms, Settle: settle})
-	case was.Active && !n.duty.Active:
-		f.toOwner(n, scheduler.Demoted{})
-	}
-	f.feed(n, scheduler.Owned{ID: n.duty.Owner})
-}
-
-// missing returns the instances that were seen before and no longer are.
-func missing(before, now []redwingshunt.Instance) []redwingshunt.InstanceID {
-	var list []redwingshunt.InstanceID
-	for _, old := range before {
-		if !slices.ContainsFunc(now, func(i redwingshunt.Instance) bool { return i.ID == old.ID }) {
-			list = append(list, old.ID)
-		}
+	f.toOwner(n, scheduler.Viewed{Members: view})
+	period := n.seats.Period()
+	if f.scenario.Retells > 0 {
+		period = f.scenario.Retells
 	}
-	return list
+	n.queue.SetPeriod(period)
+	f.feed(n, scheduler.Owned{ID: n.seats.Home()})
 }
 
+// owns reports whether an instance owns the service in its region.
+func (n *node) owns() bool { return len(n.seats.Active()) > 0 }
+
 // announce lets an upstream tell one router of its region that it lives.
 func (f *Fleet) announce(e *engine) {
 	f.after(announcePeriod, func() { f.announce(e) })
@@ -97,10 +82,13 @@
 
 // relay passes an announcement to the owner and to the one that stands by.
 func (f *Fleet) relay(n *node, m *wire.Announcement) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		return
 	}
-	ranked := scheduler.Rank(n.view, n.instance.Region, service)
+	cells := scheduler.Cells(len(scheduler.InRegion(n.view, n.home)))
+	cell := scheduler.CellOf(service, m.Id, cells)
+	m.Cell = uint32(cell)
+	ranked := scheduler.Rank(n.view, n.home, service, cell)
 	life := time.Duration(m.TtlMs) * time.Millisecond
 	for i, target := range ranked[:min(2, len(ranked))] {
 		ttl, ok := scheduler.Relay(f.now, redwingshunt.UpstreamID(m.Id), life, i, len(ranked))
@@ -121,11 +109,11 @@
 	address, _ := netip.ParseAddrPort(m.Address)
 	f.toOwner(n, scheduler.Announced{
 		Upstream: redwingshunt.Upstream{
-			ID: id, Service: service, Region: redwingshunt.RegionID(m.Region),
+			ID: id, Service: service, Region: f.homeOf(redwingshunt.RegionID(m.Region)),
 			Zone: redwingshunt.ZoneID(m.Zone), Address: address, Slots: int(m.Slots),
 		},
 		Load: redwingshunt.LoadReport{Running: int(m.Running), Waiting: int(m.Waiting)},
-		TTL:  time.Duration(m.TtlMs) * time.Millisecond,
+		TTL:  time.Duration(m.TtlMs) * time.Millisecond, Cell: int(m.Cell),
 	})
 }
 
@@ -133,7 +121,7 @@
 func (f *Fleet) begin(l *Load) {
 	for _, index := range l.Routers {
 		for range l.Clients {
-			f.after(l.From+time.Duration(f.random.Int64N(int64(10*time.Millisecond))), func() { f.arrive(l, index) })
+			f.after(l.From+time.Duration(f.random.Int64N(int64(10*time.Millisecond+l.Think))), func() { f.arrive(l, index) })
 		}
 	}
 }
@@ -158,7 +146,7 @@
 	r.ticket, r.node, r.waiting, r.job, r.told = f.tickets, n, true, nil, 0
 	n.requests[r.ticket] = r
 	f.gauge.queued(r)
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		n.local.arrive(r)
 		return
 	}
@@ -192,6 +180,7 @@
 	if e.leaving() && f.now.Sub(e.left) > leavingGrace {
 		f.gauge.late++
 	}
+	f.gauge.moved(n, e)
 	r.engine = e
 	r.job = &job{request: r, router: n}
 	r.sent = f.now
@@ -246,7 +235,12 @@
 	f.released(n, r, redwingshunt.Result{
 		Cost: redwingshunt.Cost(r.tokens), Total: f.now.Sub(r.sent), First: j.started.Sub(r.sent) + prefill,
 	})
-	f.arrive(r.load, n.index)
+	if r.load.Think == 0 {
+		f.arrive(r.load, n.index)
+		return
+	}
+	pause := time.Duration(f.random.ExpFloat64() * float64(r.load.Think))
+	f.after(pause, func() { f.arrive(r.load, n.index) })
 }
 
 // broken tells the router that an upstream was lost and queues the request anew.
@@ -267,7 +261,7 @@
 }
 
 func (f *Fleet) released(n *node, r *request, result redwingshunt.Result) {
-	if f.scenario.Policy != PolicyOwner {
+	if !f.cored() {
 		n.local.release(r, result)
 		return
 	}
@@ -289,8 +283,11 @@
 func (f *Fleet) Leaks() int {
 	taken := 0
 	for _, n := range f.nodes {
-		if n.alive && n.duty.Active {
-			taken += n.owner.Taken()
+		if !n.alive {
+			continue
+		}
+		for _, owner := range n.seats.Active() {
+			taken += owner.Taken()
 		}
 	}
 	for _, e := range f.engines {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -103,7 +103,10 @@
 // send composes the ledger for one peer.
 func (o *Owner) send(now time.Time, p *peer, ask int) {
 	p.sequence++
+	to, cell := instanceOf(p.ID)
 	m := &wire.Ledger{
+		Cell:        uint32(o.options.Cell),
+		To:          uint32(cell),
 		Service:     string(o.options.Service),
 		Incarnation: uint64(o.options.Incarnation),
 		Sequence:    p.sequence,
@@ -113,6 +116,7 @@
 		Free:        uint32(o.pool.Free()),
 		Slots:       uint32(o.pool.Slots()),
 		Ask:         uint32(ask),
+		Due:         uint32(o.lacking()),
 		Horizon:     uint32(o.longest / horizonStep),
 	}
 	p.told = o.standing(now)
@@ -130,7 +134,7 @@
 	o.putLoans(p, m)
 	p.sent, p.asked = now, ask
 	p.hello, p.answer, p.reply, p.lentNew = false, false, false, false
-	o.actions = append(o.actions, SendLedger{To: p.ID, Ledger: m})
+	o.actions = append(o.actions, SendLedger{To: to, Ledger: m})
 }
 
 // shift returns by how many bits virtual times are shortened on the wire.
@@ -262,6 +266,9 @@
 // Taken returns the number of slots that are in use, lent or thought so.
 func (o *Owner) Taken() int { return o.pool.Taken() }
 
+// Cell returns the cell that the owner serves.
+func (o *Owner) Cell() int { return o.options.Cell }
+
 // Waiting returns the number of requests that wait for a slot.
 func (o *Owner) Waiting() int { return o.waiting }
 
@@ -306,6 +313,8 @@
 	Lent     int                     `json:"lent,omitempty"`
 	Foreign  int                     `json:"foreign,omitempty"`
 	Leaving  bool                    `json:"leaving,omitempty"`
+
+	Announced redwingshunt.Upstream `json:"-"` // as it was announced last
 }
 
 // Windows returns the state of up to limit upstreams.
@@ -315,7 +324,7 @@
 	for _, v := range views[:min(limit, len(views))] {
 		list = append(list, Window{
 			Upstream: v.Key.ID, Lender: v.Key.Lender, Window: v.Window, Running: v.Own,
-			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving,
+			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving, Announced: v.Upstream,
 		})
 	}
 	return list
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -60,6 +60,7 @@
 	free        int
 	slots       int
 	horizon     time.Duration
+	due         int // slots due to its accounts beyond its own
 	ask         int // slots that the peer wants of this owner
 	asked       int // slots last asked of the peer
 	peak        int // slots used lately
@@ -141,7 +142,7 @@
 			o.pool.Borrow(p.ID, v.Upstream, 0)
 		}
 	}
-	p.backlogged, p.free, p.ask = false, 0, 0
+	p.backlogged, p.free, p.ask, p.due = false, 0, 0, 0
 	for _, a := range o.accounts {
 		delete(a.remote, p.ID)
 	}
@@ -149,7 +150,8 @@
 }
 
 // merge takes the ledger of a peer in.
-func (o *Owner) merge(now time.Time, from redwingshunt.InstanceID, m *wire.Ledger) {
+func (o *Owner) merge(now time.Time, instance redwingshunt.InstanceID, m *wire.Ledger) {
+	from := seatOf(instance, int(m.Cell))
 	p := o.peers[from]
 	origin := exchanger.Origin{Instance: from, Incarnation: redwingshunt.Incarnation(m.Incarnation)}
 	o.mergeCounters(now, origin, p, m)
@@ -172,7 +174,7 @@
 	if !o.active || p.Standby {
 		return
 	}
-	p.ask = int(m.Ask)
+	p.ask, p.due = int(m.Ask), int(m.Due)
 	o.takeHeld(p, m)
 	if m.Loans {
 		o.takeLent(p, m)
