--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -131,15 +131,16 @@
 	if a.TTL == 0 {
 		a.TTL = defaultTTL.Milliseconds()
 	}
-	ttl := time.Duration(a.TTL) * time.Millisecond
 	switch {
 	case a.ID == "" || len(a.ID) > longestName:
 		return "id is a name of at most 128 bytes"
-	case !a.Address.IsValid() || a.Address.Addr().IsUnspecified():
+	case max(len(a.Region), len(a.Zone), len(a.Version)) > longestName:
+		return "region, zone and version have at most 128 bytes"
+	case !a.Address.IsValid() || a.Address.Addr().IsUnspecified() || a.Address.Port() == 0:
 		return "address is an IP number and a port, as in 10.0.0.7:8000"
 	case a.Slots < 1 || a.Slots > mostSlots:
 		return "slots is from 1 to 4096"
-	case ttl < shortestTTL || ttl > longestTTL:
+	case a.TTL < shortestTTL.Milliseconds() || a.TTL > longestTTL.Milliseconds():
 		return "ttl is from 1000 to 60000 milliseconds"
 	case a.Load.Running < 0 || a.Load.Waiting < 0:
 		return "load is not negative"
--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,80 @@
+package announcer_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/announcer"
+)
+
+// directory keeps the last announcement.
+type directory struct {
+	upstream redwingshunt.Upstream
+	ttl      time.Duration
+	count    int
+}
+
+func (d *directory) Announce(u redwingshunt.Upstream, _ redwingshunt.LoadReport, ttl time.Duration) {
+	d.upstream, d.ttl = u, ttl
+	d.count++
+}
+
+func (d *directory) Leave(redwingshunt.UpstreamKey) {}
+
+// Current and Watch implement redwingshunt.Configuration.
+func (d *directory) Current() *redwingshunt.Snapshot {
+	return &redwingshunt.Snapshot{Document: &redwingshunt.Document{
+		Services: []redwingshunt.Service{{Name: "desk"}},
+	}}
+}
+
+func (d *directory) Watch() <-chan struct{} { return nil }
+
+// FuzzAnnouncement parses announcements as upstreams send them. One is either
+// refused, or taken within the limits and answered with them.
+func FuzzAnnouncement(f *testing.F) {
+	for _, seed := range []string{
+		`{"id":"d","service":"desk","address":"127.0.0.1:80","slots":4,"ttl":6000,"load":{"running":1}}`,
+		`{"id":"d","service":"desk","address":"127.0.0.1:80","slots":4,"ttl":18446744078710}`,
+		`{"id":"d","service":"desk","address":"127.0.0.1:0","slots":4}`,
+		`{"id":"d","service":"desk","address":"[::]:80","slots":-1}`,
+		`{"id":"d","service":"other","address":"127.0.0.1:80","slots":1}`,
+		`{"id":"d","id":"e","unknown":1}`,
+		`[`,
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		d := &directory{}
+		handler := announcer.New(announcer.Options{
+			Directory: d, Configuration: d, Now: func() time.Time { return time.Unix(0, 0) },
+			Self: func() redwingshunt.Instance { return redwingshunt.Instance{Region: "north"} },
+		})
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/upstreams", strings.NewReader(body)))
+		if w.Code != http.StatusOK {
+			if d.count != 0 {
+				t.Fatal("a refused announcement was taken")
+			}
+			return
+		}
+		var receipt announcer.Receipt
+		if err := json.Unmarshal(w.Body.Bytes(), &receipt); err != nil {
+			t.Fatal(err)
+		}
+		u := d.upstream
+		switch {
+		case u.ID == "" || u.Service != "desk" || !u.Address.IsValid() || u.Address.Port() == 0:
+			t.Fatalf("taken: %+v", u)
+		case u.Slots < 1 || u.Slots > 4096 || d.ttl < time.Second || d.ttl > time.Minute:
+			t.Fatalf("taken with %d slots for %v", u.Slots, d.ttl)
+		case receipt.TTL != d.ttl.Milliseconds():
+			t.Fatalf("taken for %v, answered %d ms", d.ttl, receipt.TTL)
+		}
+	})
+}
--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -21,6 +21,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"path"
 	"slices"
 	"strings"
@@ -143,6 +144,8 @@
 		return matches(rule, r)
 	})
 	switch {
+	case len(e.HTTP.Header.Values(redwingshunt.HeaderIdempotency)) > 1:
+		return invalid("there is more than one idempotency key")
 	case len(r.Key) > maxKeyLength:
 		return invalid("the idempotency key is longer than 255 bytes")
 	case r.Once && r.Key == "":
@@ -157,7 +160,8 @@
 	if rule.Service != r.Service {
 		return false
 	}
-	if len(rule.Methods) > 0 && !slices.Contains(rule.Methods, r.Method) {
+	sameMethod := func(method string) bool { return strings.EqualFold(method, r.Method) }
+	if len(rule.Methods) > 0 && !slices.ContainsFunc(rule.Methods, sameMethod) {
 		return false
 	}
 	if len(rule.Methods) == 0 && isSafe(r.Method) {
@@ -167,8 +171,20 @@
 		return true
 	}
 	target, _, _ := strings.Cut(r.Path, "?")
-	ok, err := path.Match(rule.Path, path.Clean(target))
-	return ok && err == nil
+	return matchesPath(rule.Path, target)
+}
+
+// matchesPath reports whether a pattern matches a path as it is or as an
+// upstream may read it, with its percent-encoding undone.
+func matchesPath(pattern, target string) bool {
+	forms := []string{target}
+	if decoded, err := url.PathUnescape(target); err == nil {
+		forms = append(forms, decoded)
+	}
+	return slices.ContainsFunc(forms, func(form string) bool {
+		ok, err := path.Match(pattern, path.Clean(form))
+		return ok && err == nil
+	})
 }
 
 func isSafe(method string) bool {
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -241,8 +241,14 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
+// ownPrefix begins the headers that only the fleet itself sends.
+const ownPrefix = "Redwingshunt-"
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
+		if strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
 		to[name] = append([]string(nil), values...)
 	}
 	for _, connection := range from["Connection"] {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -34,6 +34,9 @@
 	if a.exchange.HTTP.Context().Err() != nil {
 		return a.failure(ctx, context.Canceled)
 	}
+	if scanner.Err() == nil && a.exchange.Service.Kind == redwingshunt.ServicePlain {
+		return a.endPlain(response)
+	}
 	detail := "the stream ended before its last event"
 	if err := scanner.Err(); err != nil {
 		a.silent = errors.Is(err, connector.ErrSilent)
@@ -42,6 +45,15 @@
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, detail)
 }
 
+// endPlain ends a stream of a plain service, which has no last event: it is
+// whole when its connection says so.
+func (a *attempt) endPlain(response *http.Response) error {
+	a.meter.Body(nil)
+	a.startStream(response)
+	a.exchange.Writer.Header().Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
+	return nil
+}
+
 // startStream sends the header of the answer once there is something to send.
 func (a *attempt) startStream(response *http.Response) {
 	if a.exchange.Started {
@@ -69,17 +81,25 @@
 // empty line, which is kept. An event cut off by the end of the stream is
 // dropped.
 func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
-	for _, end := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(data, []byte(end)); i >= 0 {
-			return i + len(end), data[:i+len(end)], nil
+	first := -1
+	for _, empty := range emptyLines {
+		i := bytes.Index(data, empty)
+		if i >= 0 && (first < 0 || i+len(empty) < first) {
+			first = i + len(empty)
 		}
 	}
-	if atEOF {
+	switch {
+	case first >= 0:
+		return first, data[:first], nil
+	case atEOF:
 		return len(data), nil, nil
 	}
 	return 0, nil, nil
 }
 
+// emptyLines are the ends of a line and of the empty line that follows it.
+var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
 // eventData returns the data of a server-sent event.
 func eventData(event []byte) ([]byte, bool) {
 	for line := range bytes.Lines(event) {
