--- a/claimer/locate.go
+++ b/claimer/locate.go
@@ -21,21 +21,33 @@
 //	4 groups, regions north, south: north has group 1, south has group 2
 //	8 groups, regions north, south: north has 1 and 5, south has 2 and 6
 func Locate(d *redwingshunt.Document, account redwingshunt.AccountID, key Key) redwingshunt.GroupID {
-	groups := max(1, uint64(d.Fleet.Groups))
+	groups := uint64(groupsOf(d))
 	hash := xxhash.Sum64(key[:])
-	home := homeIndex(d, account)
-	if home < 0 {
+	lane, ok := laneOf(d, account).Get()
+	if !ok {
 		return redwingshunt.GroupID(1 + hash%groups)
 	}
 	width := min(lanes, groups)
-	lane := uint64(home) % width
 	row := hash % (groups / width)
-	return redwingshunt.GroupID(1 + lane + width*row)
+	return redwingshunt.GroupID(1 + uint64(lane) + width*row)
+}
+
+// groupsOf returns the number of groups of claims.
+func groupsOf(d *redwingshunt.Document) int { return max(1, d.Fleet.Groups) }
+
+// laneOf returns which groups hold the claims of an account: those with this
+// remainder, or all of them.
+func laneOf(d *redwingshunt.Document, account redwingshunt.AccountID) redwingshunt.Option[int] {
+	home := homeIndex(d, account)
+	if home < 0 && groupsOf(d) > 1 {
+		return redwingshunt.None[int]()
+	}
+	return redwingshunt.Some(max(0, home) % min(lanes, groupsOf(d)))
 }
 
 // Home returns the region in which a group of claims should be led, or none.
 func Home(d *redwingshunt.Document, group redwingshunt.GroupID) redwingshunt.Option[redwingshunt.RegionID] {
-	width := min(lanes, max(1, d.Fleet.Groups))
+	width := min(lanes, groupsOf(d))
 	lane := (int(group) - 1) % width
 	if group == redwingshunt.GroupControl || lane >= len(d.Regions) {
 		return redwingshunt.None[redwingshunt.RegionID]()
@@ -48,16 +60,18 @@
 // run a second time.
 func Moves(before, after *redwingshunt.Document) redwingshunt.Findings {
 	var findings redwingshunt.Findings
-	if before.Fleet.Groups != after.Fleet.Groups {
+	if groupsOf(before) != groupsOf(after) {
 		findings = append(findings, redwingshunt.Finding{
+			File: "-",
 			Path: "fleet.groups",
-			Text: fmt.Sprintf("must stay %d, as claims would move", before.Fleet.Groups),
+			Text: fmt.Sprintf("must stay %d, as claims would move", groupsOf(before)),
 		})
 	}
 	for i, account := range after.Accounts {
 		earlier := slices.ContainsFunc(before.Accounts, func(a redwingshunt.Account) bool { return a.Name == account.Name })
-		if earlier && homeIndex(before, account.Name) != homeIndex(after, account.Name) {
+		if earlier && laneOf(before, account.Name) != laneOf(after, account.Name) {
 			findings = append(findings, redwingshunt.Finding{
+				File: "-",
 				Path: fmt.Sprintf("accounts[%d].home", i),
 				Text: "must keep its region and the region its place in the list, as claims would move",
 			})
--- a/claimer/machine_test.go
+++ b/claimer/machine_test.go
@@ -258,6 +258,11 @@
 	moved.Accounts = []redwingshunt.Account{{Name: "a", Home: "north"}, {Name: "c", Home: "south"}}
 	is.Equal(len(claimer.Moves(d, &moved)), 1)
 	is.Equal(len(claimer.Moves(d, d)), 0)
+	moved.Fleet.Groups = 4
+	is.Equal(len(claimer.Moves(d, &moved)), 2)
+	single, other := *d, moved
+	single.Fleet.Groups, other.Fleet.Groups = 1, 1
+	is.Equal(len(claimer.Moves(&single, &other)), 0) // one group holds all
 }
 
 // BenchmarkApply applies a grant and an answer a claim, and reports the memory
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -84,6 +84,7 @@
 	return registrar.New(registrar.Options{
 		Document: parser.Document,
 		Section:  parser.Section,
+		Moves:    claimer.Moves,
 		Accepted: c.subscribe.Accept,
 	})
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,6 +81,8 @@
 type Options struct {
 	Document DocumentFunc
 	Section  SectionFunc
+	// Moves returns why a document can't follow another one; may be nil.
+	Moves func(before, after *redwingshunt.Document) redwingshunt.Findings
 	// Accepted is told each configuration that Apply or Restore puts in force.
 	// It must return quickly; may be nil.
 	Accepted func(State)
--- a/registrar/submit.go
+++ b/registrar/submit.go
@@ -74,6 +74,9 @@
 	if len(findings) == 0 {
 		findings = r.checkMerged(c, next)
 	}
+	if len(findings) == 0 && r.options.Moves != nil && r.state.Document != nil {
+		findings = r.options.Moves(r.state.Document, next.Document)
+	}
 	if len(findings) > 0 {
 		return &wire.ReceiptRecord{Revision: current, Section: c.GetSection(), Findings: encodeFindings(findings)}, nil
 	}
