--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -29,7 +29,7 @@
 }
 
 // startFleet runs daemons on 127.0.0.1, 127.0.0.2, ... with examples/three.yaml.
-func startFleet(t *testing.T, count int, change ...func(*Options)) []*node {
+func startFleet(t testing.TB, count int, change ...func(*Options)) []*node {
 	t.Helper()
 	var nodes []*node
 	var seeds []netip.AddrPort
@@ -74,7 +74,7 @@
 	}
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if condition() {
@@ -84,7 +84,7 @@
 	t.Fatal("did not happen")
 }
 
-func startMimic(t *testing.T, options mimic.Options, at *node) *mimic.Mimic {
+func startMimic(t testing.TB, options mimic.Options, at *node) *mimic.Mimic {
 	t.Helper()
 	m := mimic.New(options)
 	if _, err := m.Start("127.0.0.1:0"); err != nil {
--- /dev/null
+++ b/daemon/relay_bench_test.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// BenchmarkRelay compares the stand-in called directly, through a bare relay of
+// a few lines over net/http, and through a daemon, with few and many callers.
+func BenchmarkRelay(b *testing.B) {
+	n := startFleet(b, 1)[0]
+	m := startMimic(b, mimic.Options{ID: "desk-1", Service: "desk", Slots: 256}, n)
+	direct := "http://" + m.Address().String()
+	relay := startRelay(b, direct)
+	for _, callers := range []struct {
+		name  string
+		count int
+	}{{"1", 1}, {"32", 32}} {
+		for _, way := range []struct{ name, url string }{
+			{"direct", direct + "/stock"},
+			{"relay", relay + "/stock"},
+			{"daemon", "http://" + n.Listen().String() + "/services/desk/stock"},
+		} {
+			b.Run(way.name+"/callers="+callers.name, func(b *testing.B) { measure(b, way.url, callers.count) })
+		}
+	}
+}
+
+// startRelay passes requests on and checks nothing.
+func startRelay(b *testing.B, to string) string {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out, err := http.NewRequestWithContext(r.Context(), r.Method, to+r.URL.RequestURI(), r.Body)
+		if err != nil {
+			return
+		}
+		response, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer response.Body.Close()
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	}))
+	b.Cleanup(server.Close)
+	return server.URL
+}
+
+// measure sends b.N requests from a number of callers.
+func measure(b *testing.B, url string, callers int) {
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: callers, DialContext: (&net.Dialer{}).DialContext,
+	}}
+	defer client.CloseIdleConnections()
+	took := make([]time.Duration, b.N)
+	next := make(chan int, b.N)
+	for i := range b.N {
+		next <- i
+	}
+	close(next)
+	b.ResetTimer()
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			for i := range next {
+				took[i] = request(b, client, url)
+			}
+		})
+	}
+	wait.Wait()
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+func request(b *testing.B, client *http.Client, url string) time.Duration {
+	start := time.Now()
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(strings.Repeat("x", 512)))
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	request.Header.Set("Authorization", "Bearer EXAMPLE-KEY-alpha")
+	response, err := client.Do(request)
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		b.Errorf("status %d, %v", response.StatusCode, err)
+	}
+	return time.Since(start)
+}
--- a/mimic/mimic.go
+++ b/mimic/mimic.go
@@ -101,6 +101,9 @@
 	return m.address, nil
 }
 
+// Address returns where the stand-in listens.
+func (m *Mimic) Address() netip.AddrPort { return m.address }
+
 // Announce keeps the stand-in announced to the instance that listens at the
 // address, until Leave or Stop.
 func (m *Mimic) Announce(instance string) {
