--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
+	"github.com/redwingshunt/redwingshunt/surveyor"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
@@ -64,6 +65,7 @@
 	control    *control
 	dispatcher *dispatcher.Dispatcher
 	promises   *promises
+	surveyor   *surveyor.Surveyor
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
@@ -138,6 +140,9 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
+	d.surveyor = surveyor.New(surveyor.Options{
+		Members: d.members, Link: d.linker, Configuration: d.configured,
+	})
 	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/observer"
 	"github.com/redwingshunt/redwingshunt/reporter"
 )
@@ -32,6 +33,8 @@
 		Bootstrap:     d.settings.Bootstrap,
 		Readiness:     d,
 		Fleet:         d,
+		Accounts:      d.states(),
+		Upstreams:     d.states(),
 		Log:           d.control,
 		History:       d.control,
 		Repairer:      d.control,
@@ -55,6 +58,15 @@
 	return parts
 }
 
+// states reads the scheduler for operators and metrics.
+func (d *Daemon) states() administrator.Scheduling {
+	return administrator.Scheduling{
+		Self:          d.members.Self,
+		Configuration: d.configured,
+		States:        func(limit int) []coordinator.State { return d.scheduling.States(limit) },
+	}
+}
+
 // Ready returns an empty text, or why the instance does not serve callers.
 func (d *Daemon) Ready() string {
 	switch {
@@ -70,13 +82,17 @@
 // Drain begins a graceful shutdown.
 func (d *Daemon) Drain() { d.draining.Do(func() { close(d.drain) }) }
 
-// Fleet returns what is known of the live instances.
+// surveyLimit bounds the wait for the revisions of other instances.
+const surveyLimit = 500 * time.Millisecond
+
+// Fleet asks the live instances and returns what is known of them.
 func (d *Daemon) Fleet() []administrator.InstanceStatus {
+	revisions := d.surveyor.Ask(context.Background(), surveyLimit)
 	var fleet []administrator.InstanceStatus
 	for _, i := range d.members.Live() {
 		fleet = append(fleet, administrator.InstanceStatus{
 			Instance: i.ID, Region: i.Region, Zone: i.Zone, Link: i.Address.String(),
-			Voter: i.Voter, Leaving: i.Leaving,
+			Voter: i.Voter, Leaving: i.Leaving, Revision: revisions[i.ID],
 		})
 	}
 	return fleet
@@ -98,6 +114,7 @@
 			Configuration: d.configured,
 			Members:       d.members,
 			Readiness:     d,
+			Upstreams:     d.states(),
 			Log:           d.control,
 			Traffic:       d.linker.Traffic,
 		}),
--- a/interfaces.go
+++ b/interfaces.go
@@ -37,6 +37,7 @@
 	KindDigest                            // revision in force
 	KindSuspect                           // fingerprints of suspect requests
 	KindClaim                             // claims of non-idempotent requests
+	KindSurvey                            // questions for the revision in force
 	KindEnd                               // one past the last kind
 )
 
@@ -44,7 +45,7 @@
 func (k MessageKind) String() string {
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
-		"ledger", "log", "submit", "publish", "digest", "suspect", "claim",
+		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
 	}
 	if int(k) >= len(names) {
 		return names[0]
