Cover gaps, skipped revisions and retention of the configuration

Taking single rules away showed five that no test missed: a push over a gap, an edit over an unknown revision, the age of another revision, the oldest text kept, and the last team that may edit teams. Each has a test now, and each configuration in force is compared with the accepted one.

--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -4,20 +4,26 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/merger"
 	"github.com/redwingshunt/redwingshunt/registrar"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // overhead is what a frame and its transport add to a payload, in bytes.
 const overhead = 60
 
+// accounts is the number of accounts in tests; benchmarks have more.
+const accounts = 40
+
 // parcel is a message under way.
 type parcel struct {
 	from    redwingshunt.InstanceID
@@ -39,6 +45,7 @@
 	random   *rand.Rand
 	lose     float64
 	double   float64
+	exact    bool // each configuration in force is compared with the accepted one
 	counting bool
 	bytes    map[redwingshunt.MessageKind]int // while counting
 	across   int
@@ -56,7 +63,7 @@
 // of them have the log.
 func newFleet(tb testing.TB, count, voters int) *fleet {
 	f := &fleet{
-		tb: tb, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)),
+		tb: tb, now: time.Unix(1000, 0), exact: true, random: rand.New(rand.NewPCG(1, 2)),
 		cores:  map[redwingshunt.InstanceID]*Core{},
 		forced: map[redwingshunt.InstanceID]redwingshunt.Revision{}, since: map[redwingshunt.InstanceID]time.Time{},
 		cut:   func(_, _ redwingshunt.InstanceID) bool { return false },
@@ -93,6 +100,9 @@
 			if a.State.Revision <= f.forced[id] {
 				f.tb.Fatalf("%s went from %d to %d", id, f.forced[id], a.State.Revision)
 			}
+			if f.exact && !reflect.DeepEqual(a.State, state(a.State.Revision, accounts)) {
+				f.tb.Fatalf("%s has another revision %d", id, a.State.Revision)
+			}
 			f.forced[id], f.since[id] = a.State.Revision, f.now
 		}
 	}
@@ -172,28 +182,30 @@
 	return a
 }
 
-// state returns a configuration of which one account changed at a revision.
-func (f *fleet) state(revision redwingshunt.Revision, accounts int) registrar.State {
-	var text []byte
+// state returns the configuration at a revision. Odd revisions change the share
+// of one account, even ones the regions.
+func state(revision redwingshunt.Revision, accounts int) registrar.State {
+	odd, even := revision-(revision+1)%2, max(revision-revision%2, 1)
+	text := []byte("accounts:\n")
 	for i := range accounts {
 		share := 1
-		if i == int(revision)%accounts {
-			share = int(revision)
+		if i == int(odd)%accounts {
+			share = int(odd)
 		}
 		text = fmt.Appendf(text, "  - {name: account-%03d, share: %d, home: north, key: \"sha256:%064x\"}\n", i, share, i)
 	}
-	return registrar.State{Revision: revision, At: f.now, Document: &redwingshunt.Document{}, Parts: []merger.Part{
-		{Section: redwingshunt.SectionRegions, Revision: 1, Text: []byte("regions: []\n")},
-		{Section: redwingshunt.SectionAccounts, Revision: revision, Text: append([]byte("accounts:\n"), text...)},
+	return registrar.State{Revision: revision, At: time.Unix(int64(revision), 0), Document: &redwingshunt.Document{}, Parts: []merger.Part{
+		{Section: redwingshunt.SectionRegions, Revision: even, Text: fmt.Appendf(nil, "regions: [] # %d\n", even)},
+		{Section: redwingshunt.SectionAccounts, Revision: odd, Text: text},
 	}}
 }
 
 // commit lets all voters apply a revision.
 func (f *fleet) commit(revision redwingshunt.Revision) {
-	state := f.state(revision, 40)
+	accepted := state(revision, accounts)
 	for _, i := range f.live {
 		if i.Voter {
-			f.step(i.ID, Accepted{State: state})
+			f.step(i.ID, Accepted{State: accepted})
 		}
 	}
 }
@@ -294,33 +306,69 @@
 	is.Equal(f.forced[restarted.ID], redwingshunt.Revision(2))
 }
 
-// TestSkippedRevision brings an instance forward from a revision that its peers
-// never had on their own.
-func TestSkippedRevision(t *testing.T) {
+// TestEdits hands single messages to a core at revision 3.
+func TestEdits(t *testing.T) {
+	edit := func(base, next redwingshunt.Revision) *wire.SectionUpdate {
+		before, after := state(base, accounts).Parts[1], state(next, accounts).Parts[1]
+		return &wire.SectionUpdate{
+			Section: "accounts", Base: uint64(before.Revision), Revision: uint64(after.Revision),
+			Edit: merger.Compare(before.Text, after.Text),
+		}
+	}
+	tests := map[string]struct {
+		message  *wire.Publish
+		revision redwingshunt.Revision
+		asks     uint64 // for what is newer than this
+	}{
+		"next":              {&wire.Publish{Since: 3, Revision: 5, At: state(5, 1).At.UnixNano(), Sections: []*wire.SectionUpdate{edit(3, 5)}}, 5, 0},
+		"after a gap":       {&wire.Publish{Since: 4, Revision: 5, Sections: []*wire.SectionUpdate{edit(3, 5)}}, 3, 3},
+		"over an unknown":   {&wire.Publish{Since: 1, Revision: 5, Sections: []*wire.SectionUpdate{edit(1, 5)}}, 3, 0},
+		"older than itself": {&wire.Publish{Since: 0, Revision: 2, Sections: []*wire.SectionUpdate{edit(1, 2)}}, 3, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 2, 1)
+			f.exact = false
+			f.commit(3)
+			f.run(time.Minute)
+			payload, err := proto.Marshal(test.message)
+			is.NoErr(err)
+			core := f.cores["n001"]
+			actions := core.Step(f.now, Received{From: "n000", Kind: redwingshunt.KindPublish, Payload: payload})
+			is.Equal(core.Revision(), test.revision)
+			if name == "after a gap" || name == "over an unknown" {
+				var question wire.Digest
+				is.NoErr(proto.Unmarshal(actions[0].(Send).Message.Payload, &question))
+				is.True(question.GetAsk())
+				is.Equal(question.GetRevision(), test.asks)
+			}
+		})
+	}
+}
+
+// TestAgeOfAnother tells that only the own revision is confirmed by a digest.
+func TestAgeOfAnother(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 3, 1)
-	f.commit(1)
-	f.run(5 * time.Second)
-	f.cut = func(from, to redwingshunt.InstanceID) bool { return from == "n002" || to == "n002" }
-	f.commit(2)
-	f.run(5 * time.Second)
-	f.cut = func(from, to redwingshunt.InstanceID) bool { return from == "n001" || to == "n001" }
-	f.commit(3)
-	f.commit(4)
-	f.run(5 * time.Second)
-	f.cores["n000"].recent = f.cores["n000"].recent[:0]
-	f.cores["n000"].remember(f.state(9, 40)) // an edit from a text that n001 does not have
-	f.cut = func(_, _ redwingshunt.InstanceID) bool { return false }
-	f.run(5 * time.Second)
-	is.Equal(f.at(4), 3)
+	f := newFleet(t, 2, 0)
+	core := f.cores["n000"]
+	core.Step(f.now, Accepted{State: state(3, accounts)})
+	for revision, want := range map[uint64]time.Duration{2: Never, 4: Never, 3: time.Second} {
+		core.confirmed = time.Time{}
+		payload, err := proto.Marshal(&wire.Digest{Revision: revision, Age: 1000})
+		is.NoErr(err)
+		core.Step(f.now, Received{From: "n001", Kind: redwingshunt.KindDigest, Payload: payload})
+		is.Equal(core.Age(f.now), want)
+	}
 }
 
 func TestUnreadable(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 3, 1)
+	f.exact = false
 	f.commit(1)
 	f.run(5 * time.Second)
-	bad := f.state(2, 40)
+	bad := state(2, accounts)
 	bad.Parts[0] = merger.Part{Section: redwingshunt.SectionRegions, Revision: 2, Text: []byte("unreadable")}
 	f.step("n000", Accepted{State: bad})
 	f.run(5 * time.Second)
@@ -335,8 +383,9 @@
 func BenchmarkSpread(b *testing.B) {
 	for b.Loop() {
 		f := newFleet(b, 360, 5)
+		f.exact = false
 		for _, i := range f.live[:5] {
-			f.step(i.ID, Accepted{State: f.state(1, 460)})
+			f.step(i.ID, Accepted{State: state(1, 460)})
 		}
 		f.run(20 * time.Second)
 		f.counting = true
@@ -351,7 +400,7 @@
 		f.bytes, f.across = map[redwingshunt.MessageKind]int{}, 0
 		began := f.now
 		for _, i := range f.live[:5] {
-			f.step(i.ID, Accepted{State: f.state(2, 460)})
+			f.step(i.ID, Accepted{State: state(3, 460)})
 		}
 		f.run(500 * time.Millisecond)
 		last := began
@@ -360,8 +409,8 @@
 		}
 		b.ReportMetric(float64(f.bytes[redwingshunt.KindPublish]), "push-B/change")
 		b.ReportMetric(last.Sub(began).Seconds()*1000, "in-force-ms")
-		if f.at(2) != 360 {
-			b.Fatal(f.at(2))
+		if f.at(3) != 360 {
+			b.Fatal(f.at(3))
 		}
 	}
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -249,6 +249,35 @@
 	is.Equal(take("b").GetNumber(), uint64(2))
 }
 
+// TestRetention submits more changes than are kept, with a parser that takes all.
+func TestRetention(t *testing.T) {
+	is := is.New(t)
+	b := fresh()
+	document := &redwingshunt.Document{Teams: []redwingshunt.Team{{Name: "billing", Key: key2, Edits: redwingshunt.Sections()}}}
+	b.Registrar = registrar.New(registrar.Options{
+		Document: func(string, []byte) (*redwingshunt.Document, redwingshunt.Findings) { return document, nil },
+		Section: func(string, redwingshunt.Section, []byte, *redwingshunt.Document) (*redwingshunt.Document, redwingshunt.Findings) {
+			return document, nil
+		},
+	})
+	first := b.submit(t, redwingshunt.Submission{ID: "0", Team: registrar.Bootstrap, Section: redwingshunt.SectionAccounts, Text: accounts(0)}, "")
+	is.True(first.Accepted)
+	const extra = 10
+	for n := 1; n < registrar.MaxChanges+extra; n++ {
+		is.True(b.submit(t, change(fmt.Sprint(n), redwingshunt.Revision(n), n), key2).Accepted)
+	}
+	is.Equal(b.text(t, redwingshunt.SectionAccounts, extra), string(accounts(extra-1)))
+	is.True(strings.Contains(b.text(t, redwingshunt.SectionAccounts, extra-1), "not kept"))
+	is.True(b.submit(t, change(fmt.Sprint(extra), extra, extra), key2).Repeated)
+	forgotten := b.submit(t, change(fmt.Sprint(extra-1), extra-1, extra-1), key2)
+	is.True(!forgotten.Repeated && forgotten.Conflict != "")
+
+	document.Teams[0].Edits = []redwingshunt.Section{redwingshunt.SectionAccounts}
+	newest := redwingshunt.Revision(registrar.MaxChanges + extra)
+	locked := b.submit(t, change("lock", newest, 1), key2)
+	is.True(strings.Contains(locked.Findings.Error(), "no team would be left"))
+}
+
 // TestModel compares random commands, restarts among them, with a plain model.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
