--- a/administrator/types.go
+++ b/administrator/types.go
@@ -53,13 +53,41 @@
 
 // LogStatus is the state of one replicated log on this instance.
 type LogStatus struct {
-	Group     redwingshunt.GroupID      `json:"group"`
-	Leader    redwingshunt.InstanceID   `json:"leader"` // empty when unknown
-	Term      uint64                    `json:"term"`
-	Committed uint64                    `json:"committed"` // index
-	Applied   uint64                    `json:"applied"`   // index
-	Voters    []redwingshunt.InstanceID `json:"voters"`
-	Learners  []redwingshunt.InstanceID `json:"learners"`
+	Group   redwingshunt.GroupID    `json:"group"`
+	Role    string                  `json:"role"`   // empty on an instance without a replica
+	Leader  redwingshunt.InstanceID `json:"leader"` // empty when unknown
+	Term    uint64                  `json:"term"`
+	Commit  uint64                  `json:"commit"`  // index
+	Last    uint64                  `json:"last"`    // index
+	Pending bool                    `json:"pending"` // a change of the members is not complete
+	Lost    bool                    `json:"lost"`    // the data folder holds no vote any more
+	Members []LogMember             `json:"members"`
+}
+
+// LogMember is an instance that keeps a log. Alive and Lag are known to the
+// leader alone.
+type LogMember struct {
+	Instance redwingshunt.InstanceID `json:"instance"`
+	Voter    bool                    `json:"voter"` // false while it catches up
+	Alive    bool                    `json:"alive"`
+	Lag      uint64                  `json:"lag"` // entries
+}
+
+// Voters lists the members with a vote.
+func (l LogStatus) Voters() []redwingshunt.InstanceID { return l.list(true) }
+
+// Learners lists the members that catch up.
+func (l LogStatus) Learners() []redwingshunt.InstanceID { return l.list(false) }
+
+// list lists the members with or without a vote.
+func (l LogStatus) list(voter bool) []redwingshunt.InstanceID {
+	names := []redwingshunt.InstanceID{}
+	for _, m := range l.Members {
+		if m.Voter == voter {
+			names = append(names, m.Instance)
+		}
+	}
+	return names
 }
 
 // Change is one accepted change of the document.
@@ -71,31 +99,48 @@
 	ID       string                `json:"id"` // of the submission
 }
 
+// The views that an instance has of an account.
+const (
+	ViewRegion   = "region"   // of the whole region, as the owner of the service
+	ViewInstance = "instance" // of the requests that wait on it
+)
+
 // AccountStatus tells how one account is served by one service.
 type AccountStatus struct {
-	Account  redwingshunt.AccountID `json:"account"`
-	Service  redwingshunt.ServiceID `json:"service"`
-	Share    redwingshunt.Share     `json:"share"`
-	Received redwingshunt.Cost      `json:"received"` // service received, in the unit of the service
-	Gap      redwingshunt.Cost      `json:"gap"`      // behind the most served backlogged account, a share
-	Backlog  int                    `json:"backlog"`  // requests that wait
-	Running  int                    `json:"running"`
-	Wait     Duration               `json:"wait"` // of the request that has waited longest
+	Account  redwingshunt.AccountID  `json:"account"`
+	Service  redwingshunt.ServiceID  `json:"service"`
+	Instance redwingshunt.InstanceID `json:"instance"` // who tells
+	View     string                  `json:"view"`     // ViewRegion or ViewInstance
+	Share    redwingshunt.Share      `json:"share"`
+	Virtual  int64                   `json:"virtual"` // service a share, in the unit of the service; idle time counts as served
+	Gap      Duration                `json:"gap"`     // ahead of the least served backlogged account, in time of the whole service
+	Backlog  int                     `json:"backlog"` // requests that wait
+	Running  int                     `json:"running"`
+	Wait     Duration                `json:"wait"` // of the oldest request that waits on the instance
 }
 
-// UpstreamStatus is what this instance knows of one upstream.
+// The health of an upstream.
+const (
+	HealthAlive   = "alive"
+	HealthLeaving = "leaving" // gets no new requests
+	HealthEjected = "ejected" // failed, and gets no requests for a while
+)
+
+// UpstreamStatus is what the owner of a service knows of one upstream.
 type UpstreamStatus struct {
 	ID      redwingshunt.UpstreamID `json:"id"`
 	Service redwingshunt.ServiceID  `json:"service"`
 	Region  redwingshunt.RegionID   `json:"region"`
 	Zone    redwingshunt.ZoneID     `json:"zone"`
+	Lender  redwingshunt.InstanceID `json:"lender,omitempty"` // owner of the region that lends slots of it
 	Address string                  `json:"address"`
 	Version string                  `json:"version,omitempty"`
-	Slots   int                     `json:"slots"`
-	Window  int                     `json:"window"`  // requests that the fleet lets run at once
-	Running int                     `json:"running"` // as the upstream reported last
-	Waiting int                     `json:"waiting"` // as the upstream reported last
-	Health  string                  `json:"health"`  // alive, leaving or ejected
+	Slots   int                     `json:"slots"`   // as announced
+	Window  int                     `json:"window"`  // requests that may be with it at once
+	Running int                     `json:"running"` // requests of the region
+	Lent    int                     `json:"lent"`    // slots lent to other regions
+	Foreign int                     `json:"foreign"` // other requests, from its load reports
+	Health  string                  `json:"health"`
 }
 
 // DumpVersion numbers the form of a dump.
--- a/cmd/redwingshunt/commander/commander_test.go
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -80,29 +80,39 @@
 }
 
 func (f *fake) Logs() []administrator.LogStatus {
-	return []administrator.LogStatus{{Leader: f.leader, Term: 4, Committed: 9, Applied: 9, Voters: []redwingshunt.InstanceID{"node-a"}}}
+	return []administrator.LogStatus{{Role: "leader", Leader: f.leader, Term: 4, Commit: 9, Last: 9, Members: []administrator.LogMember{
+		{Instance: "node-a", Voter: true}, {Instance: "node-b", Voter: true}, {Instance: "node-c", Alive: true, Lag: 3},
+	}}}
 }
 
+// Accounts tells of the region on node-a, which owns the service.
 func (f *fake) Accounts() []administrator.AccountStatus {
-	return []administrator.AccountStatus{
-		{Account: "alpha", Service: "assistant", Share: 2, Received: 48000, Backlog: 12, Running: 4, Wait: administrator.Duration{Duration: 1200 * time.Millisecond}},
-		{Account: "beta", Service: "assistant", Share: 1, Received: 23900, Gap: 100, Backlog: 3, Running: 2},
+	if f.id != "node-a" {
+		return []administrator.AccountStatus{{Account: "alpha", Service: "assistant", Instance: f.id, View: administrator.ViewInstance, Backlog: 5}}
 	}
+	alpha := administrator.AccountStatus{
+		Account: "alpha", Service: "assistant", Instance: f.id, View: administrator.ViewRegion, Share: 2,
+		Virtual: 24000, Backlog: 12, Running: 4, Wait: administrator.Duration{Duration: 1200 * time.Millisecond},
+	}
+	beta := alpha
+	beta.Account, beta.Share, beta.Gap = "beta", 1, administrator.Duration{Duration: 30 * time.Millisecond}
+	return []administrator.AccountStatus{alpha, beta}
 }
 
 func (f *fake) Upstreams() []administrator.UpstreamStatus {
+	if f.id != "node-a" {
+		return nil
+	}
 	return []administrator.UpstreamStatus{{
 		ID: "engine-1", Service: "assistant", Zone: "north-a", Address: "127.0.0.9:9000", Slots: 8, Window: 6, Running: 6, Health: "alive",
 	}}
 }
 
-func (f *fake) Replace(_ context.Context, lost, with redwingshunt.InstanceID, step func(string)) error {
-	step(fmt.Sprintf("%s has caught up", with))
-	step(fmt.Sprintf("%s is removed", lost))
+func (f *fake) Replace(context.Context, redwingshunt.InstanceID, redwingshunt.InstanceID) error {
 	return nil
 }
 
-func (f *fake) Backup(_ context.Context, w io.Writer) error {
+func (f *fake) Backup(w io.Writer) error {
 	_, err := io.WriteString(w, "state")
 	return err
 }
@@ -179,6 +189,8 @@
 		{"history", ""},
 		{"accounts", ""},
 		{"accounts --account beta --json", ""},
+		{"accounts --account alpha --admin " + address + " --admin " + second, ""},
+		{"accounts --admin " + second, ""},
 		{"upstreams", ""},
 		{"top --count 1", ""},
 		{"dump --part suspects", ""},
@@ -188,6 +200,8 @@
 		{"repair --lost node-b node-d", ""},
 		{"repair node-d --json", ""},
 		{"backup " + backup, ""},
+		{"restore --instance node-a " + backup, ""},
+		{"restore --instance node-a --data " + keys + " " + backup, ""},
 		{"keygen --hash EXAMPLE-KEY-platform", ""},
 		{"keygen --fleet " + keys, ""},
 		{"keygen --fleet " + keys + " --instance node-a --address 127.0.0.1 --json", ""},
--- a/cmd/redwingshunt/commander/table.go
+++ b/cmd/redwingshunt/commander/table.go
@@ -25,6 +25,7 @@
 func lookupTable() []VerbSetup {
 	return []VerbSetup{
 		VerbDemoSetup,
+		VerbMimicSetup,
 		VerbCheckSetup,
 		VerbKeygenSetup,
 		VerbSubmitSetup,
@@ -39,6 +40,7 @@
 		VerbDrainSetup,
 		VerbRepairSetup,
 		VerbBackupSetup,
+		VerbRestoreSetup,
 		VerbHelpSetup,
 		VerbVersionSetup,
 		VerbCompletionSetup,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,12 +12,11 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,7 +24,10 @@
 	"google.golang.org/grpc"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/administrator"
 	"github.com/redwingshunt/redwingshunt/announcer"
+	"github.com/redwingshunt/redwingshunt/certifier"
+	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
@@ -39,6 +41,12 @@
 // Options configure a daemon beyond its settings.
 type Options struct {
 	Logger *slog.Logger
+	// Document is in force from the start, instead of the file that the
+	// settings name; may be nil.
+	Document *redwingshunt.Document
+	// Log commits the claims of non-idempotent requests instead of the log of
+	// the instance; may be nil.
+	Log redwingshunt.Log
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
 }
@@ -50,40 +58,52 @@
 	logger     *slog.Logger
 	members    *memberTable
 	linker     *linker.Linker
-	scheduling *scheduling
-	configured *configuration
+	scheduling *coordinator.Coordinator
+	fixed      *fixedConfiguration // nil when the document is that of the log
+	configured redwingshunt.Configuration
+	control    *control
 	dispatcher *dispatcher.Dispatcher
+	promises   *promises
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
+	metrics    *metrics
 	sockets    sockets
-	dumpers    map[string]redwingshunt.Dumper
-}
+	drain      chan struct{} // closed when an operator asks for a graceful shutdown
+	draining   sync.Once
 
-// sockets are the open listening sockets of a daemon.
-type sockets struct {
-	callers, links, admin net.Listener
+	certificates *certifier.Keeper // nil in plain text
 }
 
 // New returns a daemon that listens but does not serve yet.
 func New(settings redwingshunt.Settings, options Options) (*Daemon, error) {
-	d := &Daemon{settings: settings, options: options, logger: options.Logger}
-	if err := d.listen(); err != nil {
-		d.closeSockets()
+	d := &Daemon{settings: settings, options: options, logger: options.Logger, drain: make(chan struct{})}
+	if err := d.prepare(); err != nil {
+		d.sockets.close()
 		return nil, trace.Wrap(err)
 	}
-	configured, err := newConfiguration(settings)
-	if err != nil {
-		d.closeSockets()
+	if err := d.assemble(); err != nil {
+		d.sockets.close()
 		return nil, trace.Wrap(err)
 	}
-	d.configured = configured
-	d.assemble()
 	return d, nil
 }
 
+// prepare does what may fail: it reads files and opens sockets.
+func (d *Daemon) prepare() error {
+	if err := d.openCertificates(); err != nil {
+		return err
+	}
+	fixed, err := newFixedConfiguration(d.settings, d.options.Document)
+	if err != nil {
+		return err
+	}
+	d.fixed = fixed
+	return d.sockets.open(d.settings)
+}
+
 // assemble connects the parts. The order of the chain stands in chain.go.
-func (d *Daemon) assemble() {
+func (d *Daemon) assemble() error {
 	self := redwingshunt.Instance{
 		ID:          d.settings.Name,
 		Incarnation: redwingshunt.Incarnation(time.Now().UnixMicro()),
@@ -99,12 +119,31 @@
 		Identify: d.members.identify,
 		Lost:     d.members.lost,
 		Logger:   d.logger,
+
+		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
-	d.scheduling = newScheduling(d.members, d.linker)
-	d.dispatcher = dispatcher.New(dispatcher.Options{Scheduler: d.scheduling, Logger: d.logger})
+	control, configured, err := newControl(d, d.fixed)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.control = control
+	d.configured = configured
+	d.metrics = newMetrics(d)
+	d.scheduling = coordinator.New(coordinator.Options{
+		Members:       d.members,
+		Link:          d.linker,
+		Configuration: d.configured,
+		Clock:         wallClock{},
+		Logger:        d.logger,
+		Metrics:       d.metrics.scope,
+	})
+	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
+	d.dispatcher = dispatcher.New(dispatcher.Options{
+		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
+	})
 	d.listener = listener.New(listener.Options{
-		Chain:         newChain(d.dispatcher, rand.Text, d.logger),
+		Chain:         d.newChain(),
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
@@ -114,28 +153,39 @@
 		}),
 		Logger: d.logger,
 	})
-	d.grpc = grpc.NewServer()
+	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
 	wire.RegisterInstancesServer(d.grpc, d.linker)
-	d.dumpers = map[string]redwingshunt.Dumper{
-		"members":    d.members,
-		"links":      d.linker,
-		"dispatcher": d.dispatcher,
+	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
+	return nil
+}
+
+// log returns the log that claims are committed to.
+func (d *Daemon) log() redwingshunt.Log {
+	if d.options.Log != nil {
+		return d.options.Log
 	}
-	d.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminTimeout}
+	return d.control.recorder
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	d.control.run(background)
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
-	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.sockets.admin)) })
-	group.Go(func() error { return d.listener.Serve(d.sockets.callers) })
+	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
+	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+	group.Go(func() error { return d.promises.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
+	group.Go(func() error { d.metrics.run(background); return nil })
+	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
 	d.logger.Info("serving", "instance", string(d.settings.Name),
-		"listen", d.Listen().String(), "link", addressOf(d.sockets.links).String(), "admin", d.Admin().String())
-	<-ctx.Done()
+		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	}
 	d.shutdown()
 	stop()
 	return trace.Wrap(group.Wait())
@@ -144,45 +194,20 @@
 // Listen returns the address for callers and upstreams.
 func (d *Daemon) Listen() netip.AddrPort { return addressOf(d.sockets.callers) }
 
-// Admin returns the address of the administration API.
-func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
+// Traffic returns what the instance sent to and received from others.
+func (d *Daemon) Traffic() []linker.Traffic { return d.linker.Traffic() }
 
-func (d *Daemon) listen() error {
-	var config net.ListenConfig
-	for _, s := range []struct {
-		address netip.AddrPort
-		socket  *net.Listener
-	}{
-		{d.settings.Listen, &d.sockets.callers},
-		{d.settings.Link, &d.sockets.links},
-		{d.settings.Admin, &d.sockets.admin},
-	} {
-		socket, err := config.Listen(context.Background(), "tcp", s.address.String())
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		*s.socket = socket
-	}
-	return nil
-}
+// Self returns this instance.
+func (d *Daemon) Self() redwingshunt.Instance { return d.members.Self() }
 
-func (d *Daemon) closeSockets() {
-	for _, socket := range []net.Listener{d.sockets.callers, d.sockets.links, d.sockets.admin} {
-		if socket != nil {
-			socket.Close()
-		}
-	}
-}
+// Link returns the address for other instances.
+func (d *Daemon) Link() netip.AddrPort { return addressOf(d.sockets.links) }
 
-// addressOf returns the address that a socket listens on.
-func addressOf(socket net.Listener) netip.AddrPort {
-	address, ok := socket.Addr().(*net.TCPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	port := address.AddrPort()
-	return netip.AddrPortFrom(port.Addr().Unmap(), port.Port())
-}
+// Live returns the instances that this one thinks alive.
+func (d *Daemon) Live() []redwingshunt.Instance { return d.members.Live() }
+
+// Admin returns the address of the administration API.
+func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
 
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, grpc.ErrServerStopped) {
--- a/mimic/mimic.go
+++ b/mimic/mimic.go
@@ -156,7 +156,7 @@
 	m.stopping.Do(func() {
 		m.cancel()
 		if m.server != nil {
-			m.server.Close()
+			_ = m.server.Close()
 		}
 		m.client.CloseIdleConnections()
 	})
@@ -190,6 +190,9 @@
 	return total
 }
 
+// Busy returns how many requests run now.
+func (m *Mimic) Busy() int { return int(m.running.Load()) }
+
 // Cancelled returns how many requests were cancelled by the router.
 func (m *Mimic) Cancelled() int {
 	m.mu.Lock()
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -34,7 +34,6 @@
 	Configuration redwingshunt.Configuration
 	Members       redwingshunt.Members
 	Readiness     administrator.Readiness
-	Accounts      administrator.AccountReader
 	Upstreams     administrator.UpstreamReader
 	Log           administrator.LogReader
 	Traffic       func() []linker.Traffic
@@ -83,7 +82,6 @@
 		o.gauges[s] = false
 	}
 	o.observeInstance(now)
-	o.observeAccounts()
 	o.observeUpstreams()
 	o.observeLogs()
 	o.observeTraffic()
@@ -131,20 +129,6 @@
 	o.set(series{name: "ready"}, oneIf(ready))
 }
 
-func (o *Observer) observeAccounts() {
-	if o.sources.Accounts == nil {
-		return
-	}
-	for _, a := range o.sources.Accounts.Accounts() {
-		labels := series{key: "account", value: string(a.Account), other: "service", otherSays: string(a.Service)}
-		o.set(labels.named("account_received"), float64(a.Received))
-		o.set(labels.named("account_gap"), float64(a.Gap))
-		o.set(labels.named("account_backlog"), float64(a.Backlog))
-		o.set(labels.named("account_running"), float64(a.Running))
-		o.set(labels.named("account_wait_seconds"), a.Wait.Seconds())
-	}
-}
-
 // named returns the series of another name with the same labels.
 func (s series) named(name string) series {
 	s.name = name
@@ -157,11 +141,15 @@
 	}
 	sums := make(map[series]int)
 	for _, u := range o.sources.Upstreams.Upstreams() {
+		if u.Lender != "" {
+			continue // its own region counts it
+		}
 		service := series{key: "service", value: string(u.Service), other: "zone", otherSays: string(u.Zone)}
 		sums[service.named("upstream_slots")] += u.Slots
 		sums[service.named("upstream_window")] += u.Window
 		sums[service.named("upstream_running")] += u.Running
-		sums[service.named("upstream_waiting")] += u.Waiting
+		sums[service.named("upstream_lent")] += u.Lent
+		sums[service.named("upstream_foreign")] += u.Foreign
 		sums[series{name: "upstreams", key: "service", value: string(u.Service), other: "health", otherSays: u.Health}]++
 	}
 	for s, sum := range sums {
@@ -177,12 +165,32 @@
 	for _, l := range o.sources.Log.Logs() {
 		group := series{key: "group", value: groupName(l.Group)}
 		o.set(group.named("log_term"), float64(l.Term))
-		o.set(group.named("log_committed"), float64(l.Committed))
-		o.set(group.named("log_applied"), float64(l.Applied))
-		o.set(group.named("log_voters"), float64(len(l.Voters)))
+		o.set(group.named("log_commit"), float64(l.Commit))
+		o.set(group.named("log_last"), float64(l.Last))
+		o.set(group.named("log_voters"), float64(len(l.Voters())))
 		o.set(group.named("log_leader_known"), oneIf(l.Leader != ""))
 		o.set(group.named("log_leading"), oneIf(l.Leader == self))
+		if l.Leader == self {
+			silent, lag := follow(l)
+			o.set(group.named("log_silent"), float64(silent))
+			o.set(group.named("log_lag"), float64(lag))
+		}
+	}
+}
+
+// follow returns how many members the leader does not hear of, and the largest
+// lag of the others.
+func follow(l administrator.LogStatus) (silent int, lag uint64) {
+	for _, m := range l.Members {
+		switch {
+		case m.Instance == l.Leader:
+		case !m.Alive:
+			silent++
+		default:
+			lag = max(lag, m.Lag)
+		}
 	}
+	return silent, lag
 }
 
 func (o *Observer) observeTraffic() {
