--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,7 +29,8 @@
 //	r := registrar.New(registrar.Options{
 //		Document: parser.Document,
 //		Section:  parser.Section,
-//		Accepted: publisher.Accept, // told each new configuration
+//		Change:   claimer.Moves,
+//		Accepted: subscriber.Accept, // told each new configuration
 //	})
 //	answer := r.Apply(index, command) // see Submit, Fence, History and Text
 package registrar
@@ -81,6 +82,9 @@
 type Options struct {
 	Document DocumentFunc
 	Section  SectionFunc
+	// Change returns what forbids the step from one document to the next,
+	// whatever each is alone, such as claimer.Moves; may be nil.
+	Change func(before, after *redwingshunt.Document) redwingshunt.Findings
 	// Accepted is told each configuration that Apply or Restore puts in force.
 	// It must return quickly; may be nil.
 	Accepted func(State)
--- a/registrar/rights.go
+++ b/registrar/rights.go
@@ -35,7 +35,8 @@
 }
 
 // checkMerged returns what forbids a merged document: sections that the team may
-// not edit, and that nobody could edit the teams any more.
+// not edit, that nobody could edit the teams any more, and a step that may not be
+// taken.
 func (r *Registrar) checkMerged(c *wire.SubmitCommand, next *State) redwingshunt.Findings {
 	var findings redwingshunt.Findings
 	for _, section := range changed(r.state.Parts, next.Parts) {
@@ -49,6 +50,9 @@
 			Text: "no team would be left that may edit the section teams",
 		})
 	}
+	if r.options.Change != nil && r.state.Document != nil {
+		findings = append(findings, r.options.Change(r.state.Document, next.Document)...)
+	}
 	return findings
 }
 
