--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -11,7 +11,7 @@
 // State is what this instance knows of one service.
 type State struct {
 	Service  redwingshunt.ServiceID
-	Active   bool                 // this instance owns the service in its region
+	Active   bool                 // this instance owns the service in its region, or a cell of it
 	Lines    []scheduler.Line     // accounts that wait on this instance
 	Accounts []scheduler.Standing // accounts of the region, when Active
 	Windows  []scheduler.Window   // upstreams that the region uses, when Active
@@ -26,15 +26,15 @@
 	return list
 }
 
-// state returns what the desk knows.
+// state returns what the desk knows, of all cells that the instance owns.
 func (d *desk) state(limit int) State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := State{Service: d.service, Lines: d.queue.Lines(d.now(), limit)}
-	if d.owner != nil && d.duty.Active {
+	for _, owner := range d.seats.Active() {
 		s.Active = true
-		s.Accounts = d.owner.Standings(limit)
-		s.Windows = d.owner.Windows(limit)
+		s.Accounts = append(s.Accounts, owner.Standings(limit)...)
+		s.Windows = append(s.Windows, owner.Windows(limit)...)
 	}
 	return s
 }
