--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,10 +35,6 @@
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// noticeDelay is how long a leaving instance still serves, so that balancers
-// and the other instances learn that it leaves.
-const noticeDelay = time.Second
-
 // Options configure a daemon beyond its settings.
 type Options struct {
 	Logger *slog.Logger
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -34,17 +34,9 @@
 	var nodes []*node
 	var seeds []netip.AddrPort
 	for i := range count {
-		d, err := New(testSettings(i, seeds), Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- d.Run(ctx) }()
-		n := &node{Daemon: d, stop: func() error { cancel(); err := <-done; done <- err; return err }}
-		t.Cleanup(func() { _ = n.stop() })
+		n := runNode(t, testSettings(i, seeds))
 		nodes = append(nodes, n)
-		seeds = append(seeds, addressOf(d.sockets.links))
+		seeds = append(seeds, n.Link())
 	}
 	eventually(t, func() bool {
 		for _, n := range nodes {
@@ -57,6 +49,21 @@
 	return nodes
 }
 
+// runNode starts one daemon; it is stopped at the end of the test.
+func runNode(t *testing.T, settings redwingshunt.Settings) *node {
+	t.Helper()
+	d, err := New(settings, Options{Logger: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	n := &node{Daemon: d, stop: func() error { cancel(); err := <-done; done <- err; return err }}
+	t.Cleanup(func() { _ = n.stop() })
+	return n
+}
+
 func testSettings(index int, seeds []netip.AddrPort) redwingshunt.Settings {
 	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(index + 1)}), 0)
 	region, zone := redwingshunt.RegionID("north"), redwingshunt.ZoneID("north-a")
@@ -65,7 +72,7 @@
 	}
 	return redwingshunt.Settings{
 		Name: redwingshunt.InstanceID(fmt.Sprintf("node-%c", 'a'+index)), Region: region, Zone: zone,
-		Listen: loopback, Link: loopback, Admin: loopback, Peers: seeds, Plain: true, Drain: patience,
+		Listen: loopback, Link: loopback, Admin: loopback, Peers: seeds, Plain: true, Notice: 300 * time.Millisecond, Drain: patience,
 		Document: filepath.Join("..", "examples", "three.yaml"),
 	}
 }
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -70,7 +70,7 @@
 // Ready returns an empty text, or why the instance does not serve callers.
 func (d *Daemon) Ready() string {
 	switch {
-	case d.listener.Stopping():
+	case d.listener.Leaving():
 		return "the instance is shutting down"
 	case d.configured.Current() == nil:
 		return "the instance has no configuration yet"
--- /dev/null
+++ b/daemon/restart_test.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// balancer stands for the platform's balancer: it sends to instances that say
+// they are healthy, each request to the next one.
+type balancer struct {
+	addresses []netip.AddrPort
+	client    *http.Client
+	next      atomic.Uint64
+
+	mu      sync.Mutex
+	healthy []bool
+}
+
+// probe asks all instances for their health until ctx ends.
+func (b *balancer) probe(ctx context.Context) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		for i, address := range b.addresses {
+			response, err := b.client.Get("http://" + address.String() + "/v1/healthz")
+			healthy := err == nil && response.StatusCode == http.StatusOK
+			if err == nil {
+				response.Body.Close()
+			}
+			b.mu.Lock()
+			b.healthy[i] = healthy
+			b.mu.Unlock()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		i := int(b.next.Add(1)) % len(b.addresses)
+		if b.healthy[i] {
+			return b.addresses[i].String()
+		}
+	}
+}
+
+// send returns why a request did not get its whole answer, or "".
+func (b *balancer) send(body string) string {
+	request, err := http.NewRequest(http.MethodPost, "http://"+b.pick()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer EXAMPLE-KEY-alpha")
+	response, err := b.client.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	switch {
+	case err != nil:
+		return err.Error()
+	case !strings.HasSuffix(string(text), "data: [DONE]\n\n"):
+		return string(text)
+	}
+	return ""
+}
+
+// TestRollingRestartUnderLoad restarts each instance of three while callers
+// send without pause, and loses no request.
+func TestRollingRestartUnderLoad(t *testing.T) {
+	is := is.New(t)
+	nodes := startFleet(t, 3)
+	b := &balancer{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}, healthy: make([]bool, 3)}
+	for i, n := range nodes {
+		b.addresses = append(b.addresses, n.Listen())
+		b.healthy[i] = true
+	}
+	engine := mimic.New(mimic.Options{
+		ID: "gpu-1", Service: "assistant", Region: "north", Zone: "north-a", Slots: 8, Token: 2 * time.Millisecond,
+	})
+	_, err := engine.Start("127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { engine.Stop(); engine.Wait() })
+	for _, n := range nodes {
+		engine.Announce(n.Listen().String())
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	var sent atomic.Int64
+	failures := make(chan string, 1024)
+	load.Go(func() { b.probe(ctx) })
+	for range 6 {
+		load.Go(func() {
+			for ctx.Err() == nil {
+				sent.Add(1)
+				if failure := b.send(streamed); failure != "" {
+					failures <- failure
+				}
+			}
+		})
+	}
+	for i := range nodes {
+		restart(t, nodes, i)
+	}
+	cancel()
+	load.Wait()
+	close(failures)
+	for failure := range failures {
+		t.Errorf("a request failed: %s", failure)
+	}
+	t.Logf("%d requests", sent.Load())
+	is.True(sent.Load() > 100)
+	is.Equal(int64(engine.Requests()), sent.Load()) // none ran twice either
+}
+
+// restart stops an instance gracefully and starts it empty on its addresses.
+func restart(t *testing.T, nodes []*node, index int) {
+	t.Helper()
+	old := nodes[index]
+	settings := old.settings
+	settings.Listen, settings.Link, settings.Admin = old.Listen(), old.Link(), old.Admin()
+	for i, n := range nodes {
+		if i != index {
+			settings.Peers = append(settings.Peers, n.Link())
+		}
+	}
+	if err := old.stop(); err != nil {
+		t.Fatal(err)
+	}
+	nodes[index] = runNode(t, settings)
+	eventually(t, func() bool {
+		for _, n := range nodes {
+			if !sees(n, nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// sees reports whether a node thinks all others alive, in their present start,
+// and none of them leaving.
+func sees(n *node, nodes []*node) bool {
+	for _, other := range nodes {
+		found, ok := n.members.find(other.Self().ID)
+		if !ok || found.Leaving || found.Incarnation != other.Self().Incarnation {
+			return false
+		}
+	}
+	return true
+}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -9,7 +9,7 @@
 // refuses new requests, and waits for running ones up to the drain limit.
 func (d *Daemon) shutdown() {
 	d.logger.Info("shutting down", "running", d.listener.Running(), "limit", d.settings.Drain.String())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Notice+d.settings.Drain)
 	defer cancel()
 	if d.options.Abort != nil {
 		go func() {
@@ -21,8 +21,9 @@
 		}()
 	}
 	d.members.leave()
+	d.listener.Leave()
+	pause(ctx, d.settings.Notice)
 	d.listener.Stop()
-	pause(ctx, noticeDelay)
 	if err := d.listener.Shutdown(ctx); err != nil {
 		d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
 		_ = d.listener.Close()
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -165,7 +165,7 @@
 		Name:   redwingshunt.InstanceID(fmt.Sprintf("node-%c", 'a'+index)),
 		Region: region, Zone: redwingshunt.ZoneID(region) + "-a",
 		Listen: address, Link: address, Admin: address, Peers: append([]netip.AddrPort(nil), seeds...),
-		Drain: 5 * time.Second, Plain: true,
+		Notice: 100 * time.Millisecond, Drain: 5 * time.Second, Plain: true,
 	}
 }
 
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -52,7 +52,8 @@
 type Listener struct {
 	options  Options
 	server   *http.Server
-	stopping atomic.Bool
+	leaving  atomic.Bool // balancers are told to send no more
+	stopping atomic.Bool // requests are refused
 	running  atomic.Int64
 }
 
@@ -86,12 +87,16 @@
 	return trace.Wrap(err)
 }
 
+// Leave tells balancers to send no more requests; those that come are served,
+// and their connections closed after the answer.
+func (l *Listener) Leave() { l.leaving.Store(true) }
+
+// Leaving reports whether Leave or Stop was called.
+func (l *Listener) Leaving() bool { return l.leaving.Load() || l.stopping.Load() }
+
 // Stop refuses new requests as not run; connections stay open.
 func (l *Listener) Stop() { l.stopping.Store(true) }
 
-// Stopping reports whether Stop was called.
-func (l *Listener) Stopping() bool { return l.stopping.Load() }
-
 // Shutdown stops accepting and waits for running requests until ctx ends.
 func (l *Listener) Shutdown(ctx context.Context) error {
 	l.Stop()
@@ -106,7 +111,7 @@
 
 // health tells a balancer in front of the fleet whether to send requests here.
 func (l *Listener) health(w http.ResponseWriter, _ *http.Request) {
-	if l.stopping.Load() || l.options.Configuration.Current() == nil {
+	if l.Leaving() || l.options.Configuration.Current() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -114,8 +119,10 @@
 }
 
 func (l *Listener) serve(w http.ResponseWriter, r *http.Request) {
-	if l.stopping.Load() {
+	if l.Leaving() {
 		w.Header().Set("Connection", "close")
+	}
+	if l.stopping.Load() {
 		responder.Write(w, redwingshunt.NotRun(redwingshunt.ReasonStopping, http.StatusServiceUnavailable,
 			"this instance is shutting down; use another").After(redwingshunt.RetrySoon), "")
 		return
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -16,6 +16,9 @@
 // defaultDrain limits a graceful shutdown.
 const defaultDrain = 30 * time.Second
 
+// defaultNotice is the time in which balancers notice that an instance leaves.
+const defaultNotice = 3 * time.Second
+
 // maxVoters bounds the voters of a log.
 const maxVoters = 7
 
@@ -36,6 +39,7 @@
 	optional("data", func(s *settings) *string { return &s.Data }, phrase[string]("the path of a folder")),
 	optional("document", func(s *settings) *string { return &s.Document }, phrase[string]("the path of a document")),
 	optional("bootstrap", func(s *settings) *redwingshunt.KeyHash { return &s.Bootstrap }, hash),
+	optional("notice", func(s *settings) *time.Duration { return &s.Notice }, duration(0, time.Minute)),
 	optional("drain", func(s *settings) *time.Duration { return &s.Drain }, duration(time.Second, time.Hour)),
 	optional("log", func(s *settings) *slog.Level { return &s.Log }, level),
 	optional("tls", func(s *settings) *redwingshunt.TLSFiles { return &s.TLS }, tlsObject),
@@ -50,7 +54,7 @@
 
 // emptySettings are settings with the defaults.
 func emptySettings() settings {
-	return settings{Drain: defaultDrain, Log: slog.LevelInfo}
+	return settings{Notice: defaultNotice, Drain: defaultDrain, Log: slog.LevelInfo}
 }
 
 // checkSettings reports what is wrong between the keys.
--- a/settings.go
+++ b/settings.go
@@ -21,7 +21,8 @@
 	Data      string           // data folder; empty without a disk
 	Document  string           // path of a first document, for trials without voters
 	Bootstrap KeyHash          // key that may submit the first document
-	Drain     time.Duration    // limit of a graceful shutdown
+	Notice    time.Duration    // how long a leaving instance still takes requests, so that balancers notice
+	Drain     time.Duration    // limit of a graceful shutdown after that
 	Log       slog.Level
 	TLS       TLSFiles
 	Plain     bool // plain text is allowed; never set together with TLS
