--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -29,12 +29,12 @@
 }
 
 // startFleet runs daemons on 127.0.0.1, 127.0.0.2, ... with examples/three.yaml.
-func startFleet(t *testing.T, count int) []*node {
+func startFleet(t testing.TB, count int, change ...func(*Options)) []*node {
 	t.Helper()
 	var nodes []*node
 	var seeds []netip.AddrPort
 	for i := range count {
-		n := runNode(t, testSettings(i, seeds))
+		n := runNode(t, testSettings(i, seeds), change...)
 		nodes = append(nodes, n)
 		seeds = append(seeds, n.Link())
 	}
@@ -50,9 +50,13 @@
 }
 
 // runNode starts one daemon; it is stopped at the end of the test.
-func runNode(t *testing.T, settings redwingshunt.Settings) *node {
+func runNode(t testing.TB, settings redwingshunt.Settings, change ...func(*Options)) *node {
 	t.Helper()
-	d, err := New(settings, Options{Logger: slog.New(slog.DiscardHandler)})
+	options := Options{Logger: slog.New(slog.DiscardHandler)}
+	for _, f := range change {
+		f(&options)
+	}
+	d, err := New(settings, options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +81,7 @@
 	}
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if condition() {
@@ -87,7 +91,7 @@
 	t.Fatal("did not happen")
 }
 
-func startMimic(t *testing.T, options mimic.Options, at *node) *mimic.Mimic {
+func startMimic(t testing.TB, options mimic.Options, at *node) *mimic.Mimic {
 	t.Helper()
 	m := mimic.New(options)
 	if _, err := m.Start("127.0.0.1:0"); err != nil {
