--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -98,7 +98,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { m.Stop(); m.Wait() })
-	m.Announce(at.Listen().String())
+	if at != nil {
+		m.Announce(at.Listen().String())
+	}
 	return m
 }
 
--- a/daemon/kill_test.go
+++ b/daemon/kill_test.go
@@ -36,7 +36,7 @@
 
 // startPrograms runs three daemons with a disk each, with the document
 // examples/three.yaml.
-func startPrograms(t *testing.T) []*program {
+func startPrograms(t testing.TB) []*program {
 	t.Helper()
 	binary, folder := build(t), t.TempDir()
 	document, err := os.ReadFile(filepath.Join("..", "examples", "three.yaml"))
@@ -128,10 +128,7 @@
 func TestInstanceKilled(t *testing.T) {
 	is := is.New(t)
 	fleet := startPrograms(t)
-	desk := mimic.New(mimic.Options{ID: "desk-1", Service: "desk", Slots: 1, First: 2 * time.Second})
-	_, err := desk.Start("127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { desk.Stop(); desk.Wait() })
+	desk := startMimic(t, mimic.Options{ID: "desk-1", Service: "desk", Slots: 1, First: 2 * time.Second}, nil)
 	for _, p := range fleet {
 		desk.Announce(p.listen)
 	}
@@ -167,3 +164,22 @@
 	is.Equal(reason, "")
 	is.Equal(desk.Runs("new"), 1)
 }
+
+// BenchmarkBooking measures a non-idempotent request with its claim and record
+// on three voters with a disk.
+func BenchmarkBooking(b *testing.B) {
+	fleet := startPrograms(b)
+	desk := startMimic(b, mimic.Options{ID: "desk-1", Service: "desk", Slots: 8}, nil)
+	for _, p := range fleet {
+		desk.Announce(p.listen)
+	}
+	eventually(b, func() bool {
+		outcome, _, _ := fleet[0].book("first")
+		return outcome == "complete"
+	})
+	for i := 0; b.Loop(); i++ {
+		if outcome, reason, _ := fleet[0].book(fmt.Sprint("key-", i)); outcome != "complete" {
+			b.Fatal(outcome, reason)
+		}
+	}
+}
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -13,7 +13,7 @@
 )
 
 // build compiles the daemon as a program.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "redwingshuntd")
 	output, err := exec.Command("go", "build", "-o", program, "../cmd/redwingshuntd").CombinedOutput()
