--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -32,6 +32,10 @@
 	stall      *time.Timer
 	silent     bool // the connection failed, not the upstream
 	crossed    bool // the answer belonged to another request
+
+	resumable bool // the stream can be resumed
+	resumed   int  // how often that was tried
+	position  retrier.Position
 }
 
 // do runs the request on the granted upstream and gives the slot back.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -167,6 +167,49 @@
 	}
 }
 
+// TestResume breaks streams off in the middle and checks that no event is lost
+// or doubled, or that the caller is told.
+func TestResume(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	const able = header + "Redwingshunt-Resume: yes\r\n\r\n"
+	const begin = "id: 0\ndata: {}\n\nid: 1\ndata: {}\n\n"
+	const end = "id: 2\ndata: {}\n\nid: 3\ndata: [DONE]\n\n"
+	tests := map[string]struct {
+		first, second string
+		whole         bool
+	}{
+		"resumed":              {able + begin, able + end, true},
+		"in the middle of one": {able + begin + "id: 2\nda", able + end, true},
+		"with overlap":         {able + begin, able + begin + end, true},
+		"with a gap":           {able + begin, able + "id: 3\ndata: [DONE]\n\n", false},
+		"not able":             {header + "\r\n" + begin, able + end, false},
+		"begins anew":          {able + begin, header + "\r\n" + begin + end, false},
+		"without a number":     {able + begin, able + "data: {}\n\n", false},
+		"ends for good":        {able + begin, "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			requests := 0
+			u := startUpstream(t, func(c net.Conn, r *http.Request) {
+				requests++
+				text := test.first
+				if requests > 1 {
+					is.Equal(r.Header.Get(redwingshunt.HeaderLastEvent), "1")
+					text = test.second
+				}
+				_, _ = io.WriteString(c, text)
+			})
+			recorder := serve(t, &single{left: 1, address: u.address}, false, true)
+			body := recorder.Body.String()
+			is.True(strings.HasPrefix(body, begin))
+			is.Equal(body == begin+end, test.whole)
+			is.Equal(strings.HasSuffix(body, "[DONE]\n\n"), test.whole)
+			is.Equal(strings.Contains(body, "event: error"), !test.whole)
+		})
+	}
+}
+
 // TestNoGrantAfterRun checks that a request is not called not run because there
 // was no slot for its second attempt.
 func TestNoGrantAfterRun(t *testing.T) {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -11,14 +11,37 @@
 	"github.com/redwingshunt/redwingshunt/connector"
 )
 
-// copyStream passes server-sent events on one by one. A stream is whole when
-// its last event says so; one that ends before is reported as truncated.
+// copyStream passes server-sent events on, and resumes the stream when it ends
+// early and the upstream can do that.
 func (a *attempt) copyStream(ctx context.Context, response *http.Response) error {
+	a.resumable = canResume(response) && !a.exchange.Request.Once
+	err := a.passEvents(ctx, response)
+	for err != nil && a.mayResume(ctx, err) {
+		again, ok := a.resume(ctx)
+		if !ok {
+			break
+		}
+		err = a.passEvents(ctx, again)
+		again.Body.Close()
+	}
+	return err
+}
+
+// passEvents passes server-sent events on one by one. A stream is whole when
+// its last event says so; one that ends before is reported as truncated.
+func (a *attempt) passEvents(ctx context.Context, response *http.Response) error {
 	scanner := bufio.NewScanner(&progressReader{attempt: a, reader: response.Body})
 	scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
 		event := scanner.Bytes()
+		pass, err := a.accept(event)
+		if err != nil {
+			return truncated(err.Error())
+		}
+		if !pass {
+			continue
+		}
 		data, ok := eventData(event)
 		if ok {
 			a.meter.Event(data)
@@ -42,6 +65,11 @@
 		a.silent = errors.Is(err, connector.ErrSilent)
 		detail += ": " + err.Error()
 	}
+	return truncated(detail)
+}
+
+// truncated returns the outcome of a stream that ended early.
+func truncated(detail string) error {
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, detail)
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -48,5 +48,7 @@
 	HeaderReason      = "Redwingshunt-Reason"  // to callers: a Reason
 	HeaderRequest     = "X-Request-Id"         // to upstreams, and echoed by them
 	HeaderBegun       = "Redwingshunt-Begun"   // from upstreams: "no" when a refused request had not begun
+	HeaderResume      = "Redwingshunt-Resume"  // from upstreams: "yes" when the events of a stream are numbered and can be resumed
+	HeaderLastEvent   = "Last-Event-ID"        // to upstreams: number of the last event that came, to resume after it
 	HeaderIdempotency = "Idempotency-Key"      // from callers
 )
--- /dev/null
+++ b/notifier/notifier_test.go
@@ -0,0 +1,91 @@
+package notifier
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/quarantiner"
+)
+
+// network joins notifiers and implements what each of them needs.
+type network struct {
+	self redwingshunt.Instance
+	*shared
+}
+
+// shared is what the network of all notifiers has in common.
+type shared struct {
+	mu       sync.Mutex
+	live     []redwingshunt.Instance
+	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
+}
+
+func (*network) Now() time.Time                  { return time.Now() }
+func (*network) Current() *redwingshunt.Snapshot { return snapshot }
+func (*network) Watch() <-chan struct{}          { return nil }
+func (n *network) Self() redwingshunt.Instance   { return n.self }
+
+func (n *network) Live() []redwingshunt.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.live)
+}
+
+func (n *network) Handle(_ redwingshunt.MessageKind, f func(redwingshunt.InstanceID, []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.live = append(n.live, n.self)
+	n.handlers[n.self.ID] = f
+}
+
+func (n *network) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
+	n.mu.Lock()
+	receive := n.handlers[to]
+	n.mu.Unlock()
+	receive(n.self.ID, m.Payload)
+}
+
+var snapshot = &redwingshunt.Snapshot{Document: &redwingshunt.Document{
+	Fleet: redwingshunt.FleetConfiguration{Losses: 2},
+}}
+
+// TestNewInstance loses two upstreams through two instances and starts a third
+// one empty, which must refuse the request too.
+func TestNewInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		all := &shared{handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte))}
+		start := func(id redwingshunt.InstanceID) *Notifier {
+			n := &network{self: redwingshunt.Instance{ID: id, Incarnation: 1}, shared: all}
+			notifier := New(n, n, n, n, quarantiner.New(id, 1, rand.New(rand.NewPCG(6, uint64(id[0])))))
+			go notifier.Run(ctx)
+			return notifier
+		}
+		f := redwingshunt.Fingerprint{1}
+
+		for _, n := range []*Notifier{start("a"), start("b")} {
+			is.NoErr(n.Admit(ctx, f))
+			n.Lost(f, redwingshunt.UpstreamKey{Service: "desk", ID: redwingshunt.UpstreamID(n.members.Self().ID)})
+			time.Sleep(time.Second)
+		}
+		third := start("c")
+		time.Sleep(2 * time.Second)
+		err := third.Admit(ctx, f)
+		var outcome *redwingshunt.OutcomeError
+		is.True(errors.As(err, &outcome))
+		is.Equal(outcome.Reason, redwingshunt.ReasonSuspect)
+		is.Equal(outcome.Outcome, redwingshunt.OutcomeNotRun)
+		is.NoErr(third.Admit(ctx, redwingshunt.Fingerprint{2}))
+	})
+}
