--- a/measurer/gauge.go
+++ b/measurer/gauge.go
@@ -15,7 +15,8 @@
 	Utilisation float64 // busy slots while work waits, 0 to 1
 	Wait        time.Duration
 	Ratio       float64 // longest wait over its fair wait, with the time of a usual request as the least of both
-	Inside      float64 // control bytes a daemon a second within regions, sent and received
+	Sent        float64 // control bytes that a daemon sends a second
+	Most        float64 // the same of the daemon that sends most
 	Across      float64 // control bytes a second of a region pair, both ways
 	Busiest     float64 // control bytes a second of the busiest daemon, sent and received
 	Moved       float64 // part of the requests that ran in another region
@@ -202,11 +203,13 @@
 	if g.slots > 0 {
 		r.Utilisation = g.busy / g.slots
 	}
-	r.Inside = 2 * float64(g.inside) / seconds / float64(len(f.nodes))
+	r.Sent = float64(g.inside+g.across) / seconds / float64(len(f.nodes))
 	if places := len(f.scenario.Places); places > 1 {
 		r.Across = float64(g.across) / seconds / float64(places*(places-1)/2)
 	}
 	busiest := slices.MaxFunc(f.nodes, func(a, b *node) int { return a.sent + a.received - b.sent - b.received })
+	most := slices.MaxFunc(f.nodes, func(a, b *node) int { return a.sent - b.sent })
+	r.Most = float64(most.sent) / seconds
 	r.Busiest = float64(busiest.sent+busiest.received) / seconds
 	return r
 }
--- a/measurer/run.go
+++ b/measurer/run.go
@@ -120,13 +120,13 @@
 
 func header(out io.Writer, title, first string) {
 	fmt.Fprintf(out, "\n%s\n\n", title)
-	fmt.Fprintf(out, "| %s | gap s | less largest s | utilisation | longest wait / fair | inside B/s | busiest B/s | across B/s a pair | moved | requests |\n", first)
-	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintf(out, "| %s | gap s | less largest s | utilisation | longest wait / fair | sent B/s a daemon | most | sent and received, most | across B/s a pair | moved | requests |\n", first)
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|---|")
 }
 
 func row(out io.Writer, name string, r Result) {
-	fmt.Fprintf(out, "| %s | %.2f | %.2f | %.3f | %.2f | %.0f | %.0f | %.0f | %.1f%% | %d |\n",
-		name, r.Gap, r.Excess, r.Utilisation, r.Ratio, r.Inside/2, r.Busiest, r.Across, 100*r.Moved, r.Requests)
+	fmt.Fprintf(out, "| %s | %.2f | %.2f | %.3f | %.2f | %.0f | %.0f | %.0f | %.0f | %.1f%% | %d |\n",
+		name, r.Gap, r.Excess, r.Utilisation, r.Ratio, r.Sent, r.Most, r.Busiest, r.Across, 100*r.Moved, r.Requests)
 }
 
 // users measures both users' sizes, busy and idle.
@@ -222,11 +222,13 @@
 		}
 		r := NewFleet(z.scenario(PolicyOwner, options.Seed)).Run()
 		row(out, fmt.Sprintf("%d, %d, %d", z.routers, z.upstreams, z.accounts), r)
-		totals = append(totals, fmt.Sprintf("| %d | %d | %.1f | %.1f |", z.routers, z.services,
-			float64(z.services)*r.Inside/1000, (r.Busiest+float64(z.services-1)*r.Inside)/1000))
+		totals = append(totals, fmt.Sprintf("| %d | %d | %.1f | %.1f | %.1f | %.1f |", z.routers, z.services,
+			float64(z.services)*r.Sent/1000, (r.Most+float64(z.services-1)*r.Sent)/1000,
+			float64(z.services)*2*r.Sent/1000, (r.Busiest+float64(z.services-1)*2*r.Sent)/1000))
 	}
-	fmt.Fprintln(out, "\nAll services of the fleet, sent and received (the others alike)")
-	fmt.Fprintln(out, "\n| routers | services | KB/s a daemon | KB/s the busiest owner |\n|---|---|---|---|")
+	fmt.Fprintln(out, "\nAll services of the fleet, as many times the one above; the busiest owner has one of the busiest cells")
+	fmt.Fprintln(out, "\n| routers | services | KB/s sent a daemon | busiest | sent and received a daemon | busiest |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|")
 	for _, t := range totals {
 		fmt.Fprintln(out, t)
 	}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -55,7 +55,7 @@
 	}
 	least := max(1, o.units(o.gap)/sendParts)
 	if refresh {
-		least = 1
+		least = max(1, o.units(o.gap)/levelParts)
 	}
 	for id, a := range o.accounts {
 		if o.moved(p, a, least) || o.ledger.Floor(id) != p.accounts[id].floor {
@@ -149,7 +149,7 @@
 func (o *Owner) putAccounts(now time.Time, p *peer, m *wire.Ledger, full bool) {
 	least := max(1, o.units(o.gap)/entryParts)
 	if full {
-		least = 1
+		least = max(1, o.units(o.gap)/levelParts)
 	}
 	sparse := &sparseLists{}
 	for _, id := range slices.Sorted(maps.Keys(o.accounts)) {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -146,12 +146,13 @@
 	return list
 }
 
-// statesPerSecond bounds the full states that one owner receives a second.
-const statesPerSecond = 20
+// statesPerSecond bounds the full states that the owners of one service in a
+// region receive a second.
+const statesPerSecond = 36
 
 // Period returns the time between full states of a router in a region with the
-// given number of routers. What an owner receives stays the same from about
-// twenty routers on.
+// given number of routers. What the owners receive stays the same from about
+// forty routers on.
 func Period(routers int) time.Duration {
 	return max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond)
 }
--- a/scheduler/seats.go
+++ b/scheduler/seats.go
@@ -135,7 +135,7 @@
 func (s *Seats) Home() redwingshunt.InstanceID { return s.home }
 
 // Period returns the time between the full states of the queue.
-func (s *Seats) Period() time.Duration { return Period(s.routers / max(1, Cells(s.routers))) }
+func (s *Seats) Period() time.Duration { return Period(s.routers) }
 
 // Active returns the cores of the cells that the instance owns.
 func (s *Seats) Active() []*Owner { return s.pick(func(d Duty) bool { return d.Active }) }
