--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -91,6 +91,12 @@
 	return list
 }
 
+// Keepers returns the instances that keep a cell: the owner and the standby.
+func Keepers(members []redwingshunt.Instance, region redwingshunt.RegionID, service redwingshunt.ServiceID, cell int) []redwingshunt.Instance {
+	ranked := Rank(members, region, service, cell)
+	return ranked[:min(2, len(ranked))]
+}
+
 // Regions returns the regions that have live instances, ordered.
 func Regions(members []redwingshunt.Instance) []redwingshunt.RegionID {
 	var list []redwingshunt.RegionID
@@ -146,12 +152,13 @@
 	return list
 }
 
-// statesPerSecond bounds the full states that one owner receives a second.
-const statesPerSecond = 20
+// statesPerSecond bounds the full states that the owners of one service in a
+// region receive a second.
+const statesPerSecond = 36
 
 // Period returns the time between full states of a router in a region with the
-// given number of routers. What an owner receives stays the same from about
-// twenty routers on.
+// given number of routers. What the owners receive stays the same from about
+// forty routers on.
 func Period(routers int) time.Duration {
 	return max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond)
 }
