--- a/connector/connector.go
+++ b/connector/connector.go
@@ -46,8 +46,10 @@
 	// about; maxQuiet bounds the time between two questions.
 	quiet    = 300 * time.Millisecond
 	maxQuiet = 4 * time.Second
-	// probeWait is how long a probe may take.
+	// probeWait is how long a probe may take before a new connection is tried.
 	probeWait = 200 * time.Millisecond
+	// openWait is how long opening the connection for probes may take.
+	openWait = time.Second
 	// idle is how long a connection is kept without use.
 	idle = 20 * time.Second
 	// unused is how long an upstream is remembered without requests.
@@ -107,7 +109,7 @@
 	if g == nil {
 		g = newGeneration(c, address)
 		c.paths[address] = g
-		go g.probe(g.sentinel)
+		go g.open()
 	}
 	return g
 }
--- a/connector/generation.go
+++ b/connector/generation.go
@@ -99,26 +99,49 @@
 }
 
 // isSilent reports whether the open connections carry nothing while new ones
-// work, and drops them in that case.
+// work, and drops them in that case. The probe on the open connection stays out
+// while a new connection is tried, so that an upstream which is merely busy
+// answers both.
 func (g *generation) isSilent() bool {
-	if !g.lost && g.probe(g.sentinel) {
-		return false
+	ctx, cancel := context.WithTimeout(context.Background(), 2*probeWait)
+	defer cancel()
+	answered := make(chan bool, 1)
+	go func() { answered <- !g.lost && g.probe(ctx, g.sentinel) }()
+	select {
+	case ok := <-answered:
+		if ok {
+			return false
+		}
+		answered <- false
+	case <-time.After(probeWait):
 	}
-	g.lost = true
 	fresh := g.connector.newTransport()
 	defer fresh.CloseIdleConnections()
-	if !g.probe(fresh) {
+	works := g.probe(ctx, fresh)
+	if works {
+		cancel()
+	}
+	if <-answered {
+		return false
+	}
+	g.lost = true
+	if !works {
 		return false // the upstream itself is away; the stall limit applies
 	}
 	g.connector.drop(g)
 	return true
 }
 
+// open opens the connection for probes.
+func (g *generation) open() {
+	ctx, cancel := context.WithTimeout(context.Background(), openWait)
+	defer cancel()
+	g.probe(ctx, g.sentinel)
+}
+
 // probe sends a no-op and reports whether there was any answer in time.
-func (g *generation) probe(transport *http.Transport) bool {
+func (g *generation) probe(ctx context.Context, transport *http.Transport) bool {
 	g.connector.probes.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
-	defer cancel()
 	request := (&http.Request{
 		Method: http.MethodOptions,
 		URL:    &url.URL{Scheme: "http", Host: g.address, Opaque: "*"},
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -149,7 +149,11 @@
 					u := startUpstream(t, test.script)
 					s.address, runs = u.address, u.runs
 				}
-				recorder := serve(t, s, once, test.stream)
+				recorder := serve(t, s, once, test.stream, func(service *redwingshunt.Service) {
+					if test.reason == redwingshunt.ReasonStalled {
+						service.Stall = 50 * time.Millisecond
+					}
+				})
 				outcome := recorder.Header().Get(redwingshunt.HeaderOutcome)
 				is.Equal(outcome == "not-run", !test.began) // told as it was
 				if !strings.Contains(recorder.Body.String(), "data: {}\n\n") {
@@ -245,7 +249,7 @@
 		Writer:  w,
 		HTTP:    httptest.NewRequest(http.MethodPost, "/", nil).WithContext(ctx),
 		Account: &redwingshunt.Account{Name: "lin"},
-		Service: &redwingshunt.Service{Name: "desk", Stall: 50 * time.Millisecond, Retries: 2},
+		Service: &redwingshunt.Service{Name: "desk", Stall: time.Minute, Retries: 2},
 		Snapshot: &redwingshunt.Snapshot{Document: &redwingshunt.Document{
 			Fleet: redwingshunt.FleetConfiguration{Budget: 10},
 		}},
@@ -264,12 +268,18 @@
 }
 
 // serve runs one request and returns what its caller got.
-func serve(t *testing.T, s redwingshunt.Scheduler, once, stream bool) *httptest.ResponseRecorder {
+func serve(
+	t *testing.T, s redwingshunt.Scheduler, once, stream bool, change ...func(*redwingshunt.Service),
+) *httptest.ResponseRecorder {
 	t.Helper()
 	recorder := httptest.NewRecorder()
 	chain := responder.New(slog.New(slog.DiscardHandler)).Filter(redwingshunt.HandlerFunc(
 		func(ctx context.Context, e *redwingshunt.Exchange) error { return dispatch(ctx, s, e) }))
-	if err := chain.Serve(t.Context(), exchange(t.Context(), recorder, once, stream)); err != nil {
+	e := exchange(t.Context(), recorder, once, stream)
+	for _, f := range change {
+		f(e.Service)
+	}
+	if err := chain.Serve(t.Context(), e); err != nil {
 		t.Fatal(err)
 	}
 	return recorder
