--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -25,6 +25,7 @@
 	"path"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/redwingshunt/redwingshunt"
 )
@@ -204,6 +205,10 @@
 // readBody reads at most limit bytes.
 func readBody(e *redwingshunt.Exchange, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(e.Writer, e.HTTP.Body, limit))
+	// The limit on the time that the body takes would otherwise end a request
+	// that runs for longer, as the server goes on reading to notice a caller
+	// that leaves.
+	_ = http.NewResponseController(e.Writer).SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/classifier/classifier_test.go
+++ b/classifier/classifier_test.go
@@ -23,10 +23,35 @@
 	Once: []redwingshunt.OnceRule{{Service: "desk", Methods: []string{"POST"}, Path: "/bookings/*"}},
 }
 
+// timed is a caller's connection with a limit on reading.
+type timed struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (w *timed) SetReadDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
+// TestLongRequest checks that the limit on reading the body ends with it.
+func TestLongRequest(t *testing.T) {
+	is := is.New(t)
+	request := httptest.NewRequest(http.MethodPost, "/services/desk/x", strings.NewReader("{}"))
+	w := &timed{ResponseRecorder: httptest.NewRecorder(), deadline: time.Now()}
+	_, err := classifyTo(w, request)
+	is.NoErr(err)
+	is.True(w.deadline.IsZero())
+}
+
 // classify runs a request through the classifier alone.
 func classify(request *http.Request) (*redwingshunt.Exchange, error) {
+	return classifyTo(httptest.NewRecorder(), request)
+}
+
+func classifyTo(w http.ResponseWriter, request *http.Request) (*redwingshunt.Exchange, error) {
 	e := &redwingshunt.Exchange{
-		Writer:   httptest.NewRecorder(),
+		Writer:   w,
 		HTTP:     request,
 		Account:  &redwingshunt.Account{Name: "lin"},
 		Snapshot: &redwingshunt.Snapshot{Document: document},
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -203,18 +203,43 @@
 	header.Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
 	e.Started = true
 	e.Writer.WriteHeader(response.StatusCode)
-	if _, err := e.Writer.Write(body); err != nil {
+	writer := limitedWriter{a}
+	if _, err := writer.Write(body); err != nil {
 		return gone()
 	}
 	if len(body) < largestBuffered {
 		return nil
 	}
-	if _, err := io.CopyBuffer(e.Writer, reader, make([]byte, copyBuffer)); err != nil {
+	if _, err := io.CopyBuffer(writer, reader, make([]byte, copyBuffer)); err != nil {
 		return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, err.Error())
 	}
 	return nil
 }
 
+// limitWrite ends the connection of a caller that takes nothing for as long as
+// an upstream may be silent, so that it holds no slot for good.
+func (a *attempt) limitWrite() {
+	_ = http.NewResponseController(a.exchange.Writer).SetWriteDeadline(time.Now().Add(a.exchange.Service.Stall))
+}
+
+// limitedWriter writes to the caller in pieces that each have their time.
+type limitedWriter struct{ attempt *attempt }
+
+// Write implements io.Writer.
+func (w limitedWriter) Write(p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		w.attempt.limitWrite()
+		n, err := w.attempt.exchange.Writer.Write(p[:min(copyBuffer, len(p))])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		p = p[n:]
+	}
+	return written, nil
+}
+
 // progressReader notes progress on each read.
 type progressReader struct {
 	attempt *attempt
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -244,6 +244,32 @@
 	is.Equal(u.runs(), 1)
 }
 
+// TestCallerThatReadsNothing streams to a caller that takes nothing, and checks
+// that the upstream is let go.
+func TestCallerThatReadsNothing(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan error, 1)
+	u := startUpstream(t, func(c net.Conn, _ *http.Request) {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(c, "data: "+strings.Repeat("x", 64<<10)+"\n\n")
+		}
+		gone <- err
+	})
+	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e := exchange(r.Context(), w, false, true)
+		e.Service.Stall = 100 * time.Millisecond
+		_ = dispatch(r.Context(), &single{left: 1, address: u.address}, e)
+	}))
+	defer router.Close()
+	caller, err := net.Dial("tcp", router.Listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	is.True(<-gone != nil)
+}
+
 func exchange(ctx context.Context, w http.ResponseWriter, once, stream bool) *redwingshunt.Exchange {
 	return &redwingshunt.Exchange{
 		Writer:  w,
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -99,6 +99,7 @@
 	if a.meter.Done() {
 		a.exchange.Writer.Header().Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
 	}
+	a.limitWrite()
 	if _, err := a.exchange.Writer.Write(event); err != nil {
 		return err
 	}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -129,7 +129,9 @@
 	}
 	l.running.Add(1)
 	defer l.running.Add(-1)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // until the body is read
+	_ = controller.SetWriteDeadline(time.Time{})                // as an earlier request left it
 	e := &redwingshunt.Exchange{Writer: w, HTTP: r, Arrived: time.Now(), Snapshot: l.options.Configuration.Current()}
 	if err := l.options.Chain.Serve(r.Context(), e); err != nil {
 		panic(http.ErrAbortHandler)
--- a/replayer/recorder.go
+++ b/replayer/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"time"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/claimer"
@@ -69,6 +70,11 @@
 	return nil
 }
 
+// SetWriteDeadline implements what http.ResponseController looks for.
+func (r *recorder) SetWriteDeadline(deadline time.Time) error {
+	return http.NewResponseController(r.writer).SetWriteDeadline(deadline)
+}
+
 // pass sends what was held back and passes on what follows.
 func (r *recorder) pass() {
 	if r.passing {
