--- a/recorder/bench_test.go
+++ b/recorder/bench_test.go
@@ -141,11 +141,11 @@
 		"unsynced": func(folder string) journaler.FileSystem { return unsynced{journaler.Disk{Folder: folder}} },
 	}
 	for _, disk := range []string{"synced", "unsynced"} {
-		for _, clients := range []int{1, 64, 512} {
+		for _, clients := range []int{10, 100, 500} {
 			b.Run(fmt.Sprintf("%s/clients=%d", disk, clients), func(b *testing.B) {
 				r, _ := startVoters(b, 1, disks[disk])
 				command := make([]byte, 256)
-				b.SetParallelism((clients + 9) / 10)
+				b.SetParallelism(max(clients/runtime.GOMAXPROCS(0), 1))
 				b.ResetTimer()
 				b.RunParallel(func(pb *testing.PB) {
 					for pb.Next() {
