--- a/recorder/client.go
+++ b/recorder/client.go
@@ -190,7 +190,17 @@
 		r.client.answer(from, reply)
 		return
 	}
-	if request := call.GetRequest(); request != nil && r.journal != nil {
+	request := call.GetRequest()
+	if request == nil || r.journal == nil {
+		return
+	}
+	select {
+	case <-r.done:
+		// It cannot tell what became of earlier copies, so it names no start.
+		stopped := refusal(errStopped.Error())
+		stopped.Id = request.GetId()
+		r.send(from, redwingshunt.KindSubmit, &wire.LogCall{Reply: stopped})
+	default:
 		r.try(func() {
 			r.serve(from, request, func(reply *wire.LogReply) {
 				r.send(from, redwingshunt.KindSubmit, &wire.LogCall{Reply: reply})
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -171,6 +171,11 @@
 		return errNoFolder
 	}
 	select {
+	case <-r.done:
+		return errStopped
+	default:
+	}
+	select {
 	case r.calls <- call:
 		return nil
 	case <-ctx.Done():
--- a/recorder/server.go
+++ b/recorder/server.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"maps"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -96,16 +98,33 @@
 // older ones are taken for copies.
 const windowSize = 4096
 
+// windowsMax is the number of windows from which those of instances that are
+// gone are forgotten.
+const windowsMax = 1024
+
 // window returns the window of an instance; a new session begins a new one.
 func (r *Recorder) window(from redwingshunt.InstanceID, session uint64) *window {
 	w := r.windows[from]
 	if w == nil || w.session != session {
+		r.forgetWindows()
 		w = &window{session: session}
 		r.windows[from] = w
 	}
 	return w
 }
 
+// forgetWindows forgets the instances that are gone once there are many.
+func (r *Recorder) forgetWindows() {
+	if len(r.windows) < windowsMax {
+		return
+	}
+	live := make(map[redwingshunt.InstanceID]bool)
+	for _, instance := range r.options.Members.Live() {
+		live[instance.ID] = true
+	}
+	maps.DeleteFunc(r.windows, func(id redwingshunt.InstanceID, _ *window) bool { return !live[id] })
+}
+
 // add notes a request and reports whether it is new.
 func (w *window) add(id uint64) bool {
 	if id+windowSize <= w.newest {
