--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -124,6 +124,7 @@
 		"dispatch before commit":           claim.with("DISPATCH_EARLY"),
 		"grant to any attempt":             claim.with("ANY_ATTEMPT"),
 		"second claim after interruption":  claim.with("RECLAIM"),
+		"answer used too late":             claim.with("USE_LATE_ANSWER"),
 		"abandoned after dispatch":         claim.with("ABANDON_LATE"),
 	}
 	for name, test := range tests {
