--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -29,22 +29,14 @@
 }
 
 // startFleet runs daemons on 127.0.0.1, 127.0.0.2, ... with examples/three.yaml.
-func startFleet(t *testing.T, count int) []*node {
+func startFleet(t testing.TB, count int, change ...func(*Options)) []*node {
 	t.Helper()
 	var nodes []*node
 	var seeds []netip.AddrPort
 	for i := range count {
-		d, err := New(testSettings(i, seeds), Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- d.Run(ctx) }()
-		n := &node{Daemon: d, stop: func() error { cancel(); err := <-done; done <- err; return err }}
-		t.Cleanup(func() { _ = n.stop() })
+		n := runNode(t, testSettings(i, seeds), change...)
 		nodes = append(nodes, n)
-		seeds = append(seeds, addressOf(d.sockets.links))
+		seeds = append(seeds, n.Link())
 	}
 	eventually(t, func() bool {
 		for _, n := range nodes {
@@ -57,6 +49,25 @@
 	return nodes
 }
 
+// runNode starts one daemon; it is stopped at the end of the test.
+func runNode(t testing.TB, settings redwingshunt.Settings, change ...func(*Options)) *node {
+	t.Helper()
+	options := Options{Logger: slog.New(slog.DiscardHandler)}
+	for _, f := range change {
+		f(&options)
+	}
+	d, err := New(settings, options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	n := &node{Daemon: d, stop: func() error { cancel(); err := <-done; done <- err; return err }}
+	t.Cleanup(func() { _ = n.stop() })
+	return n
+}
+
 func testSettings(index int, seeds []netip.AddrPort) redwingshunt.Settings {
 	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(index + 1)}), 0)
 	region, zone := redwingshunt.RegionID("north"), redwingshunt.ZoneID("north-a")
@@ -65,12 +76,12 @@
 	}
 	return redwingshunt.Settings{
 		Name: redwingshunt.InstanceID(fmt.Sprintf("node-%c", 'a'+index)), Region: region, Zone: zone,
-		Listen: loopback, Link: loopback, Admin: loopback, Peers: seeds, Plain: true, Drain: patience,
+		Listen: loopback, Link: loopback, Admin: loopback, Peers: seeds, Plain: true, Notice: 300 * time.Millisecond, Drain: patience,
 		Document: filepath.Join("..", "examples", "three.yaml"),
 	}
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if condition() {
@@ -80,7 +91,7 @@
 	t.Fatal("did not happen")
 }
 
-func startMimic(t *testing.T, options mimic.Options, at *node) *mimic.Mimic {
+func startMimic(t testing.TB, options mimic.Options, at *node) *mimic.Mimic {
 	t.Helper()
 	m := mimic.New(options)
 	if _, err := m.Start("127.0.0.1:0"); err != nil {
