Run the operators' page against a real fleet of four instances

A role is told from the members of the log: an instance with a disk that is no member was shown as a voter. Groups of logs that are alike share a line.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -149,28 +149,39 @@
 	go func() { done <- s.parts.Repairer.Replace(ctx, replacement.Lost, replacement.With) }()
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
-	told := make(map[redwingshunt.GroupID]string)
+	told := ""
 	for {
-		s.tellMembers(told, step)
+		if text := s.members(); text != told {
+			told = text
+			step(text)
+		}
 		select {
 		case err := <-done:
-			s.tellMembers(told, step)
+			if text := s.members(); text != told {
+				step(text)
+			}
 			return err
 		case <-ticker.C:
 		}
 	}
 }
 
-// tellMembers tells the members of each group that has others than before.
-func (s *server) tellMembers(told map[redwingshunt.GroupID]string, step func(text string)) {
+// members describes the members of all logs, those alike together.
+func (s *server) members() string {
 	if s.parts.Log == nil {
-		return
+		return ""
 	}
+	groups := make(map[string][]string)
+	var order []string
 	for _, l := range s.parts.Log.Logs() {
-		text := fmt.Sprintf("log %d: voters %v, catching up %v", l.Group, l.Voters(), l.Learners())
-		if told[l.Group] != text {
-			told[l.Group] = text
-			step(text)
+		text := fmt.Sprintf("voters %v, catching up %v", l.Voters(), l.Learners())
+		if groups[text] == nil {
+			order = append(order, text)
 		}
+		groups[text] = append(groups[text], fmt.Sprint(l.Group))
+	}
+	for i, text := range order {
+		order[i] = "log " + strings.Join(groups[text], " ") + ": " + text
 	}
+	return strings.Join(order, "; ")
 }
--- a/cmd/redwingshunt/commander/commander_test.go
+++ b/cmd/redwingshunt/commander/commander_test.go
@@ -230,7 +230,13 @@
 	}
 	want, err := os.ReadFile(path)
 	is.NoErr(err)
-	is.Equal(got, string(want))
+	if got == string(want) {
+		return
+	}
+	for _, change := range diffLines(splitLines(want), splitLines([]byte(got))) {
+		t.Logf("%c%s", change.sign, change.text)
+	}
+	t.Errorf("%s differs; see the lines above, and -update", path)
 }
 
 // TestResend loses the answer of a submission: it is resent, takes effect once,
--- a/cmd/redwingshunt/commander/pages_test.go
+++ b/cmd/redwingshunt/commander/pages_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -9,64 +13,156 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt/daemon"
+	"github.com/redwingshunt/redwingshunt/parser"
 )
 
 // consoleBlock is a block of commands with their output.
 var consoleBlock = regexp.MustCompile("(?s)```console\n(.*?)```")
 
-// varying are parts of an output that differ from run to run.
-var varying = regexp.MustCompile(`sha256:[0-9a-f]{64}|[A-Za-z0-9_-]{43}`)
+// varying are parts of an output that differ from run to run: keys, hashes,
+// times, sizes, who leads, and the steps of a replacement.
+var varying = regexp.MustCompile(`sha256:[0-9a-f]{64}|[A-Za-z0-9_-]{43}|\d{4}-\d\d-\d\dT[0-9:]+Z|\d+ bytes|` +
+	"(?m:^log [0-9 ]+: .*\n|^http://\\S+ still answers\n|^waiting: .*\n)")
+
+// sed is the one other command that pages use.
+var sed = regexp.MustCompile(`^sed -i "s/(.*)/(.*)/" (\S+)$`)
 
 // TestPages runs the commands shown in the pages, in a folder that holds the
-// examples, and compares their output.
+// examples and against the fleet of examples/node-*.yaml, and compares their
+// output.
 func TestPages(t *testing.T) {
+	is := is.New(t)
 	root, err := filepath.Abs(filepath.Join("..", "..", ".."))
-	is.New(t).NoErr(err)
-	for _, name := range []string{"OPERATORS.md"} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			path := filepath.Join(root, "docs", name)
-			text, err := os.ReadFile(path)
-			is.NoErr(err)
-			page := string(text)
-			t.Chdir(t.TempDir())
-			is.NoErr(os.Symlink(filepath.Join(root, "examples"), "examples"))
-			blocks := 0
-			page = consoleBlock.ReplaceAllStringFunc(page, func(shown string) string {
-				blocks++
-				got := replay(shown)
-				if mask(got) == mask(shown) {
-					return shown
-				}
-				if !*update {
-					t.Errorf("the page shows\n%s\nand the commands print\n%s", shown, got)
-				}
-				return got
-			})
-			is.True(blocks > 0)
-			if *update {
-				is.NoErr(os.WriteFile(path, []byte(page), 0o644))
-			}
-		})
+	is.NoErr(err)
+	path := filepath.Join(root, "docs", "OPERATORS.md")
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	t.Chdir(t.TempDir())
+	is.NoErr(os.Symlink(filepath.Join(root, "examples"), "examples"))
+	reader := &pageReader{toFleet: startExamples(t)}
+	blocks := 0
+	page := consoleBlock.ReplaceAllStringFunc(string(text), func(shown string) string {
+		blocks++
+		got := reader.replay(shown)
+		if varying.ReplaceAllString(got, "") == varying.ReplaceAllString(shown, "") {
+			return shown
+		}
+		if !*update {
+			t.Errorf("the page shows\n%s\nand the commands print\n%s", shown, got)
+		}
+		return got
+	})
+	is.True(blocks > 0)
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(page), 0o644))
+	}
+}
+
+// startExamples runs the four example instances on free ports and returns the
+// addresses of the page, each followed by the one in use.
+func startExamples(t *testing.T) []string {
+	t.Helper()
+	is := is.New(t)
+	var pairs []string
+	var peers []netip.AddrPort
+	for _, name := range []string{"node-a", "node-b", "node-c", "node-d"} {
+		text, err := os.ReadFile(filepath.Join("examples", name+".yaml"))
+		is.NoErr(err)
+		settings, findings := parser.Settings(name, text)
+		is.NoErr(findings.Err())
+		shown := *settings
+		settings.Listen, settings.Link = freePort(t, settings.Listen), freePort(t, settings.Link)
+		settings.Admin, settings.Peers = freePort(t, settings.Admin), peers
+		d, err := daemon.New(*settings, daemon.Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		is.NoErr(err)
+		(&fleet{}).run(t, d)
+		peers = append(peers, d.Link())
+		pairs = append(pairs, shown.Admin.String(), d.Admin().String(), shown.Link.String(), d.Link().String())
 	}
+	return pairs
+}
+
+// freePort returns an address near the given one, as long as text, that nobody
+// listens on.
+func freePort(t *testing.T, address netip.AddrPort) netip.AddrPort {
+	t.Helper()
+	for port := address.Port(); port < 10_000; port += 10 {
+		candidate := netip.AddrPortFrom(address.Addr(), port)
+		socket, err := net.Listen("tcp", candidate.String())
+		if err == nil {
+			_ = socket.Close()
+			return candidate
+		}
+	}
+	t.Fatalf("no port is free at %s", address.Addr())
+	return address
+}
+
+// pageReader runs the commands of a page.
+type pageReader struct {
+	toFleet []string // addresses of the page, each followed by the one in use
 }
 
 // replay runs the commands of a block and returns it with their output.
-func replay(block string) string {
+func (p *pageReader) replay(block string) string {
 	var out strings.Builder
 	out.WriteString("```console\n")
 	for line := range strings.Lines(block) {
-		command, ok := strings.CutPrefix(line, "$ redwingshunt ")
+		command, ok := strings.CutPrefix(line, "$ ")
 		if !ok {
 			continue
 		}
 		out.WriteString(line)
-		console := &Console{In: strings.NewReader(""), Out: &out, Err: &out, Getenv: func(string) string { return "" }}
-		Main(context.Background(), console, strings.Fields(command))
+		out.WriteString(p.run(strings.TrimSpace(command)))
 	}
 	out.WriteString("```")
 	return out.String()
 }
 
-// mask takes away what differs from run to run.
-func mask(text string) string { return varying.ReplaceAllString(text, "...") }
+// run runs one command and returns its output as the page shows it.
+func (p *pageReader) run(command string) string {
+	if match := sed.FindStringSubmatch(command); match != nil {
+		text, err := os.ReadFile(match[3])
+		if err == nil {
+			err = os.WriteFile(match[3], []byte(strings.Replace(string(text), match[1], match[2], 1)), 0o600)
+		}
+		if err != nil {
+			return err.Error()
+		}
+		return ""
+	}
+	command, file, redirected := strings.Cut(strings.TrimPrefix(command, "redwingshunt "), " > ")
+	var out strings.Builder
+	console := &Console{In: strings.NewReader(""), Out: &out, Err: &out, Getenv: p.getenv}
+	Main(context.Background(), console, strings.Fields(strings.NewReplacer(p.toFleet...).Replace(command)))
+	if redirected {
+		if err := os.WriteFile(file, []byte(out.String()), 0o600); err != nil {
+			return err.Error()
+		}
+		return ""
+	}
+	return strings.NewReplacer(p.toPage()...).Replace(out.String())
+}
+
+// toPage returns the addresses in use, each followed by that of the page.
+func (p *pageReader) toPage() []string {
+	var pairs []string
+	for i := 0; i < len(p.toFleet); i += 2 {
+		pairs = append(pairs, p.toFleet[i+1], p.toFleet[i])
+	}
+	return pairs
+}
+
+// getenv returns the environment that the page sets up.
+func (p *pageReader) getenv(name string) string {
+	switch name {
+	case envAdmin:
+		page := "http://127.0.0.1:8082 http://127.0.0.2:8082 http://127.0.0.3:8082 http://127.0.0.4:8082"
+		return strings.NewReplacer(p.toFleet...).Replace(page)
+	case envKey:
+		return "EXAMPLE-KEY-platform"
+	}
+	return ""
+}
--- a/cmd/redwingshunt/commander/verb_status.go
+++ b/cmd/redwingshunt/commander/verb_status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"time"
@@ -68,15 +69,15 @@
 		return err
 	}
 	defer client.Close()
-	view, err := v.look(ctx, console, client)
+	var view fleetView
+	if v.options.Wait == 0 {
+		view, err = v.look(ctx, console, client)
+	} else {
+		view, err = v.wait(ctx, console, client)
+	}
 	if err != nil {
 		return err
 	}
-	if v.options.Wait != 0 {
-		if view, err = v.wait(ctx, console, client, view); err != nil {
-			return err
-		}
-	}
 	if v.options.JSON {
 		return console.JSON(view)
 	}
@@ -127,34 +128,35 @@
 	return names
 }
 
-// wait looks again until the revision is in force everywhere.
-func (v *VerbStatus) wait(ctx context.Context, console *Console, client *requester.Client, view fleetView) (fleetView, error) {
+// wait looks again until the revision is in force everywhere. A fault is no end:
+// the key may be one of the document that is waited for.
+func (v *VerbStatus) wait(ctx context.Context, console *Console, client *requester.Client) (fleetView, error) {
 	wanted := redwingshunt.Revision(v.options.Wait)
-	started := time.Now()
-	told := started
-	for len(view.behind(wanted)) > 0 {
-		if time.Since(started) > v.options.Limit {
-			return view, &Fault{
+	limit := time.After(v.options.Limit)
+	told := time.Now()
+	for {
+		view, err := v.look(ctx, &Console{Err: io.Discard}, client)
+		if err == nil && len(view.behind(wanted)) == 0 {
+			return view, nil
+		}
+		if err == nil {
+			err = &Fault{
 				Code: ExitFailed, Text: fmt.Sprintf("revision %d is not known to be in force on %s", wanted, strings.Join(view.behind(wanted), ", ")),
 				Next: "ask these instances themselves with --admin, and see their dump",
 			}
 		}
 		if time.Since(told) > time.Second {
 			told = time.Now()
-			console.Progress("waiting for revision %d on %s", wanted, strings.Join(view.behind(wanted), ", "))
+			console.Progress("waiting: %v", err)
 		}
 		select {
 		case <-time.After(statusPause):
+		case <-limit:
+			return view, err
 		case <-ctx.Done():
 			return view, ctx.Err()
 		}
-		next, err := v.look(ctx, console, client)
-		if err != nil {
-			return view, err
-		}
-		view = next
 	}
-	return view, nil
 }
 
 // print prints the fleet, then the logs.
@@ -166,26 +168,46 @@
 	if err := console.Table(rows); err != nil {
 		return err
 	}
+	f.printLogs(console)
+	return nil
+}
+
+// printLogs prints the logs, those alike in one line, with the instances that
+// tell so.
+func (f *fleetView) printLogs(console *Console) {
+	seen := make(map[string][]string)
+	var order []string
 	for _, asked := range f.Asked {
-		printLogs(console, asked)
+		for _, line := range describeLogs(asked.Logs) {
+			if seen[line] == nil {
+				order = append(order, line)
+			}
+			seen[line] = append(seen[line], string(asked.Instance))
+		}
+	}
+	for _, line := range order {
+		fmt.Fprintf(console.Out, "%s (told by %s)\n", line, strings.Join(seen[line], " "))
 	}
-	return nil
 }
 
-// printLogs prints the logs of one instance, those alike in one line.
-func printLogs(console *Console, asked administrator.Status) {
+// describeLogs sums up the logs of one instance, those alike in one line.
+func describeLogs(logs []administrator.LogStatus) []string {
 	groups := make(map[string][]string)
 	var order []string
-	for _, l := range asked.Logs {
+	for _, l := range logs {
+		if l.Role == "" && l.Leader == "" {
+			continue // this instance keeps no log
+		}
 		text := describeLog(l)
 		if groups[text] == nil {
 			order = append(order, text)
 		}
 		groups[text] = append(groups[text], fmt.Sprint(l.Group))
 	}
-	for _, text := range order {
-		fmt.Fprintf(console.Out, "log %s on %s: %s\n", strings.Join(groups[text], " "), asked.Instance, text)
+	for i, text := range order {
+		order[i] = "log " + strings.Join(groups[text], " ") + ": " + text
 	}
+	return order
 }
 
 // describeLog sums up a log in words.
@@ -234,8 +256,8 @@
 	if member.Leaving {
 		words[0] = "leaving"
 	}
-	if member.Voter {
-		words = append(words, "voter")
+	if role := f.role(member); role != "" {
+		words = append(words, role)
 	}
 	for _, asked := range f.Asked {
 		if asked.Instance == member.Instance && !asked.Health.Ready {
@@ -244,3 +266,25 @@
 	}
 	return strings.Join(words, ", ")
 }
+
+// role tells what a member is in the log of the configuration. Where no asked
+// instance knows its members, the presence of a disk is told.
+func (f *fleetView) role(member administrator.InstanceStatus) string {
+	for _, asked := range f.Asked {
+		for _, l := range asked.Logs {
+			switch {
+			case l.Group != redwingshunt.GroupControl || len(l.Members) == 0:
+				continue
+			case slices.Contains(l.Voters(), member.Instance):
+				return "voter"
+			case slices.Contains(l.Learners(), member.Instance):
+				return "catching up"
+			}
+			return ""
+		}
+	}
+	if member.Voter {
+		return "has a disk"
+	}
+	return ""
+}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/observer"
 	"github.com/redwingshunt/redwingshunt/reporter"
 )
@@ -33,6 +34,8 @@
 		Readiness:     d,
 		Fleet:         d,
 		Log:           d.control,
+		Accounts:      d.schedulingState(),
+		Upstreams:     d.schedulingState(),
 		History:       d.control,
 		Repairer:      d.control,
 		Archiver:      d.control,
@@ -50,10 +53,19 @@
 	}
 	if d.fixed == nil {
 		parts.Submitter = d.control.submitter
+		parts.Texts = d.control.subscribe
 	}
 	return parts
 }
 
+// schedulingState tells of accounts and upstreams.
+func (d *Daemon) schedulingState() administrator.Scheduling {
+	return administrator.Scheduling{
+		Self: d.members.Self, Configuration: d.configured,
+		States: func(limit int) []coordinator.State { return d.scheduling.States(limit) },
+	}
+}
+
 // Ready returns an empty text, or why the instance does not serve callers.
 func (d *Daemon) Ready() string {
 	switch {
@@ -97,6 +109,7 @@
 			Configuration: d.configured,
 			Members:       d.members,
 			Readiness:     d,
+			Upstreams:     d.schedulingState(),
 			Log:           d.control,
 			Traffic:       d.linker.Traffic,
 		}),
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -95,7 +95,7 @@
 			}
 		})
 	}
-	for _, name := range []string{"node-a.yaml", "node-b.yaml", "node-c.yaml"} {
+	for _, name := range []string{"node-a.yaml", "node-b.yaml", "node-c.yaml", "node-d.yaml"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			text, err := os.ReadFile(filepath.Join("..", "examples", name))
