--- a/daemon/control.go
+++ b/daemon/control.go
@@ -13,8 +13,6 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
 	"github.com/redwingshunt/redwingshunt/claimer"
-	"github.com/redwingshunt/redwingshunt/guarantor"
-	"github.com/redwingshunt/redwingshunt/keeper"
 	"github.com/redwingshunt/redwingshunt/parser"
 	"github.com/redwingshunt/redwingshunt/recorder"
 	"github.com/redwingshunt/redwingshunt/registrar"
@@ -26,19 +24,13 @@
 // quorum.
 const quorumInterval = 500 * time.Millisecond
 
-// handoverLimit bounds handing over kept answers and the lead of the log when
-// the instance stops.
-const handoverLimit = 3 * time.Second
-
 // control is the durable state of the fleet as one instance takes part in it:
-// the log, the configuration that it holds, and claims.
+// the log and the configuration that it holds.
 type control struct {
 	logger    *slog.Logger
 	recorder  *recorder.Recorder
 	subscribe *subscriber.Subscriber
 	submitter *submitter.Submitter
-	keeper    *keeper.Keeper
-	guarantor *guarantor.Guarantor
 	quorum    atomic.Bool
 	stop      context.CancelFunc
 	stopped   chan struct{}
@@ -81,8 +73,6 @@
 	if fixed != nil {
 		configuration = fixed
 	}
-	c.keeper = keeper.New(wallClock{}, d.members, d.linker, configuration)
-	c.guarantor = guarantor.New(wallClock{}, log, d.members, configuration, c.keeper)
 	return c, configuration, nil
 }
 
@@ -94,6 +84,7 @@
 	return registrar.New(registrar.Options{
 		Document: parser.Document,
 		Section:  parser.Section,
+		Change:   claimer.Moves,
 		Accepted: c.subscribe.Accept,
 	})
 }
@@ -111,7 +102,6 @@
 		}
 	}()
 	go c.subscribe.Run(ctx)
-	go c.guarantor.Run(ctx)
 	go c.watchQuorum(ctx)
 }
 
@@ -129,13 +119,8 @@
 	}
 }
 
-// close hands over what other instances can hold, and stops the log.
+// close stops the log, which hands over what this instance leads.
 func (c *control) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), handoverLimit)
-	defer cancel()
-	if left := c.keeper.Handover(ctx); left > 0 {
-		c.logger.Warn("kept answers found no other instance", "answers", left)
-	}
 	c.stop()
 	<-c.stopped
 }
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -33,9 +33,9 @@
 		Bootstrap:     d.settings.Bootstrap,
 		Readiness:     d,
 		Fleet:         d,
+		Accounts:      d.states(),
+		Upstreams:     d.states(),
 		Log:           d.control,
-		Accounts:      d.schedulingState(),
-		Upstreams:     d.schedulingState(),
 		History:       d.control,
 		Repairer:      d.control,
 		Archiver:      d.control,
@@ -43,10 +43,11 @@
 			"members":    d.members,
 			"links":      d.linker,
 			"dispatcher": d.dispatcher,
+			"answers":    d.promises.keeper,
+			"suspects":   d.promises.notifier,
 			"scheduling": d.scheduling,
 			"log":        d.control.recorder,
 			"document":   d.control.subscribe,
-			"answers":    d.control.keeper,
 		},
 		Drainer: d,
 		Metrics: d.metrics.handler,
@@ -58,18 +59,19 @@
 	return parts
 }
 
-// schedulingState tells of accounts and upstreams.
-func (d *Daemon) schedulingState() administrator.Scheduling {
+// states reads the scheduler for operators and metrics.
+func (d *Daemon) states() administrator.Scheduling {
 	return administrator.Scheduling{
-		Self: d.members.Self, Configuration: d.configured,
-		States: func(limit int) []coordinator.State { return d.scheduling.States(limit) },
+		Self:          d.members.Self,
+		Configuration: d.configured,
+		States:        func(limit int) []coordinator.State { return d.scheduling.States(limit) },
 	}
 }
 
 // Ready returns an empty text, or why the instance does not serve callers.
 func (d *Daemon) Ready() string {
 	switch {
-	case d.listener.Stopping():
+	case d.listener.Leaving():
 		return "the instance is shutting down"
 	case d.configured.Current() == nil:
 		return "the instance has no configuration yet"
@@ -81,13 +83,17 @@
 // Drain begins a graceful shutdown.
 func (d *Daemon) Drain() { d.draining.Do(func() { close(d.drain) }) }
 
-// Fleet returns what is known of the live instances.
+// surveyLimit bounds the wait for the revisions of other instances.
+const surveyLimit = 500 * time.Millisecond
+
+// Fleet asks the live instances and returns what is known of them.
 func (d *Daemon) Fleet() []administrator.InstanceStatus {
+	revisions := d.surveyor.Ask(context.Background(), surveyLimit)
 	var fleet []administrator.InstanceStatus
 	for _, i := range d.members.Live() {
 		fleet = append(fleet, administrator.InstanceStatus{
 			Instance: i.ID, Region: i.Region, Zone: i.Zone, Link: i.Address.String(),
-			Voter: i.Voter, Leaving: i.Leaving,
+			Voter: i.Voter, Leaving: i.Leaving, Revision: revisions[i.ID],
 		})
 	}
 	return fleet
@@ -109,7 +115,7 @@
 			Configuration: d.configured,
 			Members:       d.members,
 			Readiness:     d,
-			Upstreams:     d.schedulingState(),
+			Upstreams:     d.states(),
 			Log:           d.control,
 			Traffic:       d.linker.Traffic,
 		}),
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -9,7 +9,7 @@
 // refuses new requests, and waits for running ones up to the drain limit.
 func (d *Daemon) shutdown() {
 	d.logger.Info("shutting down", "running", d.listener.Running(), "limit", d.settings.Drain.String())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Notice+d.settings.Drain)
 	defer cancel()
 	if d.options.Abort != nil {
 		go func() {
@@ -21,12 +21,16 @@
 		}()
 	}
 	d.members.leave()
+	d.listener.Leave()
+	pause(ctx, d.settings.Notice)
 	d.listener.Stop()
-	pause(ctx, noticeDelay)
 	if err := d.listener.Shutdown(ctx); err != nil {
 		d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
 		_ = d.listener.Close()
 	}
+	if unrecorded, left := d.promises.finish(ctx); unrecorded+left > 0 {
+		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
+	}
 	d.dispatcher.Close()
 	d.control.close()
 	d.linker.Close()
--- a/interfaces.go
+++ b/interfaces.go
@@ -37,6 +37,7 @@
 	KindDigest                            // revision in force
 	KindSuspect                           // fingerprints of suspect requests
 	KindClaim                             // claims of non-idempotent requests
+	KindSurvey                            // questions for the revision in force
 	KindEnd                               // one past the last kind
 )
 
@@ -44,7 +45,7 @@
 func (k MessageKind) String() string {
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
-		"ledger", "log", "submit", "publish", "digest", "suspect", "claim",
+		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
 	}
 	if int(k) >= len(names) {
 		return names[0]
@@ -199,12 +200,15 @@
 
 // Suspects remembers requests during which upstreams died.
 type Suspects interface {
-	// Allowed reports whether the fingerprint may run once more.
-	Allowed(f Fingerprint) bool
+	// Admit waits until the request may run, or returns an OutcomeError that
+	// says not run. After nil, one of Lost, Completed and Ended follows.
+	Admit(ctx context.Context, f Fingerprint) error
 	// Lost notes that an upstream died while it ran the request.
 	Lost(f Fingerprint, u UpstreamKey)
 	// Completed notes that the request ended well.
 	Completed(f Fingerprint)
+	// Ended notes that the run ended and says nothing about the request.
+	Ended(f Fingerprint)
 }
 
 // Dumper is a part of a process that shows its state on request.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -46,6 +46,8 @@
 
 const (
 	maxSuspects = 4096
+	// maxLosses bounds the losses remembered of one suspect, whatever the limit.
+	maxLosses = 16
 	// sameLoss is the time within which an upstream is lost only once.
 	sameLoss = time.Second
 	// memory is how long a loss is remembered.
@@ -134,6 +136,9 @@
 	}
 }
 
+// Limit changes the number of losses at which a fingerprint is refused.
+func (c *Core) Limit(losses int) { c.limit = max(1, losses) }
+
 // Len returns the number of suspects.
 func (c *Core) Len() int { return len(c.suspects) }
 
@@ -146,11 +151,6 @@
 	return len(s.losses)
 }
 
-// Allowed reports whether a fingerprint is below the limit.
-func (c *Core) Allowed(now time.Time, f redwingshunt.Fingerprint) bool {
-	return c.Losses(now, f) < c.limit
-}
-
 // Start asks to run a request now.
 func (c *Core) Start(now time.Time, f redwingshunt.Fingerprint) Verdict {
 	s := c.find(now, f)
@@ -289,7 +289,7 @@
 			s = &suspect{others: make(map[redwingshunt.InstanceID]sighting)}
 			c.suspects[f] = s
 		}
-		if len(s.losses) < c.limit {
+		if len(s.losses) < maxLosses {
 			s.losses = append(s.losses, loss)
 		}
 	}
