Refuse links under a foreign name, serve metrics at their own address, measure

An instance with a good certificate of the fleet could speak for another one: the name in the first frame was not compared with the certificate.

--- a/cmd/redwingshunt/commander/fleet_test.go
+++ b/cmd/redwingshunt/commander/fleet_test.go
@@ -72,7 +72,7 @@
 		anyPort := netip.AddrPortFrom(ip, 0)
 		d, err := daemon.New(redwingshunt.Settings{
 			Name: redwingshunt.InstanceID(name), Region: "north", Zone: "north-a", Drain: patience,
-			Listen: anyPort, Link: anyPort, Admin: anyPort, Peers: peers,
+			Listen: anyPort, Link: anyPort, Admin: anyPort, Metrics: anyPort, Peers: peers,
 			Document: filepath.Join("..", "..", "..", "examples", "three.yaml"),
 			TLS: redwingshunt.TLSFiles{
 				Cert: filepath.Join(folder, name+".pem"), Key: filepath.Join(folder, name+".key"),
@@ -145,7 +145,7 @@
 	const wrong = "EXAMPLE-KEY-nobody"
 	status, _ := f.get(t, f.daemons[0].Listen(), "/services/desk/x", wrong)
 	is.Equal(status, http.StatusUnauthorized)
-	_, metrics := f.get(t, f.daemons[0].Admin(), "/metrics", wrong)
+	_, metrics := f.get(t, f.daemons[0].Metrics(), "/metrics", wrong)
 	is.True(strings.Contains(metrics, "redwingshunt_ready"))
 	code, dumps, _ := command("", f.environment, "dump")
 	is.Equal(code, ExitDone)
--- a/cmd/redwingshunt/commander/table.go
+++ b/cmd/redwingshunt/commander/table.go
@@ -25,6 +25,7 @@
 func lookupTable() []VerbSetup {
 	return []VerbSetup{
 		VerbDemoSetup,
+		VerbMeasureSetup,
 		VerbMimicSetup,
 		VerbCheckSetup,
 		VerbKeygenSetup,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,6 +181,9 @@
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
+	if d.sockets.metrics != nil {
+		group.Go(func() error { return d.metrics.serve(background, d.secure(d.sockets.metrics)) })
+	}
 	d.logger.Info("serving", "instance", string(d.settings.Name),
 		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
 	select {
@@ -207,6 +210,14 @@
 // Live returns the instances that this one thinks alive.
 func (d *Daemon) Live() []redwingshunt.Instance { return d.members.Live() }
 
+// Metrics returns the address of the scrape endpoint.
+func (d *Daemon) Metrics() netip.AddrPort {
+	if d.sockets.metrics == nil {
+		return d.Admin()
+	}
+	return addressOf(d.sockets.metrics)
+}
+
 // Admin returns the address of the administration API.
 func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -50,7 +51,9 @@
 			"document":   d.control.subscribe,
 		},
 		Drainer: d,
-		Metrics: d.metrics.handler,
+	}
+	if d.sockets.metrics == nil {
+		parts.Metrics = d.metrics.handler
 	}
 	if d.fixed == nil {
 		parts.Submitter = d.control.submitter
@@ -124,6 +127,16 @@
 	}
 }
 
+// serve answers at an address of its own until the context ends.
+func (m *metrics) serve(ctx context.Context, socket net.Listener) error {
+	router := http.NewServeMux()
+	router.Handle("/metrics", m.handler)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return ignoreClosed(server.Serve(socket))
+}
+
 // run looks at the parts until the context ends.
 func (m *metrics) run(ctx context.Context) {
 	m.observer.Run(ctx)
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -18,6 +18,7 @@
 // sockets are the open listening sockets of a daemon.
 type sockets struct {
 	callers, links, admin net.Listener
+	metrics               net.Listener // nil when they are part of admin
 }
 
 // open listens on the addresses of the settings.
@@ -30,7 +31,11 @@
 		{settings.Listen, &s.callers},
 		{settings.Link, &s.links},
 		{settings.Admin, &s.admin},
+		{settings.Metrics, &s.metrics},
 	} {
+		if !entry.address.IsValid() {
+			continue
+		}
 		socket, err := config.Listen(context.Background(), "tcp", entry.address.String())
 		if err != nil {
 			return trace.Wrap(err)
@@ -41,7 +46,7 @@
 }
 
 func (s *sockets) close() {
-	for _, socket := range []net.Listener{s.callers, s.links, s.admin} {
+	for _, socket := range []net.Listener{s.callers, s.links, s.admin, s.metrics} {
 		if socket != nil {
 			_ = socket.Close()
 		}
--- a/linker/server.go
+++ b/linker/server.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/certifier"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
@@ -22,6 +23,9 @@
 		return trace.BadParameter("the first frame of a stream carries a hello")
 	}
 	from := redwingshunt.InstanceID(first.GetHello().GetInstance())
+	if named := certifier.PeerOf(stream.Context()); named != "" && named != from {
+		return trace.AccessDenied("the certificate of %s does not speak for %s", named, from)
+	}
 	in := &inbound{
 		stream:   stream,
 		counters: &l.counters,
