--- a/linker/identity_test.go
+++ b/linker/identity_test.go
@@ -68,7 +68,11 @@
 	impostor.options.Identify = func(netip.AddrPort) (redwingshunt.InstanceID, bool) { return "node-a", true }
 	impostor.options.Lost = func(redwingshunt.InstanceID) { refused <- struct{}{} }
 	impostor.SendAddress(address, message)
-	<-refused
+	select {
+	case <-refused:
+	case from := <-received:
+		t.Fatalf("a message of %s was received", from)
+	}
 	impostor.Close()
 
 	honest, _ := secured(t, authority, "node-b", "node-b")
