--- a/cmd/redwingshunt/commander/verb_mimic.go
+++ b/cmd/redwingshunt/commander/verb_mimic.go
@@ -29,6 +29,11 @@
   --slots N           requests that it runs at once, 8 unless given
   --first DURATION    time to the first token, 50ms unless given
   --token DURATION    time between tokens, 20ms unless given
+  --key KEY           key of the service, where the document gives one, @FILE to
+                      read it
+  --authority FILE    PEM file that the instance's certificate is signed by;
+                      otherwise $REDWINGSHUNT_AUTHORITY; without either it announces
+                      itself in plain text
 
 Example:
   redwingshunt mimic --service assistant --announce 127.0.0.1:8080 --id gpu-1
@@ -44,6 +49,9 @@
 	Slots    int           `long:"slots" default:"8"`
 	First    time.Duration `long:"first" default:"50ms"`
 	Token    time.Duration `long:"token" default:"20ms"`
+
+	Key       string `long:"key"`
+	Authority string `long:"authority"`
 }
 
 // VerbMimic runs a stand-in upstream.
@@ -70,7 +78,16 @@
 
 // Run serves until the context ends, then leaves and stops.
 func (v *VerbMimic) Run(ctx context.Context, console *Console) error {
+	config, err := ConnectOptions{Authority: v.options.Authority}.readAuthority(console)
+	if err != nil {
+		return err
+	}
+	key, err := ConnectOptions{Key: v.options.Key}.readKey(&Console{Getenv: func(string) string { return "" }})
+	if err != nil {
+		return err
+	}
 	upstream := mimic.New(mimic.Options{
+		TLS: config, Key: key, Failed: func(err error) { console.Progress("not announced: %v", err) },
 		ID: redwingshunt.UpstreamID(v.options.ID), Service: redwingshunt.ServiceID(v.options.Service),
 		Slots: v.options.Slots, First: v.options.First, Token: v.options.Token,
 	})
--- a/mimic/mimic.go
+++ b/mimic/mimic.go
@@ -17,6 +17,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -44,6 +45,9 @@
 	Slots   int
 	First   time.Duration // before the first token, or for a whole plain request
 	Token   time.Duration // between tokens
+	TLS     *tls.Config   // to instances; plain text when nil
+	Key     string        // of the service, where the document gives one
+	Failed  func(error)   // told of each announcement that was not accepted; may be nil
 	Poison  string        // a body that holds it kills the upstream; empty for none
 }
 
@@ -76,7 +80,7 @@
 		slots:   make(chan struct{}, options.Slots),
 		ctx:     ctx,
 		cancel:  cancel,
-		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
+		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{TLSClientConfig: options.TLS}},
 		runs:    make(map[string]int),
 		bodies:  make(map[string]int),
 	}
@@ -132,26 +136,48 @@
 	if err != nil {
 		return
 	}
-	m.call(http.MethodPost, "http://"+instance+"/v1/upstreams", body)
+	m.call(http.MethodPost, m.scheme()+instance+"/v1/upstreams", body)
+}
+
+// scheme begins the URL of an instance.
+func (m *Mimic) scheme() string {
+	if m.options.TLS == nil {
+		return "http://"
+	}
+	return "https://"
 }
 
 // call talks to an instance; a failure is mended by the next renewal.
 func (m *Mimic) call(method, url string, body []byte) {
+	if err := m.send(method, url, body); err != nil && m.options.Failed != nil && m.ctx.Err() == nil {
+		m.options.Failed(err)
+	}
+}
+
+// send sends one call and returns an error unless it was accepted.
+func (m *Mimic) send(method, url string, body []byte) error {
 	request, err := http.NewRequestWithContext(m.ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return
+		return trace.Wrap(err)
+	}
+	if m.options.Key != "" {
+		request.Header.Set("Authorization", "Bearer "+m.options.Key)
 	}
 	response, err := m.client.Do(request)
 	if err != nil {
-		return
+		return trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return trace.Errorf("%s was answered with %s", url, response.Status)
 	}
-	response.Body.Close()
+	return nil
 }
 
 // Leave tells an instance that the upstream takes no new work.
 func (m *Mimic) Leave(instance string) {
 	m.call(http.MethodDelete,
-		"http://"+instance+"/v1/upstreams/"+string(m.options.Service)+"/"+string(m.options.ID), nil)
+		m.scheme()+instance+"/v1/upstreams/"+string(m.options.Service)+"/"+string(m.options.ID), nil)
 }
 
 // Stop ends the stand-in at once, as a crash does.
