Ask silent routers and peers for what they hold

Owners now ask a router with running work after 12 s of silence, and peers that have not confirmed the return of loans.

--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -47,7 +47,7 @@
 		return true
 	}
 	refresh := now.Sub(p.sent) >= exchangeRefresh
-	if p.lentAt > p.acked && refresh {
+	if (p.lentAt > p.acked || p.owes()) && refresh {
 		return true
 	}
 	if o.standing(now).differs(p.told, o.units(o.gap)/sendParts) {
@@ -79,6 +79,16 @@
 	return n
 }
 
+// owes reports whether the peer has not confirmed that it gave loans back.
+func (p *peer) owes() bool {
+	for id, n := range p.held {
+		if n > p.lent[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // standing returns what a ledger says of the whole service.
 func (o *Owner) standing(now time.Time) told {
 	t := told{free: o.pool.Free() > 0, slots: o.pool.Slots()}
@@ -242,7 +252,7 @@
 	if p.lentNew {
 		p.lentAt = p.sequence
 	}
-	if p.lentAt > p.acked {
+	if p.lentAt > p.acked || p.owes() {
 		m.Loans = true
 		for _, id := range sortedKeys(p.lent) {
 			u := o.pool.Upstream(id)
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -19,6 +19,7 @@
 	assigned map[uint64]redwingshunt.UpstreamID
 	refused  map[uint64]redwingshunt.Reason
 	drop     bool // messages to the router are lost
+	mute     bool // messages to the owner are lost
 	states   int
 }
 
@@ -45,6 +46,9 @@
 		switch a := a.(type) {
 		case SendState:
 			p.states++
+			if p.mute {
+				continue
+			}
 			p.toOwner(Reported{From: "r", State: a.State})
 		case SendGrants:
 			if !p.drop {
@@ -132,7 +136,8 @@
 	is.Equal(p.assigned[3], redwingshunt.UpstreamID("v"))
 }
 
-// TestLostMessages loses grants and cancels requests; the slot comes back.
+// TestLostMessages loses a grant, cancels a request and loses a release; the
+// slot comes back.
 func TestLostMessages(t *testing.T) {
 	is := is.New(t)
 	p := newPair(nil)
@@ -152,6 +157,15 @@
 	before := p.states
 	p.pass(10 * time.Second)
 	is.Equal(p.states, before) // idle is silent
+
+	p.arrive(3, "a")
+	p.pass(2 * time.Second)
+	p.mute = true
+	p.release(3, 10)
+	p.mute = false
+	is.Equal(p.owner.Taken(), 1)
+	p.pass(askTimeout + time.Second)
+	is.Equal(p.owner.Taken(), 0)
 }
 
 func TestParallel(t *testing.T) {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -150,11 +150,14 @@
 // region receive a second.
 const statesPerSecond = 36
 
+// mostPeriod bounds the time between full states.
+const mostPeriod = 10 * time.Second
+
 // Period returns the time between full states of a router in a region with the
 // given number of routers. What the owners receive stays the same from about
 // forty routers on.
 func Period(routers int) time.Duration {
-	return max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond)
+	return min(mostPeriod, max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond))
 }
 
 const (
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -15,6 +15,10 @@
 // taken back when its state lacks it.
 const grantTimeout = time.Second
 
+// askTimeout is the silence of a router with running work after which it is
+// asked; it is longer than any period of full states.
+const askTimeout = 12 * time.Second
+
 // silentTimeout is the time after which a grant is taken back although the
 // router has not told anything since.
 const silentTimeout = 30 * time.Second
@@ -26,6 +30,7 @@
 	incarnation uint64
 	sequence    uint64 // highest of its states
 	seen        uint64 // highest grant that it has
+	heard       time.Time
 	last        uint64 // highest grant issued to it
 	runs        map[grantKey]*run
 	out         *wire.Grants // sent at the end of the step
@@ -71,6 +76,7 @@
 		r.seen = r.last
 		o.routers[from] = r
 	}
+	r.heard = now
 	if s.Full {
 		r.zone = redwingshunt.ZoneID(s.Zone)
 	}
@@ -277,14 +283,18 @@
 	delete(o.routers, r.id)
 }
 
-// reclaim takes back grants that a silent but living router never saw.
+// reclaim takes back grants that a silent router never saw, and asks silent
+// routers what still runs: the message that gave a slot back may be lost.
 func (o *Owner) reclaim(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(o.routers)) {
 		r := o.routers[id]
-		if r.seen >= r.last {
-			continue
+		if len(r.runs) > 0 && now.Sub(r.heard) > askTimeout {
+			r.heard = now
+			o.message(r).Resync = true
+		}
+		if r.seen < r.last {
+			o.reclaimFrom(now, r)
 		}
-		o.reclaimFrom(now, r)
 	}
 }
 
