--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -148,14 +148,14 @@
 
 // statesPerSecond bounds the full states that the owners of one service in a
 // region receive a second.
-const statesPerSecond = 36
+const statesPerSecond = 20
 
 // mostPeriod bounds the time between full states.
-const mostPeriod = 10 * time.Second
+const mostPeriod = 5 * time.Second
 
 // Period returns the time between full states of a router in a region with the
-// given number of routers. What the owners receive stays the same from about
-// forty routers on.
+// given number of routers: from twenty routers on it grows with their number, up
+// to mostPeriod.
 func Period(routers int) time.Duration {
 	return min(mostPeriod, max(defaultPeriod, time.Duration(routers)*time.Second/statesPerSecond))
 }
