--- a/administrator/scheduled.go
+++ b/administrator/scheduled.go
@@ -30,9 +30,10 @@
 	shares := s.shares()
 	for _, state := range s.States(maxStates) {
 		seen := len(all)
-		if state.Active {
-			all = append(all, s.ofRegion(state)...)
-		} else {
+		for _, cell := range state.Cells {
+			all = append(all, s.ofRegion(state, cell)...)
+		}
+		if len(state.Cells) == 0 {
 			all = append(all, s.ofInstance(state)...)
 		}
 		for i := range all[seen:] {
@@ -58,15 +59,15 @@
 
 // ofRegion tells the accounts that an owner knows. How long the oldest request
 // waits is known for those that wait on the owner itself.
-func (s Scheduling) ofRegion(state coordinator.State) []AccountStatus {
+func (s Scheduling) ofRegion(state coordinator.State, cell coordinator.Cell) []AccountStatus {
 	waits := make(map[redwingshunt.AccountID]time.Duration, len(state.Lines))
 	for _, line := range state.Lines {
 		waits[line.Account] = line.Oldest
 	}
-	list := make([]AccountStatus, 0, len(state.Accounts))
-	for _, a := range state.Accounts {
+	list := make([]AccountStatus, 0, len(cell.Accounts))
+	for _, a := range cell.Accounts {
 		list = append(list, AccountStatus{
-			Account: a.Account, Service: state.Service, Instance: s.Self().ID, View: ViewRegion,
+			Account: a.Account, Service: state.Service, Instance: s.Self().ID, View: ViewRegion, Cell: cell.Number,
 			Virtual: a.Virtual / virtualUnits, Gap: Duration{a.Gap}, Backlog: a.Waiting, Running: a.Running,
 			Wait: Duration{waits[a.Account]},
 		})
@@ -91,8 +92,10 @@
 func (s Scheduling) Upstreams() []UpstreamStatus {
 	all := []UpstreamStatus{}
 	for _, state := range s.States(maxStates) {
-		for _, w := range state.Windows {
-			all = append(all, describeWindow(state.Service, w))
+		for _, cell := range state.Cells {
+			for _, w := range cell.Windows {
+				all = append(all, describeWindow(state.Service, w))
+			}
 		}
 	}
 	return all
--- a/administrator/types.go
+++ b/administrator/types.go
@@ -111,6 +111,7 @@
 	Service  redwingshunt.ServiceID  `json:"service"`
 	Instance redwingshunt.InstanceID `json:"instance"` // who tells
 	View     string                  `json:"view"`     // ViewRegion or ViewInstance
+	Cell     int                     `json:"cell"`     // part of the service's upstreams that the owner has
 	Share    redwingshunt.Share      `json:"share"`
 	Virtual  int64                   `json:"virtual"` // service a share, in the unit of the service; idle time counts as served
 	Gap      Duration                `json:"gap"`     // ahead of the least served backlogged account, in time of the whole service
--- a/cmd/redwingshunt/commander/verb_accounts.go
+++ b/cmd/redwingshunt/commander/verb_accounts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -103,6 +104,9 @@
 	rows := [][]any{{"SERVICE", "ACCOUNT", "SHARE", "SEEN BY", "VIRTUAL", "GAP", "BACKLOG", "RUNNING", "WAIT"}}
 	for _, a := range accounts {
 		seen := string(a.Instance) + " (" + a.View + ")"
+		if a.Cell > 0 {
+			seen = fmt.Sprintf("%s (%s, cell %d)", a.Instance, a.View, a.Cell)
+		}
 		rows = append(rows, []any{
 			a.Service, a.Account, a.Share, seen, a.Virtual, a.Gap.Round(time.Millisecond),
 			a.Backlog, a.Running, a.Wait.Round(time.Millisecond),
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -10,11 +10,16 @@
 
 // State is what this instance knows of one service.
 type State struct {
-	Service  redwingshunt.ServiceID
-	Active   bool                 // this instance owns the service in its region, or a cell of it
-	Lines    []scheduler.Line     // accounts that wait on this instance
-	Accounts []scheduler.Standing // accounts of the region, when Active
-	Windows  []scheduler.Window   // upstreams that the region uses, when Active
+	Service redwingshunt.ServiceID
+	Lines   []scheduler.Line // accounts that wait on this instance
+	Cells   []Cell           // that this instance owns
+}
+
+// Cell is what the owner of a cell of a service knows.
+type Cell struct {
+	Number   int
+	Accounts []scheduler.Standing
+	Windows  []scheduler.Window // upstreams of the cell, and those that others lend
 }
 
 // States returns what this instance knows of each service, ordered by name,
@@ -32,9 +37,9 @@
 	defer d.mu.Unlock()
 	s := State{Service: d.service, Lines: d.queue.Lines(d.now(), limit)}
 	for _, owner := range d.seats.Active() {
-		s.Active = true
-		s.Accounts = append(s.Accounts, owner.Standings(limit)...)
-		s.Windows = append(s.Windows, owner.Windows(limit)...)
+		s.Cells = append(s.Cells, Cell{
+			Number: owner.Cell(), Accounts: owner.Standings(limit), Windows: owner.Windows(limit),
+		})
 	}
 	return s
 }
