--- a/pages_test.go
+++ b/pages_test.go
@@ -13,6 +13,29 @@
 // pageLink finds links in Markdown.
 var pageLink = regexp.MustCompile(`\]\(([^)#]+)[^)]*\)`)
 
+// metricName finds names of metrics.
+var metricName = regexp.MustCompile(`\bredwingshunt_\w+`)
+
+// TestMetricsOnPages checks that every metric that a page names is listed in
+// docs/ALERTS.md, which a test of package observer compares with the code.
+func TestMetricsOnPages(t *testing.T) {
+	is := is.New(t)
+	listed, err := os.ReadFile("docs/ALERTS.md")
+	is.NoErr(err)
+	known := NewSet(metricName.FindAllString(string(listed), -1)...)
+	pages, err := filepath.Glob("docs/*.md")
+	is.NoErr(err)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		is.NoErr(err)
+		for _, name := range metricName.FindAllString(string(text), -1) {
+			if !known.Has(name) {
+				t.Errorf("%s: docs/ALERTS.md does not list %s", page, name)
+			}
+		}
+	}
+}
+
 // TestPages checks that links between pages lead somewhere, and that
 // docs/DECISIONS.md lists every design note.
 func TestPages(t *testing.T) {
