Let the leader push a configuration to every region

A region with a voter waited until the log told its voter of the commit, and an instance with a disk that is no voter could be taken for the one that tells the other regions.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -16,6 +16,7 @@
 	"github.com/redwingshunt/redwingshunt/parser"
 	"github.com/redwingshunt/redwingshunt/recorder"
 	"github.com/redwingshunt/redwingshunt/registrar"
+	"github.com/redwingshunt/redwingshunt/replicator"
 	"github.com/redwingshunt/redwingshunt/submitter"
 	"github.com/redwingshunt/redwingshunt/subscriber"
 )
@@ -32,6 +33,7 @@
 	subscribe *subscriber.Subscriber
 	submitter *submitter.Submitter
 	quorum    atomic.Bool
+	leader    atomic.Bool
 	stop      context.CancelFunc
 	stopped   chan struct{}
 }
@@ -46,6 +48,7 @@
 		Clock:    wallClock{},
 		Document: parser.Document,
 		Quorum:   c.quorum.Load,
+		Leader:   c.leader.Load,
 		Seed:     uint64(d.members.Self().Incarnation),
 		Logger:   d.logger,
 	})
@@ -111,6 +114,7 @@
 	for {
 		groups := c.recorder.Status().Groups
 		c.quorum.Store(len(groups) > 0 && groups[0].Role != "" && groups[0].Leader != "")
+		c.leader.Store(len(groups) > 0 && groups[0].Role == replicator.RoleLeader)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -76,6 +76,8 @@
 	Live []redwingshunt.Instance
 	// Quorum tells that this instance is a voter in touch with a quorum.
 	Quorum bool
+	// Leader tells that this instance leads the control group.
+	Leader bool
 }
 
 // Received is a message of kind digest or publish.
@@ -124,6 +126,7 @@
 
 	live   []redwingshunt.Instance
 	quorum bool
+	leader bool
 
 	state     registrar.State
 	recent    []*wire.SectionUpdate // oldest first
@@ -165,7 +168,7 @@
 	case Accepted:
 		c.accepted(now, e.State)
 	case Members:
-		c.live, c.quorum = e.Live, e.Quorum
+		c.live, c.quorum, c.leader = e.Live, e.Quorum, e.Leader
 	case Received:
 		c.received(now, e)
 	case Tick:
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -90,7 +90,7 @@
 func (f *fleet) step(id redwingshunt.InstanceID, event Event) {
 	core := f.cores[id]
 	voter := f.live[slices.IndexFunc(f.live, func(i redwingshunt.Instance) bool { return i.ID == id })].Voter
-	actions := core.Step(f.now, Members{Live: f.live, Quorum: voter && !f.isolated(id)})
+	actions := core.Step(f.now, Members{Live: f.live, Quorum: voter && !f.isolated(id), Leader: id == f.live[0].ID})
 	actions = append(actions, core.Step(f.now, event)...)
 	for _, action := range actions {
 		switch a := action.(type) {
--- a/publisher/tree.go
+++ b/publisher/tree.go
@@ -42,36 +42,19 @@
 }
 
 // outward returns the instances that a voter passes a configuration of the log
-// to, besides its children: the speaker of its own region, and as the first
-// voter of all the speakers of the regions without one.
+// to, besides its children: the speaker of its own region, and as the leader the
+// speakers of all others, so that none waits for the log to tell it.
 func (c *Core) outward() []redwingshunt.InstanceID {
 	var ids []redwingshunt.InstanceID
-	if speaker := c.speaker(c.self.Region); speaker != c.self.ID && speaker != "" {
-		ids = append(ids, speaker)
-	}
-	if c.firstVoter() != c.self.ID {
-		return ids
-	}
 	for _, region := range c.regions() {
-		if region != c.self.Region && !c.hasVoter(region) {
-			ids = append(ids, c.speaker(region))
+		speaker := c.speaker(region)
+		if speaker != c.self.ID && (c.leader || region == c.self.Region) {
+			ids = append(ids, speaker)
 		}
 	}
 	return ids
 }
 
-func (c *Core) firstVoter() redwingshunt.InstanceID {
-	i := slices.IndexFunc(c.live, func(i redwingshunt.Instance) bool { return i.Voter })
-	if i < 0 {
-		return ""
-	}
-	return c.live[i].ID
-}
-
-func (c *Core) hasVoter(region redwingshunt.RegionID) bool {
-	return slices.ContainsFunc(c.live, func(i redwingshunt.Instance) bool { return i.Voter && i.Region == region })
-}
-
 // regions returns the regions with a live instance, in order.
 func (c *Core) regions() []redwingshunt.RegionID {
 	regions := redwingshunt.NewSet[redwingshunt.RegionID]()
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -38,7 +38,8 @@
 	// Quorum reports whether this instance is a voter in touch with a quorum;
 	// nil on other instances.
 	Quorum func() bool
-	Seed   uint64 // of the choice of peers; different on each instance
+	Leader func() bool // reports whether this instance leads the control group; may be nil
+	Seed   uint64      // of the choice of peers; different on each instance
 	Logger *slog.Logger
 }
 
@@ -141,8 +142,11 @@
 // step hands the members and then the event to the core.
 func (s *Subscriber) step(event publisher.Event) {
 	now := s.options.Clock.Now()
-	quorum := s.options.Quorum != nil && s.options.Quorum()
-	s.carryOut(s.core.Step(now, publisher.Members{Live: s.options.Members.Live(), Quorum: quorum}))
+	s.carryOut(s.core.Step(now, publisher.Members{
+		Live:   s.options.Members.Live(),
+		Quorum: s.options.Quorum != nil && s.options.Quorum(),
+		Leader: s.options.Leader != nil && s.options.Leader(),
+	}))
 	s.carryOut(s.core.Step(now, event))
 	s.mu.Lock()
 	s.status.Age, s.read = s.core.Age(now), now
