Let a voter that lost its disk take its own place again

The administration API refused to replace a voter by itself, although an instance that is back without its disk is what the log calls a new member. A test with processes kills one voter, takes the disk of another, repairs it and loses the third right after: each booking runs once, resends get the first answer, the configuration stays.

--- a/administrator/change.go
+++ b/administrator/change.go
@@ -124,8 +124,9 @@
 	if err := decoder.Decode(&replacement); err != nil {
 		return invalid(err.Error(), `send {"lost": NAME, "with": NAME}`)
 	}
-	if replacement.With == "" || replacement.With == replacement.Lost {
-		return invalid("the replacement is missing or the lost voter itself", "name an instance with an empty data folder")
+	if replacement.With == "" {
+		return invalid("the replacement is missing",
+			"name an instance with an empty data folder; the lost one itself, if it is back without its disk")
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
