--- a/daemon/kill_test.go
+++ b/daemon/kill_test.go
@@ -163,6 +163,14 @@
 	reason, _ = resend(t, fleet[1:], "new")
 	is.Equal(reason, "")
 	is.Equal(desk.Runs("new"), 1)
+
+	fleet[1].kill() // the last instance has no quorum
+	for range 3 {
+		outcome, reason, _ := fleet[2].book("late")
+		is.Equal(outcome, "not-run")
+		is.Equal(reason, string(redwingshunt.ReasonNoQuorum))
+	}
+	is.Equal(desk.Runs("late"), 0)
 }
 
 // BenchmarkBooking measures a non-idempotent request with its claim and record
