--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
@@ -213,6 +214,37 @@
 	})
 }
 
+// TestFirstMembership stops the instance that makes it after one of two groups
+// was written, and has it go on once all initial voters answer again.
+func TestFirstMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1)
+		var ids []replicator.MemberID
+		for _, name := range []redwingshunt.InstanceID{"c", "b", "a"} {
+			journal, err := journaler.Open(journaler.Options{Files: n.files(name), Folder: newFolderID()})
+			is.NoErr(err)
+			ids = append(ids, replicator.MemberID{Instance: name, Folder: journal.Folder()})
+			if name == "a" {
+				meta := replicator.SnapshotMeta{Index: 1, Term: 1, Membership: replicator.NewMembership(ids...)}
+				state, err := proto.Marshal(&wire.LogState{Machine: []byte("0")})
+				is.NoErr(err)
+				first := replicator.Persist{Snapshot: &replicator.Snapshot{SnapshotMeta: meta, Data: state}}
+				is.NoErr(journal.Write([]journaler.Record{{Persist: first}}))
+			}
+			is.NoErr(journal.Close())
+		}
+		n.start("a")
+		n.start("b")
+		time.Sleep(10 * time.Second)
+		is.Equal(n.leader(), redwingshunt.InstanceID("")) // c may have state
+		n.start("c")
+		_, err := n.propose("b", "+", 10*time.Second)
+		is.NoErr(err)
+		is.NoErr(n.whole("a", "a", "b", "c"))
+	})
+}
+
 func TestBackup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
