--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,13 +31,10 @@
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
+	"github.com/redwingshunt/redwingshunt/surveyor"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// noticeDelay is how long a leaving instance still serves, so that balancers
-// and the other instances learn that it leaves.
-const noticeDelay = time.Second
-
 // Options configure a daemon beyond its settings.
 type Options struct {
 	Logger *slog.Logger
@@ -64,6 +61,7 @@
 	control    *control
 	dispatcher *dispatcher.Dispatcher
 	promises   *promises
+	surveyor   *surveyor.Surveyor
 	listener   *listener.Listener
 	grpc       *grpc.Server
 	admin      *http.Server
@@ -138,6 +136,9 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
+	d.surveyor = surveyor.New(surveyor.Options{
+		Members: d.members, Link: d.linker, Configuration: d.configured,
+	})
 	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
@@ -180,6 +181,9 @@
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
+	if d.sockets.metrics != nil {
+		group.Go(func() error { return d.metrics.serve(background, d.secure(d.sockets.metrics)) })
+	}
 	d.logger.Info("serving", "instance", string(d.settings.Name),
 		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
 	select {
@@ -206,6 +210,14 @@
 // Live returns the instances that this one thinks alive.
 func (d *Daemon) Live() []redwingshunt.Instance { return d.members.Live() }
 
+// Metrics returns the address of the scrape endpoint.
+func (d *Daemon) Metrics() netip.AddrPort {
+	if d.sockets.metrics == nil {
+		return d.Admin()
+	}
+	return addressOf(d.sockets.metrics)
+}
+
 // Admin returns the address of the administration API.
 func (d *Daemon) Admin() netip.AddrPort { return addressOf(d.sockets.admin) }
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/administrator"
+	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/observer"
 	"github.com/redwingshunt/redwingshunt/reporter"
 )
@@ -32,6 +34,8 @@
 		Bootstrap:     d.settings.Bootstrap,
 		Readiness:     d,
 		Fleet:         d,
+		Accounts:      d.states(),
+		Upstreams:     d.states(),
 		Log:           d.control,
 		History:       d.control,
 		Repairer:      d.control,
@@ -47,18 +51,30 @@
 			"document":   d.control.subscribe,
 		},
 		Drainer: d,
-		Metrics: d.metrics.handler,
+	}
+	if d.sockets.metrics == nil {
+		parts.Metrics = d.metrics.handler
 	}
 	if d.fixed == nil {
 		parts.Submitter = d.control.submitter
+		parts.Texts = d.control.subscribe
 	}
 	return parts
 }
 
+// states reads the scheduler for operators and metrics.
+func (d *Daemon) states() administrator.Scheduling {
+	return administrator.Scheduling{
+		Self:          d.members.Self,
+		Configuration: d.configured,
+		States:        func(limit int) []coordinator.State { return d.scheduling.States(limit) },
+	}
+}
+
 // Ready returns an empty text, or why the instance does not serve callers.
 func (d *Daemon) Ready() string {
 	switch {
-	case d.listener.Stopping():
+	case d.listener.Leaving():
 		return "the instance is shutting down"
 	case d.configured.Current() == nil:
 		return "the instance has no configuration yet"
@@ -70,13 +86,17 @@
 // Drain begins a graceful shutdown.
 func (d *Daemon) Drain() { d.draining.Do(func() { close(d.drain) }) }
 
-// Fleet returns what is known of the live instances.
+// surveyLimit bounds the wait for the revisions of other instances.
+const surveyLimit = 500 * time.Millisecond
+
+// Fleet asks the live instances and returns what is known of them.
 func (d *Daemon) Fleet() []administrator.InstanceStatus {
+	revisions := d.surveyor.Ask(context.Background(), surveyLimit)
 	var fleet []administrator.InstanceStatus
 	for _, i := range d.members.Live() {
 		fleet = append(fleet, administrator.InstanceStatus{
 			Instance: i.ID, Region: i.Region, Zone: i.Zone, Link: i.Address.String(),
-			Voter: i.Voter, Leaving: i.Leaving,
+			Voter: i.Voter, Leaving: i.Leaving, Revision: revisions[i.ID],
 		})
 	}
 	return fleet
@@ -98,6 +118,7 @@
 			Configuration: d.configured,
 			Members:       d.members,
 			Readiness:     d,
+			Upstreams:     d.states(),
 			Log:           d.control,
 			Traffic:       d.linker.Traffic,
 		}),
@@ -106,6 +127,16 @@
 	}
 }
 
+// serve answers at an address of its own until the context ends.
+func (m *metrics) serve(ctx context.Context, socket net.Listener) error {
+	router := http.NewServeMux()
+	router.Handle("/metrics", m.handler)
+	server := &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return ignoreClosed(server.Serve(socket))
+}
+
 // run looks at the parts until the context ends.
 func (m *metrics) run(ctx context.Context) {
 	m.observer.Run(ctx)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -11,14 +11,37 @@
 	"github.com/redwingshunt/redwingshunt/connector"
 )
 
-// copyStream passes server-sent events on one by one. A stream is whole when
-// its last event says so; one that ends before is reported as truncated.
+// copyStream passes server-sent events on, and resumes the stream when it ends
+// early and the upstream can do that.
 func (a *attempt) copyStream(ctx context.Context, response *http.Response) error {
+	a.resumable = canResume(response) && !a.exchange.Request.Once
+	err := a.passEvents(ctx, response)
+	for err != nil && a.mayResume(ctx, err) {
+		again, ok := a.resume(ctx)
+		if !ok {
+			break
+		}
+		err = a.passEvents(ctx, again)
+		again.Body.Close()
+	}
+	return err
+}
+
+// passEvents passes server-sent events on one by one. A stream is whole when
+// its last event says so; one that ends before is reported as truncated.
+func (a *attempt) passEvents(ctx context.Context, response *http.Response) error {
 	scanner := bufio.NewScanner(&progressReader{attempt: a, reader: response.Body})
 	scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
 		event := scanner.Bytes()
+		pass, err := a.accept(event)
+		if err != nil {
+			return truncated(err.Error())
+		}
+		if !pass {
+			continue
+		}
 		data, ok := eventData(event)
 		if ok {
 			a.meter.Event(data)
@@ -34,14 +57,31 @@
 	if a.exchange.HTTP.Context().Err() != nil {
 		return a.failure(ctx, context.Canceled)
 	}
+	if scanner.Err() == nil && a.exchange.Service.Kind == redwingshunt.ServicePlain {
+		return a.endPlain(response)
+	}
 	detail := "the stream ended before its last event"
 	if err := scanner.Err(); err != nil {
 		a.silent = errors.Is(err, connector.ErrSilent)
 		detail += ": " + err.Error()
 	}
+	return truncated(detail)
+}
+
+// truncated returns the outcome of a stream that ended early.
+func truncated(detail string) error {
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, detail)
 }
 
+// endPlain ends a stream of a plain service, which has no last event: it is
+// whole when its connection says so.
+func (a *attempt) endPlain(response *http.Response) error {
+	a.meter.Body(nil)
+	a.startStream(response)
+	a.exchange.Writer.Header().Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
+	return nil
+}
+
 // startStream sends the header of the answer once there is something to send.
 func (a *attempt) startStream(response *http.Response) {
 	if a.exchange.Started {
@@ -59,6 +99,7 @@
 	if a.meter.Done() {
 		a.exchange.Writer.Header().Set(redwingshunt.HeaderOutcome, string(redwingshunt.OutcomeComplete))
 	}
+	a.limitWrite()
 	if _, err := a.exchange.Writer.Write(event); err != nil {
 		return err
 	}
@@ -69,17 +110,25 @@
 // empty line, which is kept. An event cut off by the end of the stream is
 // dropped.
 func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
-	for _, end := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(data, []byte(end)); i >= 0 {
-			return i + len(end), data[:i+len(end)], nil
+	first := -1
+	for _, empty := range emptyLines {
+		i := bytes.Index(data, empty)
+		if i >= 0 && (first < 0 || i+len(empty) < first) {
+			first = i + len(empty)
 		}
 	}
-	if atEOF {
+	switch {
+	case first >= 0:
+		return first, data[:first], nil
+	case atEOF:
 		return len(data), nil, nil
 	}
 	return 0, nil, nil
 }
 
+// emptyLines are the ends of a line and of the empty line that follows it.
+var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
 // eventData returns the data of a server-sent event.
 func eventData(event []byte) ([]byte, bool) {
 	for line := range bytes.Lines(event) {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -47,7 +47,7 @@
 		return true
 	}
 	refresh := now.Sub(p.sent) >= exchangeRefresh
-	if p.lentAt > p.acked && refresh {
+	if (p.lentAt > p.acked || p.owes()) && refresh {
 		return true
 	}
 	if o.standing(now).differs(p.told, o.units(o.gap)/sendParts) {
@@ -55,7 +55,7 @@
 	}
 	least := max(1, o.units(o.gap)/sendParts)
 	if refresh {
-		least = 1
+		least = max(1, o.units(o.gap)/levelParts)
 	}
 	for id, a := range o.accounts {
 		if o.moved(p, a, least) || o.ledger.Floor(id) != p.accounts[id].floor {
@@ -79,6 +79,16 @@
 	return n
 }
 
+// owes reports whether the peer has not confirmed that it gave loans back.
+func (p *peer) owes() bool {
+	for id, n := range p.held {
+		if n > p.lent[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // standing returns what a ledger says of the whole service.
 func (o *Owner) standing(now time.Time) told {
 	t := told{free: o.pool.Free() > 0, slots: o.pool.Slots()}
@@ -149,7 +159,7 @@
 func (o *Owner) putAccounts(now time.Time, p *peer, m *wire.Ledger, full bool) {
 	least := max(1, o.units(o.gap)/entryParts)
 	if full {
-		least = 1
+		least = max(1, o.units(o.gap)/levelParts)
 	}
 	sparse := &sparseLists{}
 	for _, id := range slices.Sorted(maps.Keys(o.accounts)) {
@@ -242,7 +252,7 @@
 	if p.lentNew {
 		p.lentAt = p.sequence
 	}
-	if p.lentAt > p.acked {
+	if p.lentAt > p.acked || p.owes() {
 		m.Loans = true
 		for _, id := range sortedKeys(p.lent) {
 			u := o.pool.Upstream(id)
