--- a/coordinator/desk.go
+++ b/coordinator/desk.go
@@ -198,7 +198,6 @@
 	d.feedOwner(config)
 }
 
-// look takes the view of the fleet.
 // pass lets time go by.
 func (d *desk) pass() {
 	d.mu.Lock()
