Eject upstreams that fail their requests, in the owner of a service

Cause: package ejector was used by nobody. The owner only paused an upstream for a second after each loss, so one that failed every request got its whole window again each second; its slots counted as capacity and could be lent. An announcement that came through another instance after the leave of an upstream brought it back.

Routers already report a loss with the slot (Released.lost), so the wire stays. The pool of the owner takes it into the ejector, and counts free, spare and regional slots from a limit: the window times the weight. Loans of an ejected upstream end. A late announcement within 2 s of a leave is ignored; a leave ends borrowed slots too.

Ruled out: a floor for ejection alone. When all upstreams fail and return together, all start slowly, and TestAllFail saw fewer than 20 of 40 slots; the floor now covers the slow start.

Before: of four upstreams the failing one got 200 requests in 20 s, the others 2,000 each (TestEjected fails); 500 requests after a late announcement in place of the 10 that ran (TestLeaving fails). TestAllFail passes before: nothing was ejected. After: 2 requests in 20 s; on its return 10 in a second to 100 of each other; nothing new after the leave; 20 of 40 slots at least when all fail.

--- a/administrator/scheduled.go
+++ b/administrator/scheduled.go
@@ -114,7 +114,7 @@
 	switch {
 	case w.Leaving:
 		status.Health = HealthLeaving
-	case w.Window == 0:
+	case w.Ejected:
 		status.Health = HealthEjected
 	}
 	return status
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -10,13 +10,17 @@
 // seconds; what they show beyond that is foreign work (of a lost router, or of
 // another owner) and takes slots as well.
 //
+// Results of requests eject an upstream that fails them (package ejector): it
+// gets no work for a time, and a part of its window on its return. Upstreams of
+// the own region and borrowed ones are two groups, each with its own floor.
+//
 // Example: an upstream announces 8 slots and reports 6 running and 5 waiting
 // twice while 8 own requests are with it. Its batch holds 6, so the window
 // becomes 6, and the 3 requests that are not ours keep 3 of them busy.
 //
 // # Usage
 //
-//	p := balancer.New()
+//	p := balancer.New(rand.New(rand.NewPCG(1, 2)))
 //	p.Announce(now, upstream, load, 10*time.Second)
 //	if c, ok := p.Pick(zone, nil); ok {
 //		p.Acquire(now, c.Key)
@@ -27,10 +31,13 @@
 
 import (
 	"cmp"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/ejector"
 )
 
 const (
@@ -45,6 +52,9 @@
 	firstWeight = 0.1
 	// lostPause keeps new work from an upstream that has just failed a request.
 	lostPause = time.Second
+	// leaveGuard is the time after its leave in which an announcement of an
+	// upstream is taken for a late one.
+	leaveGuard = 2 * time.Second
 )
 
 // Key names an upstream in a pool. Lender is the peer that lent slots of it, or
@@ -75,6 +85,7 @@
 	expires  time.Time // zero for a borrowed one
 	leaving  bool
 	window   int
+	limit    int // the part of the window that its health allows
 	own      int // requests of this owner with the upstream
 	lent     map[redwingshunt.InstanceID]int
 	lentSum  int
@@ -98,17 +109,28 @@
 type Pool struct {
 	entries map[Key]*entry
 	sorted  []*entry
+	home    *ejector.Core // health of the upstreams of the own region
+	abroad  *ejector.Core // health of the borrowed ones
+	left    map[redwingshunt.UpstreamID]time.Time
 	free    int
 	slots   int // of the own region
 	alive   int // upstreams that take work
 	own     int // requests with upstreams, borrowed ones included
 }
 
-// New returns an empty pool.
-func New() *Pool { return &Pool{entries: map[Key]*entry{}} }
+// New returns an empty pool. The source spreads the returns of ejected upstreams.
+func New(source *rand.Rand) *Pool {
+	return &Pool{
+		entries: map[Key]*entry{}, left: map[redwingshunt.UpstreamID]time.Time{},
+		home: ejector.New(source), abroad: ejector.New(source),
+	}
+}
 
-// Announce adds or renews an upstream.
+// Announce adds or renews an upstream. One that has just left stays out.
 func (p *Pool) Announce(now time.Time, u redwingshunt.Upstream, load redwingshunt.LoadReport, ttl time.Duration) {
+	if now.Before(p.left[u.ID]) {
+		return
+	}
 	k := Key{ID: u.ID}
 	e := p.entries[k]
 	if e == nil {
@@ -121,12 +143,14 @@
 	e.upstream = u
 	e.expires = now.Add(ttl)
 	e.leaving = false
+	p.health(k).Add(k.health())
 	e.learn(now, load)
+	p.limit(now, e)
 	p.count()
 }
 
 // Borrow sets the number of slots of a peer's upstream that may be used.
-func (p *Pool) Borrow(lender redwingshunt.InstanceID, u redwingshunt.Upstream, slots int) {
+func (p *Pool) Borrow(now time.Time, lender redwingshunt.InstanceID, u redwingshunt.Upstream, slots int) {
 	k := Key{Lender: lender, ID: u.ID}
 	e := p.entries[k]
 	if e == nil && slots == 0 {
@@ -140,8 +164,8 @@
 		e.upstream = u
 	}
 	e.window = slots
-	e.leaving = slots == 0
-	p.tidy(e)
+	p.setLeaving(e, slots == 0)
+	p.limit(now, e)
 	p.count()
 }
 
@@ -163,26 +187,29 @@
 	p.count()
 }
 
-// Leave stops new work for an upstream at once.
-func (p *Pool) Leave(id redwingshunt.UpstreamID) {
-	if e := p.entries[Key{ID: id}]; e != nil {
-		e.leaving = true
-		p.tidy(e)
-		p.count()
+// Leave stops new work for an upstream at once, whoever lent it.
+func (p *Pool) Leave(now time.Time, id redwingshunt.UpstreamID) {
+	p.left[id] = now.Add(leaveGuard)
+	for _, e := range slices.Clone(p.sorted) {
+		if e.key.ID == id {
+			p.setLeaving(e, true)
+		}
 	}
+	p.weigh(now)
 }
 
 // Expire drops upstreams whose announcement has run out.
 func (p *Pool) Expire(now time.Time) {
 	for _, e := range slices.Clone(p.sorted) {
 		if e.key.Lender == "" && now.After(e.expires) {
-			e.leaving = true
+			p.setLeaving(e, true)
 		}
 		e.shift(now)
 		e.orphans = slices.DeleteFunc(e.orphans, func(o orphan) bool { return now.After(o.until) })
 		p.tidy(e)
 	}
-	p.count()
+	maps.DeleteFunc(p.left, func(_ redwingshunt.UpstreamID, until time.Time) bool { return !now.Before(until) })
+	p.weigh(now)
 }
 
 // Orphan keeps the slot of a lost router's request busy until load reports show
@@ -296,13 +323,14 @@
 	if end.First > 0 && !end.Lost {
 		e.observe(end.First)
 	}
+	p.judge(now, e, end)
 	p.tidy(e)
 }
 
 // Free returns the number of slots that may be given out now.
 func (p *Pool) Free() int { return p.free }
 
-// Slots returns the number of slots of the own region.
+// Slots returns the number of slots of the own region that health allows.
 func (p *Pool) Slots() int { return p.slots }
 
 // Own returns the number of slots taken by this owner.
@@ -323,7 +351,7 @@
 // Takes reports whether an upstream of the own region takes new work.
 func (p *Pool) Takes(id redwingshunt.UpstreamID) bool {
 	e := p.entries[Key{ID: id}]
-	return e != nil && !e.leaving
+	return e != nil && e.alive()
 }
 
 // Spare returns the upstream of the own region with the most free slots.
@@ -353,30 +381,6 @@
 	return p.alive > 0
 }
 
-// View is the state of one upstream for dumps and lending.
-type View struct {
-	Key      Key
-	Upstream redwingshunt.Upstream
-	Window   int
-	Own      int
-	Lent     int
-	Foreign  int
-	Room     int
-	Leaving  bool
-}
-
-// Views returns the state of all upstreams, ordered by key.
-func (p *Pool) Views() []View {
-	views := make([]View, 0, len(p.sorted))
-	for _, e := range p.sorted {
-		views = append(views, View{
-			Key: e.key, Upstream: e.upstream, Window: e.window, Own: e.own,
-			Lent: e.lentSum, Foreign: e.foreign, Room: e.room(), Leaving: e.leaving,
-		})
-	}
-	return views
-}
-
 func announced(u redwingshunt.Upstream) int {
 	if u.Slots <= 0 {
 		return defaultSlots
@@ -397,6 +401,7 @@
 	if !e.leaving || e.own > 0 {
 		return
 	}
+	p.health(e.key).Remove(e.key.health())
 	delete(p.entries, e.key)
 	p.sorted = slices.DeleteFunc(p.sorted, func(other *entry) bool { return other == e })
 }
@@ -409,20 +414,20 @@
 		}
 		p.free += e.room()
 		if e.key.Lender == "" && !e.leaving {
-			p.slots += e.window
+			p.slots += e.limit
 		}
 	}
 }
 
 // alive reports whether the upstream takes work.
-func (e *entry) alive() bool { return !e.leaving && e.window > 0 }
+func (e *entry) alive() bool { return !e.leaving && e.limit > 0 }
 
 // room returns the number of free slots.
 func (e *entry) room() int {
 	if e.leaving {
 		return 0
 	}
-	return max(0, e.window-e.used())
+	return max(0, e.limit-e.used())
 }
 
 // before reports whether e is a better choice than other.
@@ -434,7 +439,7 @@
 		return e.upstream.Zone == zone
 	}
 	// The smaller part of the window in use wins, without division.
-	return e.used()*other.window < other.used()*e.window
+	return e.used()*other.limit < other.used()*e.limit
 }
 
 func (e *entry) used() int { return e.known() + e.foreign }
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -3,8 +3,9 @@
 //
 //   - An upstream that loses threshold requests in a row is ejected, for a
 //     time that doubles with each ejection up to longest.
-//   - At most half of the upstreams are ejected; beyond that, those that would
-//     return first stay eligible. The last upstream is never ejected.
+//   - At most half of the upstreams are ejected or start slowly; beyond that,
+//     those that return first have their full weight, so that half of the
+//     capacity stays whatever fails. The last upstream is never ejected.
 //   - On its return an upstream starts slowly: its weight grows over ramp, and
 //     one more loss ejects it again.
 //   - An upstream that is leaving gets nothing.
@@ -99,13 +100,14 @@
 }
 
 // Weight returns the part of its window that an upstream should get, from 0
-// to 1. It is zero for an upstream that is not eligible.
+// to 1. It is zero for an upstream that is not eligible, and one for an upstream
+// that the floor keeps.
 func (c *Core) Weight(now time.Time, key redwingshunt.UpstreamKey) float64 {
 	if !c.Eligible(now, key) {
 		return 0
 	}
 	s := c.states[key]
-	if s.returns.IsZero() {
+	if !s.reduced(now) || c.rank(now, s) >= c.quota() {
 		return 1
 	}
 	grown := float64(now.Sub(s.returns)) / float64(ramp)
@@ -156,11 +158,12 @@
 	return present / 2
 }
 
-// rank returns how many ejected upstreams return after this one.
+// rank returns how many upstreams that are ejected or start slowly return after
+// this one.
 func (c *Core) rank(now time.Time, s *state) int {
 	rank := 0
 	for _, other := range c.states {
-		if other.out(now) && !other.leaving && other.compare(s) > 0 {
+		if other.reduced(now) && !other.leaving && other.compare(s) > 0 {
 			rank++
 		}
 	}
@@ -170,6 +173,11 @@
 // out reports whether the time of an ejection has not passed.
 func (s *state) out(now time.Time) bool { return now.Before(s.returns) }
 
+// reduced reports whether the upstream is out or starts slowly.
+func (s *state) reduced(now time.Time) bool {
+	return !s.returns.IsZero() && now.Before(s.returns.Add(ramp))
+}
+
 // compare orders upstreams by their return.
 func (s *state) compare(t *state) int {
 	return cmp.Or(s.returns.Compare(t.returns), cmp.Compare(s.key.ID, t.key.ID))
--- a/measurer/engine.go
+++ b/measurer/engine.go
@@ -26,6 +26,7 @@
 	running  []*job
 	waiting  []*job
 	dead     bool
+	failing  bool                      // each request that comes
 	left     time.Time                 // when it told that it is leaving
 	reports  []redwingshunt.LoadReport // newest last
 }
@@ -79,3 +80,6 @@
 	avoid   []string
 	sent    time.Time
 }
+
+// works reports whether the upstream serves new requests.
+func (e *engine) works() bool { return !e.dead && !e.failing && !e.leaving() }
--- a/measurer/fault_test.go
+++ b/measurer/fault_test.go
@@ -125,6 +125,9 @@
 		"upstream lost with work": {scenario: with(even(), func(s *Scenario) {
 			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Crash(0) }}}
 		})},
+		"upstream failing each request": {scenario: with(even(), func(s *Scenario) {
+			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Fail(0) }}}
+		})},
 		"upstream leaving": {scenario: with(even(), func(s *Scenario) {
 			s.Faults = []Fault{{20 * time.Second, func(f *Fleet) { f.Leave(0) }}}
 		})},
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -323,6 +323,7 @@
 	Lent     int                     `json:"lent,omitempty"`
 	Foreign  int                     `json:"foreign,omitempty"`
 	Leaving  bool                    `json:"leaving,omitempty"`
+	Ejected  bool                    `json:"ejected,omitempty"` // failed lately, gets nothing for a time
 
 	Announced redwingshunt.Upstream `json:"-"` // as it was announced last
 }
@@ -333,8 +334,8 @@
 	list := make([]Window, 0, min(limit, len(views)))
 	for _, v := range views[:min(limit, len(views))] {
 		list = append(list, Window{
-			Upstream: v.Key.ID, Lender: v.Key.Lender, Window: v.Window, Running: v.Own,
-			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving, Announced: v.Upstream,
+			Upstream: v.Key.ID, Lender: v.Key.Lender, Window: v.Limit, Running: v.Own,
+			Lent: v.Lent, Foreign: v.Foreign, Leaving: v.Leaving, Ejected: v.Ejected, Announced: v.Upstream,
 		})
 	}
 	return list
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -80,7 +81,7 @@
 	origin := exchanger.Origin{Instance: seatOf(options.Self, options.Cell), Incarnation: options.Incarnation}
 	return &Owner{
 		options:  options,
-		pool:     balancer.New(),
+		pool:     balancer.New(rand.New(rand.NewPCG(uint64(options.Incarnation), uint64(options.Cell)))),
 		ledger:   exchanger.NewLedger(origin),
 		accounts: map[redwingshunt.AccountID]*account{},
 		hashes:   map[uint32]redwingshunt.AccountID{},
@@ -118,7 +119,7 @@
 	case Announced:
 		o.pool.Announce(now, e.Upstream, e.Load, e.TTL)
 	case Left:
-		o.pool.Leave(e.ID)
+		o.pool.Leave(now, e.ID)
 	case Reported:
 		o.report(now, e.From, e.State)
 	case Gone:
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -139,7 +139,7 @@
 	clear(p.held)
 	for _, v := range o.pool.Views() {
 		if v.Key.Lender == p.ID {
-			o.pool.Borrow(p.ID, v.Upstream, 0)
+			o.pool.Borrow(o.now, p.ID, v.Upstream, 0)
 		}
 	}
 	p.backlogged, p.free, p.ask, p.due = false, 0, 0, 0
@@ -283,11 +283,11 @@
 			u.Address = address
 		}
 		lent[u.ID] = true
-		o.pool.Borrow(p.ID, u, int(l.Count))
+		o.pool.Borrow(o.now, p.ID, u, int(l.Count))
 	}
 	for _, v := range o.pool.Views() {
 		if v.Key.Lender == p.ID && !lent[v.Key.ID] && v.Window > 0 {
-			o.pool.Borrow(p.ID, v.Upstream, 0)
+			o.pool.Borrow(o.now, p.ID, v.Upstream, 0)
 		}
 	}
 	p.reply = true
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -21,6 +21,7 @@
 	drop     bool // messages to the router are lost
 	mute     bool // messages to the owner are lost
 	states   int
+	tickets  uint64 // the last one of serve
 }
 
 func newPair(rules map[redwingshunt.AccountID]AccountRule) *pair {
