--- a/measurer/run.go
+++ b/measurer/run.go
@@ -21,7 +21,7 @@
 	if options.Seed == 0 {
 		options.Seed = 1
 	}
-	sections := []func(context.Context, Options, io.Writer) error{users, policies, curve}
+	sections := []func(context.Context, Options, io.Writer) error{processor, users, policies, curve}
 	if !options.Small {
 		sections = append(sections, growth)
 	}
