--- a/cmd/redwingshunt/commander/pages_test.go
+++ b/cmd/redwingshunt/commander/pages_test.go
@@ -9,8 +9,10 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -67,6 +69,7 @@
 	is := is.New(t)
 	var pairs []string
 	var peers []netip.AddrPort
+	var daemons []*daemon.Daemon
 	for _, name := range []string{"node-a", "node-b", "node-c", "node-d"} {
 		text, err := os.ReadFile(filepath.Join("examples", name+".yaml"))
 		is.NoErr(err)
@@ -78,10 +81,16 @@
 		d, err := daemon.New(*settings, daemon.Options{Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		is.NoErr(err)
 		(&fleet{}).run(t, d)
-		peers = append(peers, d.Link())
+		peers, daemons = append(peers, d.Link()), append(daemons, d)
 		pairs = append(pairs, shown.Admin.String(), d.Admin().String(), shown.Link.String(), d.Link().String())
 	}
-	return pairs
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if !slices.ContainsFunc(daemons, func(d *daemon.Daemon) bool { return len(d.Live()) < len(daemons) }) {
+			return pairs
+		}
+	}
+	t.Fatal("the instances do not find each other")
+	return nil
 }
 
 // freePort returns an address near the given one, as long as text, that nobody
