Tell callers the outcome when the drain limit ends their requests

At the limit of a graceful shutdown connections were cut, so a caller learnt nothing. Requests that still run now end with the cause that the instance stops: a stream with an error event, any other with a whole error answer, both saying may-have-run and stopping. Requests that outlive their caller (a granted claim) end then too, and are recorded as interrupted.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -44,8 +44,6 @@
 	metricsPeriod = 5 * time.Second
 	// settle is the time in which routers report to a new owner before it grants.
 	settle = 500 * time.Millisecond
-	// statusClientClosed is the status of a request whose caller went away.
-	statusClientClosed = 499
 )
 
 // Options are the surroundings of a coordinator. Logger and Metrics may be nil.
@@ -153,8 +151,8 @@
 		return redwingshunt.NotRun(redwingshunt.ReasonDeadline, http.StatusGatewayTimeout,
 			"the deadline passed while the request waited for an upstream")
 	}
-	return redwingshunt.NotRun(redwingshunt.ReasonCancelled, statusClientClosed,
-		"the caller went away while the request waited")
+	ending := redwingshunt.EndingOf(ctx)
+	return redwingshunt.NotRun(ending.Reason, ending.Status, ending.Detail+" while the request waited")
 }
 
 // Charge implements redwingshunt.Scheduler.
--- a/daemon/restart_test.go
+++ b/daemon/restart_test.go
@@ -180,3 +180,37 @@
 	}
 	return true
 }
+
+// TestDrainLimitTellsTheOutcome stops an instance whose drain limit is shorter
+// than a stream and than a non-idempotent request.
+func TestDrainLimitTellsTheOutcome(t *testing.T) {
+	tests := map[string]struct {
+		path, body string
+		outcome    string
+	}{
+		"stream": {
+			path: "/v1/chat/completions", outcome: `"outcome":"may-have-run","reason":"stopping"`,
+			body: `{"model":"example-model","stream":true,"max_tokens":100000,"messages":[]}`,
+		},
+		"plain request": {
+			path: "/services/desk/stock", body: "7", outcome: `"outcome":"may-have-run","reason":"stopping"`,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			settings := testSettings(0, nil)
+			settings.Drain = 200 * time.Millisecond
+			settings.Notice = 0
+			n := runNode(t, settings)
+			engine := startMimic(t, mimic.Options{ID: "gpu", Service: "assistant", Slots: 1, Token: time.Second}, n)
+			desk := startMimic(t, mimic.Options{ID: "desk", Service: "desk", Slots: 1, First: patience}, n)
+			answer := make(chan reply, 1)
+			go func() { answer <- call(t, n, "alpha", test.path, test.body, nil) }()
+			eventually(t, func() bool { return engine.Requests()+desk.Requests() == 1 })
+			is.NoErr(n.stop())
+			got := <-answer
+			is.True(strings.Contains(got.body, test.outcome))
+		})
+	}
+}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -25,8 +25,7 @@
 	pause(ctx, d.settings.Notice)
 	d.listener.Stop()
 	if err := d.listener.Shutdown(ctx); err != nil {
-		d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
-		_ = d.listener.Close()
+		d.endRequests()
 	}
 	if unrecorded, left := d.promises.finish(ctx); unrecorded+left > 0 {
 		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
@@ -39,6 +38,22 @@
 	d.logger.Info("stopped")
 }
 
+// abortTime is how long requests that are ended early may take to tell their
+// callers.
+const abortTime = 2 * time.Second
+
+// endRequests ends what still runs at the limit: callers are told what they may
+// believe, and only what does not even get that far is cut.
+func (d *Daemon) endRequests() {
+	d.logger.Warn("requests were still running at the drain limit", "running", d.listener.Running())
+	d.listener.Abort()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	if d.listener.Shutdown(ctx) != nil {
+		_ = d.listener.Close()
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -172,7 +172,8 @@
 	case a.silent:
 		return outcome(redwingshunt.ReasonStalled, http.StatusGatewayTimeout, connector.ErrSilent.Error())
 	case a.exchange.HTTP.Context().Err() != nil:
-		return outcome(redwingshunt.ReasonCancelled, statusClientClosed, "the caller went away")
+		ending := redwingshunt.EndingOf(a.exchange.HTTP.Context())
+		return outcome(ending.Reason, ending.Status, ending.Detail)
 	case errors.Is(context.Cause(ctx), errStalled):
 		return outcome(redwingshunt.ReasonStalled, http.StatusGatewayTimeout, errStalled.Error())
 	default:
@@ -182,12 +183,9 @@
 
 // gone returns the outcome of a request whose caller can't be written to.
 func gone() error {
-	return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, statusClientClosed, "the caller went away")
+	return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, "the caller went away")
 }
 
-// statusClientClosed is the customary status in logs for a caller that left.
-const statusClientClosed = 499
-
 // copyWhole holds an answer back until it is whole, up to a limit, so that a
 // failure in its middle can still be repeated elsewhere.
 func (a *attempt) copyWhole(ctx context.Context, response *http.Response) error {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -55,11 +55,14 @@
 	leaving  atomic.Bool // balancers are told to send no more
 	stopping atomic.Bool // requests are refused
 	running  atomic.Int64
+	base     context.Context // of all requests
+	abort    context.CancelCauseFunc
 }
 
 // New returns a listener that does not listen yet.
 func New(options Options) *Listener {
 	l := &Listener{options: options}
+	l.base, l.abort = context.WithCancelCause(context.Background())
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	if options.Upstreams != nil {
 		router.PathPrefix(PathUpstreams).Handler(options.Upstreams)
@@ -73,6 +76,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
+		BaseContext:       func(net.Listener) context.Context { return l.base },
 		ErrorLog:          slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
 	}
 	return l
@@ -103,6 +107,9 @@
 	return trace.Wrap(l.server.Shutdown(ctx))
 }
 
+// Abort ends the requests that still run; each is told its outcome.
+func (l *Listener) Abort() { l.abort(redwingshunt.ErrStopping) }
+
 // Close cuts all connections.
 func (l *Listener) Close() error { return trace.Wrap(l.server.Close()) }
 
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -61,14 +61,16 @@
 	writer := e.Writer
 	recorder := newRecorder(writer, e.Request.Stream)
 	e.Writer = recorder
-	e.HTTP = e.HTTP.WithContext(context.WithoutCancel(e.HTTP.Context()))
+	detached, release := redwingshunt.WithoutCaller(e.HTTP.Context())
+	defer release()
+	e.HTTP = e.HTTP.WithContext(detached)
 	ended := false
 	defer func() {
 		if !ended { // a panic passes
 			_ = r.claimer.Finish(ctx, e.Request, nil)
 		}
 	}()
-	err := next.Serve(ctx, e)
+	err := next.Serve(detached, e)
 	ended = true
 	e.Writer = writer
 	e.Started = e.Started && recorder.passing
