--- a/administrator/problem.go
+++ b/administrator/problem.go
@@ -72,7 +72,7 @@
 	case errors.Is(err, recorder.ErrFolderInUse):
 		return &Problem{
 			Status: http.StatusConflict, Reason: ReasonFolderInUse,
-			Detail: err.Error(), Next: "start the new voter with an empty data folder and a new name",
+			Detail: err.Error(), Next: "start the new voter with an empty data folder",
 		}
 	case errors.Is(err, redwingshunt.ErrNotCommitted):
 		return &Problem{
--- a/cmd/redwingshunt/commander/verb_repair.go
+++ b/cmd/redwingshunt/commander/verb_repair.go
@@ -15,8 +15,9 @@
 	Parse:   parseVerbRepair,
 	Usage: `Usage: redwingshunt repair [OPTION]... WITH
 Makes the instance WITH a voter: it is added, catches up, gets a vote, and then the
-lost voter is removed. WITH must run with an empty data folder. The command may be
-given again after it was interrupted; it goes on where it stopped.
+lost voter is removed. WITH must run with an empty data folder; it may be the lost one
+itself, after it lost its disk. The command may be given again after it was
+interrupted; it goes on where it stopped.
 
 Options:
   --lost NAME       voter that is removed at the end; without it WITH is added
