Let an instance without peers wait for its timer

An instance that is alone and has no configuration asked for its next call at once, so its driver ran a thousand steps a second. The time of the next question is now set whether or not there is a peer to ask; the tests check after each step that the core wants to be called later.

--- a/publisher/digest.go
+++ b/publisher/digest.go
@@ -90,16 +90,14 @@
 	if !c.behind() || now.Before(c.nextProbe) {
 		return
 	}
-	peer, ok := c.nextPeer()
-	if !ok {
-		return
-	}
 	doublings := min(c.tries, maxBackoff)
 	if !c.settled && c.state.Revision != 0 { // holding an old answer, but not for long
 		doublings = 0
 	}
 	c.nextProbe = now.Add(askTimeout << doublings)
-	c.ask(now, peer, c.state.Revision)
+	if peer, ok := c.nextPeer(); ok {
+		c.ask(now, peer, c.state.Revision)
+	}
 }
 
 // nextPeer returns some peer of the own region, and elsewhere every time that
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -92,6 +92,9 @@
 	voter := f.live[slices.IndexFunc(f.live, func(i redwingshunt.Instance) bool { return i.ID == id })].Voter
 	actions := core.Step(f.now, Members{Live: f.live, Quorum: voter && !f.isolated(id), Leader: id == f.live[0].ID})
 	actions = append(actions, core.Step(f.now, event)...)
+	if !core.Deadline().After(f.now) {
+		f.tb.Fatalf("%s wants to be called again at once", id)
+	}
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Send:
@@ -227,6 +230,7 @@
 		lose, double  float64
 		within        time.Duration
 	}{
+		"alone":            {1, 1, 0, 0, 500 * time.Millisecond},
 		"nine":             {9, 3, 0, 0, 500 * time.Millisecond},
 		"target":           {360, 5, 0, 0, 500 * time.Millisecond},
 		"one voter region": {9, 1, 0, 0, 500 * time.Millisecond},
