Order only the accounts that the owner has to hear of

Cause: at each arrival, grant and end of a request the queue sorted all accounts that wait or waited since the last full state, under the lock of the service, to find the few of which the owner's picture is off. The profile of a daemon at 32 callers has 14 of its 322 allocations a request there, and the lock of the service is the most contended one. Now the accounts are chosen first and only these are put in order, so that what is sent is the same.

Ruled out: a tick on the way to a grant.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -41,12 +43,16 @@
 // account has work waiting, the owner learns of more of it only as it runs out
 // of what it knows.
 func (q *Queue) urgent(now time.Time) []*wire.Demand {
-	var demands []*wire.Demand
-	for _, id := range sortedKeys(q.lines) {
-		l := q.lines[id]
-		if !l.changed && 2*l.told > len(l.tickets) || !l.changed && len(l.tickets) == 0 {
-			continue
+	var due []*line
+	for _, l := range q.lines {
+		if l.changed || len(l.tickets) > 0 && 2*l.told <= len(l.tickets) {
+			due = append(due, l)
 		}
+	}
+	// Few lines are due at a time, so only those are put in order.
+	slices.SortFunc(due, func(a, b *line) int { return cmp.Compare(a.account, b.account) })
+	var demands []*wire.Demand
+	for _, l := range due {
 		demands = append(demands, q.demand(now, l))
 	}
 	return demands
