--- a/observer/filter.go
+++ b/observer/filter.go
@@ -45,10 +45,35 @@
 		fault := redwingshunt.OutcomeOf(err)
 		outcome, reason = fault.Outcome, fault.Reason
 	}
-	o.scope.Tagged(map[string]string{"account": account, "outcome": string(outcome)}).Counter("requests").Inc(1)
-	byService := o.scope.Tagged(map[string]string{"service": service})
-	byService.Tagged(map[string]string{"reason": string(reason)}).Counter("outcomes").Inc(1)
-	byService.Histogram("request_seconds", durations).RecordDuration(took)
+	o.requests.get(accountOutcome{account, outcome}).Inc(1)
+	o.outcomes.get(serviceReason{service, reason}).Inc(1)
+	o.took.get(service).RecordDuration(took)
+}
+
+// accountOutcome and serviceReason are the labels of counters.
+type (
+	accountOutcome struct {
+		account string
+		outcome redwingshunt.Outcome
+	}
+	serviceReason struct {
+		service string
+		reason  redwingshunt.Reason
+	}
+)
+
+func (o *Observer) newRequests(key accountOutcome) tally.Counter {
+	labels := map[string]string{"account": key.account, "outcome": string(key.outcome)}
+	return o.scope.Tagged(labels).Counter("requests")
+}
+
+func (o *Observer) newOutcomes(key serviceReason) tally.Counter {
+	labels := map[string]string{"service": key.service, "reason": string(key.reason)}
+	return o.scope.Tagged(labels).Counter("outcomes")
+}
+
+func (o *Observer) newTook(service string) tally.Histogram {
+	return o.scope.Tagged(map[string]string{"service": service}).Histogram("request_seconds", durations)
 }
 
 // groupName returns the label of a group of the log.
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -45,6 +45,10 @@
 	sources Sources
 	gauges  map[series]bool           // whether the last look set it
 	traffic map[string]linker.Traffic // of the last look, by kind
+
+	requests *cache[accountOutcome, tally.Counter]
+	outcomes *cache[serviceReason, tally.Counter]
+	took     *cache[string, tally.Histogram] // by service
 }
 
 // series is a gauge with its labels as two keys and values, of which the second
@@ -56,10 +60,14 @@
 
 // New returns an observer that has seen nothing yet.
 func New(scope tally.Scope, sources Sources) *Observer {
-	return &Observer{
+	o := &Observer{
 		scope: scope, sources: sources,
 		gauges: make(map[series]bool), traffic: make(map[string]linker.Traffic),
 	}
+	o.requests = newCache(o.newRequests)
+	o.outcomes = newCache(o.newOutcomes)
+	o.took = newCache(o.newTook)
+	return o
 }
 
 // Run looks at the parts until the context ends.
