Parse a streamed piece only when more than its text is new

Cause: each piece of a streamed answer was decoded as JSON to learn whether it holds text or a usage report: 8 µs and 11 allocations on the busy machine, which at 3.8 M tokens a second over 360 instances is about 8% of a core each. Pieces mostly differ in nothing but their text. A piece that equals a parsed and counted one but for a string without escapes in the same place has the same structure, and counts the same; any other is parsed as before.

Ruled out: a search for the key alone, which also finds it in places that do not count and in malformed pieces; decoding into kept memory, which may leave old fields behind.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -35,6 +35,7 @@
 	charged  redwingshunt.Cost // told through charge
 	reported redwingshunt.Option[redwingshunt.Cost]
 	done     bool
+	template template
 }
 
 // NewMeter returns a meter that tells charge about service as it is received.
@@ -67,17 +68,29 @@
 		m.done = true
 		return
 	}
+	if m.template.fits(data) {
+		m.streamed++
+	} else {
+		m.parse(data)
+	}
+	if m.service.Cost == redwingshunt.CostTokens && m.streamed-m.charged >= chargeStep {
+		m.charge(m.streamed - m.charged)
+		m.charged = m.streamed
+	}
+}
+
+func (m *Meter) parse(data []byte) {
 	var c chunk
 	if json.Unmarshal(data, &c) != nil {
 		return
 	}
 	m.report(c.Usage)
-	if len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" {
-		m.streamed++
+	if len(c.Choices) == 0 || c.Choices[0].Delta.Content == "" {
+		return
 	}
-	if m.service.Cost == redwingshunt.CostTokens && m.streamed-m.charged >= chargeStep {
-		m.charge(m.streamed - m.charged)
-		m.charged = m.streamed
+	m.streamed++
+	if c.Usage == nil {
+		m.template.keep(data)
 	}
 }
 
