Lead each group of claims in its home region

A claim took up to two round trips between regions also at the home of its account, because the log elected leaders without regard to regions. The leader now hands over to a voter of the preferred region once it has led, and that voter has been healthy and caught up, for a minute without a break. A handover that does not take place refuses proposals for half a second at most; the wait doubles with each move of one instance.

Ruled out: a shorter election timeout at home, which would let a home that comes and goes take the lead each time.

--- a/claimer/locate.go
+++ b/claimer/locate.go
@@ -45,11 +45,12 @@
 	return redwingshunt.Some(max(0, home) % min(lanes, groupsOf(d)))
 }
 
-// Home returns the region in which a group of claims should be led, or none.
+// Home returns the region in which a group of claims should be led, or none for
+// a group that is not used.
 func Home(d *redwingshunt.Document, group redwingshunt.GroupID) redwingshunt.Option[redwingshunt.RegionID] {
 	width := min(lanes, groupsOf(d))
 	lane := (int(group) - 1) % width
-	if group == redwingshunt.GroupControl || lane >= len(d.Regions) {
+	if group == redwingshunt.GroupControl || int(group) > groupsOf(d) || lane >= len(d.Regions) {
 		return redwingshunt.None[redwingshunt.RegionID]()
 	}
 	return redwingshunt.Some(d.Regions[lane].Name)
--- a/claimer/machine_test.go
+++ b/claimer/machine_test.go
@@ -254,6 +254,7 @@
 		is.Equal(claimer.Home(d, group).Or(""), redwingshunt.RegionID("south"))
 	}
 	is.Equal(used.Sorted(), []redwingshunt.GroupID{2, 6})
+	is.Equal(claimer.Home(d, 9), redwingshunt.None[redwingshunt.RegionID]()) // not used
 	moved := *d
 	moved.Accounts = []redwingshunt.Account{{Name: "a", Home: "north"}, {Name: "c", Home: "south"}}
 	is.Equal(len(claimer.Moves(d, &moved)), 1)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -52,6 +52,10 @@
 		Seed:     uint64(d.members.Self().Incarnation),
 		Logger:   d.logger,
 	})
+	var configuration redwingshunt.Configuration = c.subscribe
+	if fixed != nil {
+		configuration = fixed
+	}
 	voters := d.settings.Voters
 	log, err := recorder.New(recorder.Options{
 		Self:      d.settings.Name,
@@ -64,6 +68,7 @@
 		Bootstrap: len(voters) > 0 && voters[0] == d.settings.Name && d.settings.Data != "",
 		Groups:    1 + redwingshunt.MaxGroups,
 		Machines:  c.machine,
+		Prefer:    preferHome(configuration),
 	})
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
@@ -72,13 +77,21 @@
 	c.submitter = submitter.New(submitter.Options{
 		Log: log, View: c.subscribe, Clock: wallClock{}, Section: parser.Section, Logger: d.logger,
 	})
-	var configuration redwingshunt.Configuration = c.subscribe
-	if fixed != nil {
-		configuration = fixed
-	}
 	return c, configuration, nil
 }
 
+// preferHome leads each group of claims in the region that the document in
+// force gives it.
+func preferHome(configuration redwingshunt.Configuration) recorder.Preference {
+	return func(group redwingshunt.GroupID) redwingshunt.Option[redwingshunt.RegionID] {
+		snapshot := configuration.Current()
+		if snapshot == nil {
+			return redwingshunt.None[redwingshunt.RegionID]()
+		}
+		return claimer.Home(snapshot.Document, group)
+	}
+}
+
 // machine returns the empty state of a group.
 func (c *control) machine(group redwingshunt.GroupID) redwingshunt.StateMachine {
 	if group != redwingshunt.GroupControl {
--- /dev/null
+++ b/locator/locator_test.go
@@ -0,0 +1,87 @@
+package locator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/locator"
+	"github.com/redwingshunt/redwingshunt/replicator"
+)
+
+// view returns what the leader "a" in south knows of a group whose home is
+// north, where "b" votes.
+func view() locator.View {
+	a, b := replicator.MemberID{Instance: "a", Folder: 1}, replicator.MemberID{Instance: "b", Folder: 2}
+	return locator.View{
+		Home: redwingshunt.Some[redwingshunt.RegionID]("north"),
+		Live: []redwingshunt.Instance{{ID: "a", Region: "south"}, {ID: "b", Region: "north"}},
+		Status: replicator.Status{
+			Self: a, Role: replicator.RoleLeader, Term: 3, Commit: 1000, Membership: replicator.NewMembership(a, b),
+			Members: []replicator.MemberStatus{{ID: a, Match: 1000, Alive: true}, {ID: b, Match: 990, Alive: true}},
+		},
+	}
+}
+
+// ask asks once a second and returns the seconds at which there was a target.
+func ask(l *locator.Locator, from, to int, change func(second int, v *locator.View)) []int {
+	var asked []int
+	for second := from; second < to; second++ {
+		v := view()
+		change(second, &v)
+		target, ok := l.Target(time.Unix(int64(second), 0), 1, v).Get()
+		if ok && target.Instance == "b" {
+			asked = append(asked, second)
+		}
+	}
+	return asked
+}
+
+func TestTarget(t *testing.T) {
+	settle := int(locator.Settle / time.Second)
+	tests := map[string]struct {
+		change func(int, *locator.View)
+		want   []int
+	}{
+		"away":      {func(int, *locator.View) {}, []int{settle, settle + 1 + 2*settle}}, // the first failed, so the wait doubles from the next look on
+		"no home":   {func(_ int, v *locator.View) { v.Home = redwingshunt.None[redwingshunt.RegionID]() }, nil},
+		"at home":   {func(_ int, v *locator.View) { v.Live[0].Region = "north" }, nil},
+		"follower":  {func(_ int, v *locator.View) { v.Status.Role = replicator.RoleFollower }, nil},
+		"pending":   {func(_ int, v *locator.View) { v.Status.Pending = true }, nil},
+		"leaving":   {func(_ int, v *locator.View) { v.Live[1].Leaving = true }, nil},
+		"not live":  {func(_ int, v *locator.View) { v.Live = v.Live[:1] }, nil},
+		"silent":    {func(_ int, v *locator.View) { v.Status.Members[1].Alive = false }, nil},
+		"behind":    {func(_ int, v *locator.View) { v.Status.Members[1].Match = 900 }, nil},
+		"learner":   {func(_ int, v *locator.View) { v.Status.Membership[1].Voter = false }, nil},
+		"flapping":  {func(s int, v *locator.View) { v.Status.Members[1].Alive = s%settle > 0 }, nil},
+		"new terms": {func(s int, v *locator.View) { v.Status.Term = uint64(s / settle) }, nil},
+		"unsettled home": {func(s int, v *locator.View) {
+			if s/(settle/2)%2 == 0 {
+				v.Home = redwingshunt.Some[redwingshunt.RegionID]("west")
+			}
+		}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(ask(locator.New(), 0, 4*settle, test.change), test.want)
+		})
+	}
+}
+
+// TestClockJump has a jump settle nothing, and the wait return to Settle when
+// no move was needed for long.
+func TestClockJump(t *testing.T) {
+	is := is.New(t)
+	l := locator.New()
+	none := func(int, *locator.View) {}
+	is.Equal(len(ask(l, 0, 10, none)), 0)
+	is.Equal(len(ask(l, 100_000, 100_040, none)), 0)
+	is.Equal(len(ask(l, 50, 55, none)), 0)
+	is.Equal(len(ask(l, 55, 75, none)), 1)
+	lead := func(_ int, v *locator.View) { v.Live[0].Region = "north" }
+	calm := 75 + int(locator.Calm/time.Second)
+	is.Equal(len(ask(l, 75, calm, lead)), 0)
+	is.Equal(ask(l, calm, calm+70, none), []int{calm + 60})
+}
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -25,6 +25,7 @@
 	root    string
 	groups  int
 	compact int
+	home    redwingshunt.RegionID // where group 1 is to be led; an instance is alone in the region of its name
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -82,7 +83,7 @@
 		Self: name, Members: members{n, name}, Link: link{n, name}, Clock: clock{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Files:  n.files(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
-		Groups: n.groups, Compact: n.compact,
+		Groups: n.groups, Compact: n.compact, Prefer: n.prefer,
 		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
 			p.machines[g] = &register{}
 			return p.machines[g]
@@ -103,6 +104,21 @@
 	}()
 }
 
+func (n *network) prefer(group redwingshunt.GroupID) redwingshunt.Option[redwingshunt.RegionID] {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if group != 1 || n.home == "" {
+		return redwingshunt.None[redwingshunt.RegionID]()
+	}
+	return redwingshunt.Some(n.home)
+}
+
+func (n *network) setHome(region redwingshunt.RegionID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.home = region
+}
+
 // halt cuts a process off and stops it, so that it hands nothing over.
 func (n *network) halt(name redwingshunt.InstanceID) {
 	n.isolate(name, true)
@@ -207,7 +223,7 @@
 	var live []redwingshunt.Instance
 	for _, id := range []redwingshunt.InstanceID{"a", "b", "c", "d"} {
 		if m.n.running[id] != nil {
-			live = append(live, redwingshunt.Instance{ID: id, Voter: true})
+			live = append(live, redwingshunt.Instance{ID: id, Region: redwingshunt.RegionID(id), Voter: true})
 		}
 	}
 	return live
--- /dev/null
+++ b/recorder/locate_test.go
@@ -0,0 +1,90 @@
+package recorder
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/locator"
+)
+
+// away returns a voter that does not lead group 1.
+func (n *network) away() redwingshunt.InstanceID {
+	if n.leader() == "c" {
+		return "b"
+	}
+	return "c"
+}
+
+// TestLeadMovesHome moves the lead under proposals, of which none is refused,
+// lost or applied twice. The other group stays where it is.
+func TestLeadMovesHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		home, other := n.away(), n.running["a"].Status().Groups[0].Leader
+		n.setHome(redwingshunt.RegionID(home))
+		var mu sync.Mutex
+		var clients sync.WaitGroup
+		var failures []error
+		for i := range 400 {
+			clients.Go(func() {
+				time.Sleep(locator.Settle - 2*time.Second + time.Duration(i)*10*time.Millisecond)
+				if _, err := n.propose("router", "+", 5*time.Second); err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					failures = append(failures, err)
+				}
+			})
+		}
+		time.Sleep(locator.Settle - 5*time.Second)
+		is.True(n.leader() != home) // not before the fleet has settled
+		clients.Wait()
+		is.Equal(n.leader(), home)
+		is.Equal(failures, nil)
+		value, err := n.propose("router", "read", 5*time.Second)
+		is.NoErr(err)
+		is.Equal(value, strconv.Itoa(400))
+		is.Equal(n.running["a"].Status().Groups[0].Leader, other)
+	})
+}
+
+// TestFlappingHomeStaysAway cuts the home off for 5 s every 20 s, then for good.
+// The lead moves away once, and home once when the home has settled.
+func TestFlappingHomeStaysAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 1, "a", "b", "c", "router")
+		home := n.away()
+		n.setHome(redwingshunt.RegionID(home))
+		time.Sleep(locator.Settle + 5*time.Second)
+		is.Equal(n.leader(), home)
+		term := n.running[home].Status().Groups[1].Term
+		for range 10 {
+			n.isolate(home, true)
+			time.Sleep(5 * time.Second)
+			_, err := n.propose("router", "+", 2*time.Second)
+			is.NoErr(err)
+			n.isolate(home, false)
+			time.Sleep(15 * time.Second)
+			is.True(n.leader() != home)
+		}
+		is.Equal(n.running[home].Status().Groups[1].Term, term+1)
+		time.Sleep(locator.Settle)
+		is.Equal(n.leader(), home)
+		is.Equal(n.running[home].Status().Groups[1].Term, term+2)
+		n.isolate(home, true)
+		time.Sleep(5 * time.Second)
+		lead := n.leader()
+		time.Sleep(10 * locator.Settle)
+		is.True(lead != "" && lead != home && n.leader() == lead)
+		is.Equal(n.running[lead].Status().Groups[1].Term, term+3)
+		_, err := n.propose("router", "+", 2*time.Second)
+		is.NoErr(err)
+	})
+}
--- a/recorder/options.go
+++ b/recorder/options.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/locator"
 	"github.com/redwingshunt/redwingshunt/replicator"
 )
 
@@ -60,8 +61,13 @@
 	Groups    int                       // groups, from GroupControl on; the same on all instances for good
 	Compact   int                       // bytes of entries after which a snapshot is due; zero is DefaultCompact
 	Machines  func(redwingshunt.GroupID) redwingshunt.StateMachine
+	Prefer    Preference // nil for no preference
 }
 
+// Preference tells in which region a group is to be led, or none. It is called
+// in the loop of the log, must not block and must not call the log.
+type Preference func(redwingshunt.GroupID) redwingshunt.Option[redwingshunt.RegionID]
+
 // files returns the file system of the folder, or nil without one.
 func (o Options) files() journaler.FileSystem {
 	if o.Files != nil {
@@ -93,6 +99,7 @@
 		client:  newClient(random64()),
 		post:    newPost(uint32(random64())),
 		windows: make(map[redwingshunt.InstanceID]*window),
+		locator: locator.New(),
 	}
 	if files := o.files(); files != nil {
 		if err := r.open(files); err != nil {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -8,6 +8,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/locator"
 	"github.com/redwingshunt/redwingshunt/replicator"
 )
 
@@ -25,6 +26,8 @@
 	post    *post
 	windows map[redwingshunt.InstanceID]*window
 	queue   []job // waits for the writer
+	locator *locator.Locator
+	located time.Time // when the regions of the leaders were last looked at
 	writing bool
 	seeding bool // the first membership is being written
 	failed  error
@@ -144,6 +147,7 @@
 			r.client.setLeader(g.id, g.core.Leader().Instance)
 		}
 	}
+	r.locate()
 	r.sendBatches()
 	r.startWriting()
 	wait := replicator.HeartbeatPeriod
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -124,7 +124,7 @@
 	case SnapshotLoaded:
 		c.handleSnapshotLoaded(e.Snapshot)
 	case TransferProposed:
-		c.startTransfer()
+		c.handleTransfer(e.To)
 	}
 	c.tick()
 	c.flush()
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -184,6 +184,25 @@
 	return p != nil && c.now-p.heard < ElectionTimeout+ElectionSpread
 }
 
+// handleTransfer hands over as asked. A preferred voter that does not take over
+// at once costs proposals no more than PreferredTimeout.
+func (c *Core) handleTransfer(to MemberID) {
+	if to.IsZero() {
+		c.startTransfer()
+		return
+	}
+	free := c.role == RoleLeader && c.transferee.IsZero() && c.changeAllowed()
+	if !free || to == c.self || !c.membership().Voter(to) || !c.alive(to) {
+		return
+	}
+	if c.progress[to].match+PromotionLag < c.commit {
+		return
+	}
+	c.transferee = to
+	c.transferEnd = c.now + PreferredTimeout
+	c.continueTransfer()
+}
+
 // startTransfer chooses the voter with the newest log and hands over to it.
 func (c *Core) startTransfer() {
 	if c.role != RoleLeader || !c.transferee.IsZero() {
--- a/replicator/events.go
+++ b/replicator/events.go
@@ -42,8 +42,12 @@
 // SnapshotLoaded answers LoadSnapshot.
 type SnapshotLoaded struct{ Snapshot Snapshot }
 
-// TransferProposed asks a leader to hand over before a graceful stop.
-type TransferProposed struct{}
+// TransferProposed asks a leader to hand over: to any voter before a graceful
+// stop, or to one that is preferred. The latter is ignored unless the voter is
+// healthy and caught up, and no change of membership is on its way.
+type TransferProposed struct {
+	To MemberID // or zero for any voter
+}
 
 func (Tick) event()             {}
 func (Received) event()         {}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 			},
 			"snapshot": func(t *rapid.T) { n.snapshot(pick(t)) },
 			"transfer": func(t *rapid.T) { n.step(pick(t), TransferProposed{}) },
+			"prefer":   func(t *rapid.T) { n.step(pick(t), TransferProposed{To: pick(t).id}) },
 			"replace": func(t *rapid.T) {
 				leader, lost := n.leader(), pick(t).id
 				if leader == nil || lost == leader.id || len(n.nodes) > 8 {
@@ -248,3 +250,33 @@
 	step(Received{reply})
 	is.Equal(c.Status().Commit, uint64(3))
 }
+
+// TestPreferredTransfer hands over to the named voter, and to none that is
+// silent: the leader then goes on to take proposals.
+func TestPreferredTransfer(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, "a", "b", "c")
+	n.run(4 * time.Second)
+	leader := n.leader()
+	followers := slices.DeleteFunc(slices.Clone(n.nodes), func(nd *node) bool { return nd == leader })
+	n.cut[followers[0].id] = true
+	n.run(4 * time.Second)
+	n.step(leader, TransferProposed{To: followers[0].id})
+	refused := n.refused
+	n.step(leader, Proposed{ID: 1, Commands: [][]byte{[]byte("x")}})
+	is.Equal(n.refused, refused)
+	n.cut = map[MemberID]bool{followers[1].id: true}
+	n.run(time.Second)
+	n.step(leader, TransferProposed{To: followers[1].id}) // it was cut off just before
+	n.run(PreferredTimeout + 20*time.Millisecond)
+	n.step(leader, Proposed{ID: 1, Commands: [][]byte{[]byte("y")}})
+	is.Equal(n.refused, refused)
+	is.Equal(n.leader(), leader)
+	clear(n.cut)
+	n.run(4 * time.Second)
+	leader = n.leader()
+	followers = slices.DeleteFunc(slices.Clone(n.nodes), func(nd *node) bool { return nd == leader })
+	n.step(leader, TransferProposed{To: followers[1].id})
+	n.run(time.Second)
+	is.Equal(n.leader().id, followers[1].id)
+}
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -17,6 +17,7 @@
 	CampaignRetry      = 500 * time.Millisecond // after a campaign without result, at least; doubled each time
 	CampaignRetryMax   = 2 * time.Second
 	RetransmitTimeout  = 500 * time.Millisecond // an append or a chunk without acknowledgement is sent again
+	PreferredTimeout   = 500 * time.Millisecond // for handing over to a preferred voter
 	MaxAdvance         = time.Second            // most that one call advances the time of the core
 	MaxAppendBytes     = 256 << 10              // entries in one message
 	MaxInflightBytes   = 1 << 20                // entries sent to one member and not yet acknowledged
