--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -132,6 +132,13 @@
 	n.isolate(name, false)
 }
 
+// forget takes a process that has ended by itself out of the members.
+func (n *network) forget(name redwingshunt.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.running, name)
+}
+
 func (n *network) haltAll() {
 	for name := range n.running {
 		n.halt(name)
--- a/recorder/group.go
+++ b/recorder/group.go
@@ -52,7 +52,10 @@
 		pending:  make(map[uint64][]proposal),
 		waiting:  make(map[uint64]waiter),
 	}
-	config := replicator.Config{Self: r.self, Start: r.journal.Start(), Seed: uint64(r.self.Folder) ^ uint64(id)}
+	config := replicator.Config{
+		Self: r.self, Start: r.journal.Start(), Seed: uint64(r.self.Folder) ^ uint64(id),
+		LazyCommit: id != redwingshunt.GroupControl, // followers only put the configuration to use
+	}
 	g.core = replicator.New(config, stored, r.options.Clock.Now())
 	return g
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -206,7 +206,7 @@
 		time.Sleep(5 * time.Second)
 		is.True(errors.Is(<-n.running["c"].ended, ErrFolderLost))
 		folder := n.running["c"].Status().Folder
-		delete(n.running, "c")
+		n.forget("c")
 		n.start("c") // begins a new folder, which holds no vote
 		time.Sleep(5 * time.Second)
 		is.True(n.running["c"].Status().Folder != folder)
@@ -272,7 +272,7 @@
 		p.stop()
 		is.NoErr(<-p.ended)
 		began := time.Now()
-		delete(n.running, p.options.Self)
+		n.forget(p.options.Self)
 		_, err := n.propose("router", "+", 10*time.Second)
 		is.NoErr(err)
 		is.True(time.Since(began) < 2*time.Second) // no election timeout; time is simulated
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -11,6 +11,11 @@
 	Start uint64 // counts the starts with this folder, see NewStart
 	Seed  uint64 // of the randomness
 	Trail uint64 // entries kept behind a snapshot for members that lag; zero is TrailingEntries
+
+	// LazyCommit makes a leader tell members what is committed with the next
+	// append or heartbeat, and not in a message of its own. Followers then apply
+	// an entry up to a HeartbeatPeriod later; the leader does not.
+	LazyCommit bool
 }
 
 // Role is what a replica does in its term.
@@ -30,6 +35,7 @@
 	start  uint64
 	random *rand.Rand
 	trail  uint64
+	lazy   bool // see Config.LazyCommit
 
 	wall time.Time     // as last told
 	now  time.Duration // since the start, by the core's own bounded clock
@@ -86,6 +92,7 @@
 		start:       config.Start,
 		random:      rand.New(rand.NewPCG(config.Seed, config.Start)),
 		trail:       config.Trail,
+		lazy:        config.LazyCommit,
 		wall:        now,
 		hard:        stored.HardState,
 		snapshot:    stored.Snapshot,
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -305,6 +305,9 @@
 
 // announceCommit tells members that wait for no entries what is committed.
 func (c *Core) announceCommit() {
+	if c.lazy {
+		return
+	}
 	for _, member := range c.membership() {
 		p := c.progress[member.ID]
 		if member.ID != c.self && p.next > c.log.last() && p.match > 0 {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -38,6 +38,7 @@
 					n.start(nd)
 				}
 			},
+			"lazy":  func(*rapid.T) { n.lazy = !n.lazy },
 			"start": func(*rapid.T) { n.startAll() },
 			"propose": func(*rapid.T) {
 				for _, nd := range n.nodes {
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -58,6 +58,7 @@
 	digests   map[uint64][]byte
 	last      uint64 // newest committed index
 	refused   int
+	lazy      bool // replicas that start from now on tell commits late
 }
 
 func newNetwork(t failer, seed uint64, names ...string) *network {
@@ -89,7 +90,7 @@
 	nd.starts = NewStart(nd.starts, uint16(n.random.Uint32()))
 	disk := nd.disk
 	disk.Entries = slices.Clone(disk.Entries)
-	nd.core = New(Config{Self: nd.id, Start: nd.starts, Seed: n.random.Uint64(), Trail: 3}, disk, n.now)
+	nd.core = New(Config{Self: nd.id, Start: nd.starts, Seed: n.random.Uint64(), Trail: 3, LazyCommit: n.lazy}, disk, n.now)
 	nd.applied, nd.machine = disk.Snapshot.Index, bytes.TrimRight(nd.state, "\x00")
 }
 
