--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 
 const (
 	tickPeriod    = 50 * time.Millisecond
+	idleTurns     = 10 // ticks of which an idle desk takes one
 	viewPeriod    = 50 * time.Millisecond
 	metricsPeriod = 5 * time.Second
 	// settle is the time in which routers report to a new owner before it grants.
@@ -102,7 +103,7 @@
 	defer view.Stop()
 	metrics := time.NewTicker(metricsPeriod)
 	defer metrics.Stop()
-	for {
+	for turn := 0; ; {
 		changed := c.options.Configuration.Watch()
 		c.configure()
 		for waiting := true; waiting; {
@@ -112,7 +113,8 @@
 			case <-changed:
 				waiting = false
 			case <-tick.C:
-				c.each(func(d *desk) { d.pass() })
+				turn++
+				c.each(func(d *desk) { d.pass(turn%idleTurns == 0) })
 			case <-view.C:
 				c.look()
 			case <-metrics.C:
--- a/coordinator/desk.go
+++ b/coordinator/desk.go
@@ -199,14 +199,31 @@
 	d.feedOwner(config)
 }
 
-// pass lets time go by.
-func (d *desk) pass() {
+// pass lets time go by. A desk without work takes part in an idle turn only.
+func (d *desk) pass(idleTurn bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !idleTurn && d.quiet() {
+		return
+	}
 	d.feed(scheduler.Ticked{})
 	d.feedOwner(scheduler.Ticked{})
 }
 
+// quiet reports whether nothing waits or runs here, or elsewhere on slots that
+// are owned here.
+func (d *desk) quiet() bool {
+	if d.queue.Waiting()+d.queue.Running() > 0 {
+		return false
+	}
+	for _, owner := range d.seats.Active() {
+		if owner.Waiting()+owner.Taken() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // measure reports to the metrics.
 func (d *desk) measure(scope tally.Scope) {
 	d.mu.Lock()
