Tell the age of a configuration together with it

An instance told a new configuration before its age, so that a status read in between showed a revision that nobody had confirmed. The age is noted first.

--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -142,15 +142,16 @@
 // step hands the members and then the event to the core.
 func (s *Subscriber) step(event publisher.Event) {
 	now := s.options.Clock.Now()
-	s.carryOut(s.core.Step(now, publisher.Members{
+	actions := s.core.Step(now, publisher.Members{
 		Live:   s.options.Members.Live(),
 		Quorum: s.options.Quorum != nil && s.options.Quorum(),
 		Leader: s.options.Leader != nil && s.options.Leader(),
-	}))
-	s.carryOut(s.core.Step(now, event))
+	})
+	actions = append(actions, s.core.Step(now, event)...)
 	s.mu.Lock()
-	s.status.Age, s.read = s.core.Age(now), now
+	s.status.Age, s.read = s.core.Age(now), now // before a new configuration is told
 	s.mu.Unlock()
+	s.carryOut(actions)
 }
 
 func (s *Subscriber) carryOut(actions []publisher.Action) {
