Take memory for a body by the length that its header states

Cause: a body was read into memory that grows step by step, with a copy each. Now the stated length is taken at once, up to 16 KB, so that a caller that states much and sends nothing holds little.

--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -16,6 +16,7 @@
 package classifier
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -39,6 +40,9 @@
 // plainTimeEstimate is the estimate for a plain service that counts time.
 const plainTimeEstimate redwingshunt.Cost = 50_000 // microseconds
 
+// trustedLength bounds the memory that is taken for a body before it arrives.
+const trustedLength = 16 << 10 // bytes
+
 // maxKeyLength bounds an idempotency key.
 const maxKeyLength = 255 // bytes
 
@@ -204,7 +208,9 @@
 
 // readBody reads at most limit bytes.
 func readBody(e *redwingshunt.Exchange, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(e.Writer, e.HTTP.Body, limit))
+	var body bytes.Buffer
+	body.Grow(int(min(max(e.HTTP.ContentLength, 0), trustedLength)) + bytes.MinRead)
+	_, err := body.ReadFrom(http.MaxBytesReader(e.Writer, e.HTTP.Body, limit))
 	// The limit on the time that the body takes would otherwise end a request
 	// that runs for longer, as the server goes on reading to notice a caller
 	// that leaves.
@@ -216,7 +222,7 @@
 	case err != nil:
 		return nil, invalid("the body could not be read: " + err.Error())
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 func largestBody(document *redwingshunt.Document) int64 {
