Keep the default space of claims within the memory of a daemon

The default of 256 MiB was twice the 128 MB that a daemon may take for control. It is 64 MiB now, 207,000 claims of 324 bytes; the test of the defaults states the new one.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -96,7 +96,7 @@
 			Wait: time.Minute, Stall: 10 * time.Second, Retries: 2,
 		}},
 		Fleet: redwingshunt.FleetConfiguration{
-			Gap: time.Second, Groups: 1, Keep: 24 * time.Hour, Space: 256 << 20, Budget: 10, Losses: 2,
+			Gap: time.Second, Groups: 1, Keep: 24 * time.Hour, Space: 64 << 20, Budget: 10, Losses: 2,
 		},
 	}
 	for _, m := range all {
--- a/parser/document.go
+++ b/parser/document.go
@@ -22,7 +22,7 @@
 	defaultGap     = time.Second
 	defaultGroups  = 1
 	defaultKeep    = 24 * time.Hour
-	defaultSpace   = 256 << 20
+	defaultSpace   = 64 << 20
 	defaultBudget  = 10 // percent
 	defaultLosses  = 2
 )
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -120,7 +120,7 @@
 	})
 	is.Equal(document.Services[1].Cost, redwingshunt.CostRequests)
 	is.Equal(document.Fleet, redwingshunt.FleetConfiguration{
-		Gap: time.Second, Groups: 1, Keep: 24 * time.Hour, Space: 256 << 20, Budget: 10, Losses: 2,
+		Gap: time.Second, Groups: 1, Keep: 24 * time.Hour, Space: 64 << 20, Budget: 10, Losses: 2,
 	})
 }
 
