--- a/measurer/run.go
+++ b/measurer/run.go
@@ -51,8 +51,8 @@
 	services  int // alike, on the same fleet
 }
 
-var lin = size{
-	name: "Lin, assistant", regions: []redwingshunt.RegionID{"north", "central", "south"}, zones: 1,
+var saddlery = size{
+	name: "saddlery, assistant", regions: []redwingshunt.RegionID{"north", "central", "south"}, zones: 1,
 	routers: 9, upstreams: 20, slots: 8, rate: 40, accounts: 15, backlog: 9, least: 40, most: 600,
 	across: 15 * time.Millisecond, gap: time.Second, services: 1,
 }
@@ -131,35 +131,35 @@
 
 // users measures both users' sizes, busy and idle.
 func users(ctx context.Context, options Options, out io.Writer) error {
-	tutor := lin.settings("Kowhai, tutor-model", 8*time.Millisecond, 4*time.Second)
+	tutor := saddlery.settings("tuition, tutor-model", 8*time.Millisecond, 4*time.Second)
 	header(out, "Today's sizes", "service")
-	for _, z := range []size{lin, lin.app("Lin, fitting-app"), tutor, tutor.app("Kowhai, studio-desk")} {
+	for _, z := range []size{saddlery, saddlery.app("saddlery, fitting-app"), tutor, tutor.app("tuition, studio-desk")} {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		row(out, z.name, NewFleet(z.scenario(PolicyOwner, options.Seed)).Run())
 	}
-	idle := lin.scenario(PolicyOwner, options.Seed)
+	idle := saddlery.scenario(PolicyOwner, options.Seed)
 	idle.Loads = nil
 	row(out, "idle", NewFleet(idle).Run())
 	return nil
 }
 
-// policies compares the ways to share the upstreams at Lin's size.
+// policies compares the ways to share the upstreams at the size of examples/saddlery.yaml.
 func policies(ctx context.Context, options Options, out io.Writer) error {
-	header(out, "Ways compared (Lin, assistant)", "way")
+	header(out, "Ways compared (saddlery, assistant)", "way")
 	for _, p := range []Policy{PolicyOwner, PolicyLeased, PolicyShared, PolicyLocal, PolicyFirst} {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		row(out, string(p), NewFleet(lin.scenario(p, options.Seed)).Run())
+		row(out, string(p), NewFleet(saddlery.scenario(p, options.Seed)).Run())
 	}
 	header(out, "Ways compared while the holder of the first region dies (3 s from its death)", "way")
 	for _, p := range []Policy{PolicyOwner, PolicyLeased, PolicyShared, PolicyLocal} {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		row(out, string(p), deathOf(lin.scenario(p, options.Seed)))
+		row(out, string(p), deathOf(saddlery.scenario(p, options.Seed)))
 	}
 	return nil
 }
@@ -187,7 +187,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		z := lin
+		z := saddlery
 		z.gap = gap
 		s := z.scenario(PolicyOwner, options.Seed)
 		for i := range s.Loads {
@@ -206,7 +206,7 @@
 // growth measures one service of fleets of growing size.
 func growth(ctx context.Context, options Options, out io.Writer) error {
 	header(out, "Growth (one service)", "routers, upstreams, accounts")
-	large := lin
+	large := saddlery
 	large.regions, large.zones, large.across = []redwingshunt.RegionID{"west", "east"}, 4, 30*time.Millisecond
 	large.slots, large.rate, large.least, large.most = 39, 22, 100, 750
 	grow := func(z size, routers, upstreams, accounts, services int) size {
@@ -214,7 +214,7 @@
 		z.backlog = max(9, accounts/10)
 		return z
 	}
-	sizes := []size{lin, grow(lin, 36, 40, 60, 4), grow(large, 90, 60, 150, 8), grow(large, 360, 146, 460, 30)}
+	sizes := []size{saddlery, grow(saddlery, 36, 40, 60, 4), grow(large, 90, 60, 150, 8), grow(large, 360, 146, 460, 30)}
 	var totals []string
 	for _, z := range sizes {
 		if ctx.Err() != nil {
