--- a/coordinator/bounds.go
+++ b/coordinator/bounds.go
@@ -8,7 +8,7 @@
 	"github.com/redwingshunt/redwingshunt/limiter"
 )
 
-// bounds lets the desks of all services share one limiter, since the document
+// bounds lets all services share one limiter, since the document
 // bounds what an account may have waiting on an instance, whatever the service.
 type bounds struct {
 	mu      sync.Mutex
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -2,10 +2,10 @@
 // feeds them messages, announcements and time, sends what they decide over the
 // links, and blocks callers until their request may run.
 //
-// Each service of the document has a desk: the queue of this router and, while
+// Each service of the document has a state: the queue of this router and, while
 // this instance is the owner of the service in its region or stands by, the
-// owner core. A desk is worked by one goroutine at a time, under its lock, and
-// never waits for another desk or for the network.
+// owner core. It is worked by one goroutine at a time, under its lock, and
+// never waits for another service or for the network.
 //
 // # Usage
 //
@@ -40,7 +40,7 @@
 
 const (
 	tickPeriod    = 50 * time.Millisecond
-	idleTurns     = 10 // ticks of which an idle desk takes one
+	idleTurns     = 10 // ticks of which an idle service takes one
 	viewPeriod    = 50 * time.Millisecond
 	metricsPeriod = 5 * time.Second
 	// settle is the time in which routers report to a new owner before it grants.
@@ -64,9 +64,9 @@
 	tickets atomic.Uint64
 	bounds  *bounds // of all services together
 
-	mu    sync.Mutex // guards what follows, never held while a desk works
-	desks map[redwingshunt.ServiceID]*desk
-	view  []redwingshunt.Instance
+	mu       sync.Mutex // guards what follows, never held while a service is worked
+	services map[redwingshunt.ServiceID]*serviceState
+	view     []redwingshunt.Instance
 }
 
 var (
@@ -84,7 +84,7 @@
 	if options.Metrics == nil {
 		options.Metrics = tally.NoopScope
 	}
-	c := &Coordinator{options: options, desks: map[redwingshunt.ServiceID]*desk{}, bounds: newBounds()}
+	c := &Coordinator{options: options, services: map[redwingshunt.ServiceID]*serviceState{}, bounds: newBounds()}
 	link := options.Link
 	link.Handle(redwingshunt.KindDemand, c.receiveState)
 	link.Handle(redwingshunt.KindCharge, c.receiveState)
@@ -114,11 +114,11 @@
 				waiting = false
 			case <-tick.C:
 				turn++
-				c.each(func(d *desk) { d.pass(turn%idleTurns == 0) })
+				c.each(func(d *serviceState) { d.pass(turn%idleTurns == 0) })
 			case <-view.C:
 				c.look()
 			case <-metrics.C:
-				c.each(func(d *desk) { d.measure(c.options.Metrics) })
+				c.each(func(d *serviceState) { d.measure(c.options.Metrics) })
 			}
 		}
 	}
@@ -131,7 +131,7 @@
 		return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonNoConfiguration,
 			http.StatusServiceUnavailable, "this instance has no configuration yet").After(time.Second)
 	}
-	d := c.desk(r.Service)
+	d := c.lookup(r.Service)
 	if d == nil {
 		return redwingshunt.Grant{}, redwingshunt.NotRun(redwingshunt.ReasonUnknownService,
 			http.StatusNotFound, "the configuration has no such service")
@@ -159,14 +159,14 @@
 
 // Charge implements redwingshunt.Scheduler.
 func (c *Coordinator) Charge(g redwingshunt.Grant, delta redwingshunt.Cost) {
-	if d := c.desk(g.Service); d != nil {
+	if d := c.lookup(g.Service); d != nil {
 		d.step(scheduler.Charged{Ticket: g.ID, Delta: delta})
 	}
 }
 
 // Release implements redwingshunt.Scheduler.
 func (c *Coordinator) Release(g redwingshunt.Grant, r redwingshunt.Result) {
-	if d := c.desk(g.Service); d != nil {
+	if d := c.lookup(g.Service); d != nil {
 		d.step(scheduler.Released{Ticket: g.ID, Result: r})
 	}
 }
@@ -220,22 +220,22 @@
 	c.options.Link.Send(to, redwingshunt.Message{Kind: kind, Payload: payload})
 }
 
-// desk returns the desk of a service, or nil when the document has none.
-func (c *Coordinator) desk(id redwingshunt.ServiceID) *desk {
+// lookup returns the state of a service, or nil when the document has none.
+func (c *Coordinator) lookup(id redwingshunt.ServiceID) *serviceState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.desks[id]
+	return c.services[id]
 }
 
-// each works all desks, one after the other.
-func (c *Coordinator) each(work func(*desk)) {
+// each works all services, one after the other.
+func (c *Coordinator) each(work func(*serviceState)) {
 	c.mu.Lock()
-	desks := make([]*desk, 0, len(c.desks))
-	for _, d := range c.desks {
-		desks = append(desks, d)
+	services := make([]*serviceState, 0, len(c.services))
+	for _, d := range c.services {
+		services = append(services, d)
 	}
 	c.mu.Unlock()
-	for _, d := range desks {
+	for _, d := range services {
 		work(d)
 	}
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -179,11 +179,11 @@
 // without takes the owner away and returns the others.
 func without(lost bool) func(*fleet) []redwingshunt.InstanceID {
 	return func(f *fleet) []redwingshunt.InstanceID {
-		owner := f.all["a1"].desk("s").dump().Owner
+		owner := f.all["a1"].lookup("s").dump().Owner
 		f.change(owner, lost)
 		names := slices.DeleteFunc([]redwingshunt.InstanceID{"a1", "a2", "a3"}, func(n redwingshunt.InstanceID) bool { return n == owner })
 		for _, name := range names {
-			for f.all[name].desk("s").dump().Owner == owner {
+			for f.all[name].lookup("s").dump().Owner == owner {
 				time.Sleep(time.Millisecond)
 			}
 		}
@@ -214,7 +214,7 @@
 		_, err := c.Acquire(ctx, request("b"), nil)
 		is.Equal(reason(err), redwingshunt.ReasonCancelled)
 	})
-	for c.desk("s").dump().Waiting == 0 {
+	for c.lookup("s").dump().Waiting == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	_, err = c.Acquire(t.Context(), &redwingshunt.Request{Account: "b", Service: "t"}, nil)
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -16,12 +16,12 @@
 // look takes a new view of the fleet. When another instance comes to keep a
 // cell that is owned here, it is told the upstreams at once, since their next
 // announcements may be seconds away and it could grant nothing until then.
-func (d *desk) look(members []redwingshunt.Instance) {
+func (d *serviceState) look(members []redwingshunt.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	owned := d.seats.Active()
+	owned := d.ownerSet.Active()
 	d.feedOwner(scheduler.Viewed{Members: members})
-	for _, owner := range d.seats.Active() {
+	for _, owner := range d.ownerSet.Active() {
 		if !slices.Contains(owned, owner) {
 			owned = append(owned, owner)
 		}
@@ -30,13 +30,13 @@
 		d.handOver(owner, d.members, members)
 	}
 	d.members = members
-	d.queue.SetPeriod(d.seats.Period())
-	d.feed(scheduler.Owned{ID: d.seats.Home()})
+	d.queue.SetPeriod(d.ownerSet.Period())
+	d.feed(scheduler.Owned{ID: d.ownerSet.Home()})
 }
 
 // handOver announces the upstreams of a cell to instances that did not keep it
 // in the view before.
-func (d *desk) handOver(owner *scheduler.Owner, before, after []redwingshunt.Instance) {
+func (d *serviceState) handOver(owner *scheduler.Owner, before, after []redwingshunt.Instance) {
 	self := d.coordinator.options.Members.Self()
 	known := scheduler.Keepers(before, self.Region, d.service, owner.Cell())
 	for _, keeper := range scheduler.Keepers(after, self.Region, d.service, owner.Cell()) {
@@ -50,7 +50,7 @@
 }
 
 // announceAll announces the own upstreams of a cell to one instance.
-func (d *desk) announceAll(owner *scheduler.Owner, to redwingshunt.InstanceID) {
+func (d *serviceState) announceAll(owner *scheduler.Owner, to redwingshunt.InstanceID) {
 	for _, w := range owner.Windows(windowsLimit) {
 		if w.Lender != "" || w.Leaving {
 			continue
--- a/coordinator/receive.go
+++ b/coordinator/receive.go
@@ -42,18 +42,18 @@
 	}
 }
 
-// parse decodes a message and returns the desk of its service, or nil.
-func (c *Coordinator) parse(from redwingshunt.InstanceID, payload []byte, m proto.Message, service func() string) *desk {
+// parse decodes a message and returns the state of its service, or nil.
+func (c *Coordinator) parse(from redwingshunt.InstanceID, payload []byte, m proto.Message, service func() string) *serviceState {
 	if err := proto.Unmarshal(payload, m); err != nil {
 		c.options.Logger.Warn("a message could not be decoded", "from", from, "error", err)
 		return nil
 	}
-	return c.desk(redwingshunt.ServiceID(service()))
+	return c.lookup(redwingshunt.ServiceID(service()))
 }
 
 // announced hands an announcement to the owner core of this instance.
 func (c *Coordinator) announced(m *wire.Announcement) {
-	d := c.desk(redwingshunt.ServiceID(m.Service))
+	d := c.lookup(redwingshunt.ServiceID(m.Service))
 	if d == nil {
 		return
 	}
@@ -78,7 +78,7 @@
 	})
 }
 
-// configure takes the document in force, with a desk for each service.
+// configure takes the document in force, with a state for each service.
 func (c *Coordinator) configure() {
 	snapshot := c.options.Configuration.Current()
 	if snapshot == nil || snapshot.Document == nil {
@@ -89,10 +89,10 @@
 	added := false
 	for _, s := range document.Services {
 		c.mu.Lock()
-		d := c.desks[s.Name]
+		d := c.services[s.Name]
 		if d == nil {
-			d = newDesk(c, s.Name)
-			c.desks[s.Name] = d
+			d = newServiceState(c, s.Name)
+			c.services[s.Name] = d
 			added = true
 		}
 		c.mu.Unlock()
@@ -107,20 +107,20 @@
 	c.look()
 }
 
-// prune drops desks of services that are gone and have no work.
+// prune drops services that are gone and have no work.
 func (c *Coordinator) prune(document *redwingshunt.Document) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, d := range c.desks {
+	for id, d := range c.services {
 		known := slices.ContainsFunc(document.Services, func(s redwingshunt.Service) bool { return s.Name == id })
 		if !known && d.idle() {
-			delete(c.desks, id)
+			delete(c.services, id)
 		}
 	}
 }
 
 // idle reports whether nothing waits or runs.
-func (d *desk) idle() bool {
+func (d *serviceState) idle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.queue.Waiting()+d.queue.Running() == 0
@@ -149,18 +149,18 @@
 	c.view = slices.Clone(members)
 	c.mu.Unlock()
 	if !same {
-		c.each(func(d *desk) { d.look(members) })
+		c.each(func(d *serviceState) { d.look(members) })
 	}
 }
 
 // Dump implements redwingshunt.Dumper.
 func (c *Coordinator) Dump() any {
-	var list []deskDump
-	c.each(func(d *desk) {
+	var list []serviceDump
+	c.each(func(d *serviceState) {
 		if len(list) < dumpLimit {
 			list = append(list, d.dump())
 		}
 	})
-	slices.SortFunc(list, func(a, b deskDump) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(list, func(a, b serviceDump) int { return cmp.Compare(a.Service, b.Service) })
 	return map[string]any{"services": list}
 }
--- a/coordinator/desk.go
+++ b/coordinator/service.go
@@ -37,60 +37,60 @@
 	answer  chan answer // holds one
 }
 
-// desk holds the cores of one service.
-type desk struct {
+// serviceState holds the cores of one service.
+type serviceState struct {
 	coordinator *Coordinator
 	service     redwingshunt.ServiceID
 
-	mu      sync.Mutex
-	rule    redwingshunt.Service
-	queue   *scheduler.Queue
-	seats   *scheduler.Seats // where this instance owns the service or stands by
-	waiters map[uint64]waiter
-	inbox   []scheduler.Event       // messages from this instance to itself
-	members []redwingshunt.Instance // as seen last
+	mu       sync.Mutex
+	rule     redwingshunt.Service
+	queue    *scheduler.Queue
+	ownerSet *scheduler.OwnerSet // where this instance owns the service or stands by
+	waiters  map[uint64]waiter
+	inbox    []scheduler.Event       // messages from this instance to itself
+	members  []redwingshunt.Instance // as seen last
 }
 
-func newDesk(c *Coordinator, service redwingshunt.ServiceID) *desk {
+func newServiceState(c *Coordinator, service redwingshunt.ServiceID) *serviceState {
 	self := c.options.Members.Self()
-	return &desk{
+	return &serviceState{
 		coordinator: c, service: service, waiters: map[uint64]waiter{},
 		queue: scheduler.NewQueue(scheduler.QueueOptions{
 			Self: self.ID, Incarnation: self.Incarnation, Region: self.Region, Zone: self.Zone, Service: service,
 			Bounds: c.bounds,
 		}),
-		seats: scheduler.NewSeats(self, service, settle),
+		ownerSet: scheduler.NewOwnerSet(self, service, settle),
 	}
 }
 
-func (d *desk) now() time.Time { return d.coordinator.options.Clock.Now() }
+func (d *serviceState) now() time.Time { return d.coordinator.options.Clock.Now() }
 
 // step works an event of the queue.
-func (d *desk) step(e scheduler.Event) {
+func (d *serviceState) step(e scheduler.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.feed(e)
 }
 
 // stepOwner works an event of the owners that are here.
-func (d *desk) stepOwner(e scheduler.Event) {
+func (d *serviceState) stepOwner(e scheduler.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.feedOwner(e)
 }
 
-func (d *desk) feed(e scheduler.Event) {
+func (d *serviceState) feed(e scheduler.Event) {
 	d.carry(d.queue.Step(d.now(), e))
 	d.deliver()
 }
 
-func (d *desk) feedOwner(e scheduler.Event) {
-	d.carry(d.seats.Step(d.now(), e))
+func (d *serviceState) feedOwner(e scheduler.Event) {
+	d.carry(d.ownerSet.Step(d.now(), e))
 	d.deliver()
 }
 
 // deliver works the messages of this instance to itself.
-func (d *desk) deliver() {
+func (d *serviceState) deliver() {
 	for len(d.inbox) > 0 {
 		e := d.inbox[0]
 		d.inbox = d.inbox[1:]
@@ -98,12 +98,12 @@
 			d.carry(d.queue.Step(d.now(), e))
 			continue
 		}
-		d.carry(d.seats.Step(d.now(), e))
+		d.carry(d.ownerSet.Step(d.now(), e))
 	}
 }
 
 // carry carries the actions of a core out.
-func (d *desk) carry(actions []scheduler.Action) {
+func (d *serviceState) carry(actions []scheduler.Action) {
 	self := d.coordinator.options.Members.Self().ID
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -129,7 +129,7 @@
 	}
 }
 
-func (d *desk) sendState(self redwingshunt.InstanceID, a scheduler.SendState) {
+func (d *serviceState) sendState(self redwingshunt.InstanceID, a scheduler.SendState) {
 	if a.To == self {
 		d.inbox = append(d.inbox, scheduler.Reported{From: self, State: a.State})
 		return
@@ -141,7 +141,7 @@
 	d.coordinator.send(a.To, kind, a.State)
 }
 
-func (d *desk) assign(a scheduler.Assign) {
+func (d *serviceState) assign(a scheduler.Assign) {
 	d.end(a.Ticket, answer{grant: redwingshunt.Grant{
 		ID: a.Ticket, Service: d.service, Account: d.waiters[a.Ticket].account,
 		Upstream: a.Upstream, Owner: a.Owner,
@@ -149,7 +149,7 @@
 }
 
 // end gives a caller its answer.
-func (d *desk) end(ticket uint64, a answer) {
+func (d *serviceState) end(ticket uint64, a answer) {
 	w, ok := d.waiters[ticket]
 	if !ok {
 		return
@@ -159,7 +159,7 @@
 }
 
 // arrive queues a request and returns where its answer comes.
-func (d *desk) arrive(ticket uint64, r *redwingshunt.Request, avoid redwingshunt.Set[redwingshunt.UpstreamID]) <-chan answer {
+func (d *serviceState) arrive(ticket uint64, r *redwingshunt.Request, avoid redwingshunt.Set[redwingshunt.UpstreamID]) <-chan answer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := waiter{account: r.Account, answer: make(chan answer, 1)}
@@ -179,7 +179,7 @@
 
 // cancel takes a waiting request out. A slot that it was granted at the same
 // moment goes back unused.
-func (d *desk) cancel(ticket uint64) {
+func (d *serviceState) cancel(ticket uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, waits := d.waiters[ticket]; waits {
@@ -191,7 +191,7 @@
 }
 
 // configure takes the document in force.
-func (d *desk) configure(rule redwingshunt.Service, config scheduler.Configured) {
+func (d *serviceState) configure(rule redwingshunt.Service, config scheduler.Configured) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rule = rule
@@ -199,8 +199,8 @@
 	d.feedOwner(config)
 }
 
-// pass lets time go by. A desk without work takes part in an idle turn only.
-func (d *desk) pass(idleTurn bool) {
+// pass lets time go by. A service without work takes part in an idle turn only.
+func (d *serviceState) pass(idleTurn bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !idleTurn && d.quiet() {
@@ -212,11 +212,11 @@
 
 // quiet reports whether nothing waits or runs here, or elsewhere on slots that
 // are owned here.
-func (d *desk) quiet() bool {
+func (d *serviceState) quiet() bool {
 	if d.queue.Waiting()+d.queue.Running() > 0 {
 		return false
 	}
-	for _, owner := range d.seats.Active() {
+	for _, owner := range d.ownerSet.Active() {
 		if owner.Waiting()+owner.Taken() > 0 {
 			return false
 		}
@@ -225,13 +225,13 @@
 }
 
 // measure reports to the metrics.
-func (d *desk) measure(scope tally.Scope) {
+func (d *serviceState) measure(scope tally.Scope) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	scope = scope.Tagged(map[string]string{"service": string(d.service)})
 	scope.Gauge("queue_waiting").Update(float64(d.queue.Waiting()))
 	scope.Gauge("queue_running").Update(float64(d.queue.Running()))
-	for _, owner := range d.seats.Active() {
+	for _, owner := range d.ownerSet.Active() {
 		measureOwner(scope, owner)
 	}
 }
@@ -249,8 +249,8 @@
 	}
 }
 
-// deskDump is the state of one service.
-type deskDump struct {
+// serviceDump is the state of one service.
+type serviceDump struct {
 	Service redwingshunt.ServiceID  `json:"service"`
 	Owner   redwingshunt.InstanceID `json:"owner"` // that this instance reports to
 	Waiting int                     `json:"waiting"`
@@ -270,20 +270,20 @@
 	Windows  []scheduler.Window   `json:"windows,omitempty"`
 }
 
-func (d *desk) dump() deskDump {
+func (d *serviceState) dump() serviceDump {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := deskDump{
-		Service: d.service, Owner: d.seats.Home(),
+	s := serviceDump{
+		Service: d.service, Owner: d.ownerSet.Home(),
 		Waiting: d.queue.Waiting(), Running: d.queue.Running(), Lines: d.queue.Lines(d.now(), dumpLimit),
 	}
-	for _, owner := range d.seats.Active() {
+	for _, owner := range d.ownerSet.Active() {
 		s.Owned = append(s.Owned, ownerDump{
 			Cell: owner.Cell(), Waiting: owner.Waiting(), Slots: owner.Slots(), Taken: owner.Taken(),
 			Accounts: owner.Standings(dumpLimit), Windows: owner.Windows(dumpLimit),
 		})
 	}
-	for _, owner := range d.seats.Standby() {
+	for _, owner := range d.ownerSet.Standby() {
 		s.Standby = append(s.Standby, owner.Cell())
 	}
 	return s
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -26,17 +26,17 @@
 // with at most limit entries in each list.
 func (c *Coordinator) States(limit int) []State {
 	var list []State
-	c.each(func(d *desk) { list = append(list, d.state(limit)) })
+	c.each(func(d *serviceState) { list = append(list, d.state(limit)) })
 	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
 
-// state returns what the desk knows, of all cells that the instance owns.
-func (d *desk) state(limit int) State {
+// state returns what is known of the service, of all cells that the instance owns.
+func (d *serviceState) state(limit int) State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := State{Service: d.service, Lines: d.queue.Lines(d.now(), limit)}
-	for _, owner := range d.seats.Active() {
+	for _, owner := range d.ownerSet.Active() {
 		s.Cells = append(s.Cells, Cell{
 			Number: owner.Cell(), Accounts: owner.Standings(limit), Windows: owner.Windows(limit),
 		})
--- a/daemon/chain.go
+++ b/daemon/chain.go
@@ -19,6 +19,6 @@
 		d.metrics.observer.Filter,
 		authenticator.New().Filter,
 		classifier.New(rand.Text).Filter,
-		replayer.New(d.promises.guarantor).Filter,
+		replayer.New(d.guarantees.guarantor).Filter,
 	)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,7 +60,7 @@
 	configured redwingshunt.Configuration
 	control    *control
 	dispatcher *dispatcher.Dispatcher
-	promises   *promises
+	guarantees *guarantees
 	surveyor   *surveyor.Surveyor
 	listener   *listener.Listener
 	grpc       *grpc.Server
@@ -139,9 +139,9 @@
 	d.surveyor = surveyor.New(surveyor.Options{
 		Members: d.members, Link: d.linker, Configuration: d.configured,
 	})
-	d.promises = newPromises(d.log(), d.members, d.linker, d.configured)
+	d.guarantees = newGuarantees(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
-		Scheduler: d.scheduling, Suspects: d.promises.notifier, Logger: d.logger,
+		Scheduler: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
 	})
 	d.listener = listener.New(listener.Options{
 		Chain:         d.newChain(),
@@ -177,7 +177,7 @@
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
 	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
-	group.Go(func() error { return d.promises.run(background) })
+	group.Go(func() error { return d.guarantees.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
--- a/daemon/promises.go
+++ b/daemon/guarantees.go
@@ -14,23 +14,23 @@
 	"github.com/redwingshunt/redwingshunt/quarantiner"
 )
 
-// promises are the parts that keep what callers are promised: that a
+// guarantees are the parts that keep what callers are promised: that a
 // non-idempotent request runs at most once, and that a request takes no more
 // than a few upstreams.
-type promises struct {
+type guarantees struct {
 	keeper    *keeper.Keeper
 	guarantor *guarantor.Guarantor
 	notifier  *notifier.Notifier
 }
 
-// newPromises connects the parts to the log, the members and the links.
-func newPromises(
+// newGuarantees connects the parts to the log, the members and the links.
+func newGuarantees(
 	log redwingshunt.Log,
 	members redwingshunt.Members,
 	link redwingshunt.Link,
 	config redwingshunt.Configuration,
-) *promises {
-	p := &promises{keeper: keeper.New(wallClock{}, members, link, config)}
+) *guarantees {
+	p := &guarantees{keeper: keeper.New(wallClock{}, members, link, config)}
 	p.guarantor = guarantor.New(wallClock{}, log, members, config, p.keeper)
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := quarantiner.New(members.Self().ID, 1, source)
@@ -39,7 +39,7 @@
 }
 
 // run carries out what is due until ctx ends.
-func (p *promises) run(ctx context.Context) error {
+func (p *guarantees) run(ctx context.Context) error {
 	var group errgroup.Group
 	group.Go(func() error { p.guarantor.Run(ctx); return nil })
 	group.Go(func() error { p.notifier.Run(ctx); return nil })
@@ -48,7 +48,7 @@
 
 // finish hands over kept answers and waits for ends of claims to be recorded,
 // both before the instance stops.
-func (p *promises) finish(ctx context.Context) (unrecorded, left int) {
+func (p *guarantees) finish(ctx context.Context) (unrecorded, left int) {
 	for p.guarantor.Pending() > 0 && ctx.Err() == nil {
 		pause(ctx, finishPause)
 	}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -27,7 +27,7 @@
 	if err := d.listener.Shutdown(ctx); err != nil {
 		d.endRequests()
 	}
-	if unrecorded, left := d.promises.finish(ctx); unrecorded+left > 0 {
+	if unrecorded, left := d.guarantees.finish(ctx); unrecorded+left > 0 {
 		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
 	}
 	d.dispatcher.Close()
--- a/measurer/fleet.go
+++ b/measurer/fleet.go
@@ -78,7 +78,7 @@
 	side     int // instances on different sides of a partition do not hear each other
 	view     []redwingshunt.Instance
 	queue    *scheduler.Queue
-	seats    *scheduler.Seats
+	ownerSet *scheduler.OwnerSet
 	local    *local // of the baselines
 	requests map[uint64]*request
 	sent     int // bytes
@@ -190,7 +190,7 @@
 	})
 	self := n.instance
 	self.Region = n.home
-	n.seats = scheduler.NewSeats(self, service, settle)
+	n.ownerSet = scheduler.NewOwnerSet(self, service, settle)
 	n.local = newLocal(f, n)
 	f.feed(n, f.configured())
 	f.toOwner(n, f.configured())
@@ -288,7 +288,7 @@
 	if !f.cored() {
 		return
 	}
-	f.carry(n, n.seats.Step(n.clock(f), e))
+	f.carry(n, n.ownerSet.Step(n.clock(f), e))
 }
 
 // carry carries the actions of a core out.
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -33,16 +33,16 @@
 	}
 	n.view = view
 	f.toOwner(n, scheduler.Viewed{Members: view})
-	period := n.seats.Period()
+	period := n.ownerSet.Period()
 	if f.scenario.Retells > 0 {
 		period = f.scenario.Retells
 	}
 	n.queue.SetPeriod(period)
-	f.feed(n, scheduler.Owned{ID: n.seats.Home()})
+	f.feed(n, scheduler.Owned{ID: n.ownerSet.Home()})
 }
 
 // owns reports whether an instance owns the service in its region.
-func (n *node) owns() bool { return len(n.seats.Active()) > 0 }
+func (n *node) owns() bool { return len(n.ownerSet.Active()) > 0 }
 
 // announce lets an upstream tell one router of its region that it lives.
 func (f *Fleet) announce(e *engine) {
@@ -290,7 +290,7 @@
 		if !n.alive {
 			continue
 		}
-		for _, owner := range n.seats.Active() {
+		for _, owner := range n.ownerSet.Active() {
 			taken += owner.Taken()
 		}
 	}
--- a/notifier/notifier.go
+++ b/notifier/notifier.go
@@ -135,7 +135,7 @@
 			n.mu.Lock()
 			n.core.Tick(n.clock.Now())
 			n.mu.Unlock()
-			n.greet()
+			n.informNew()
 		case <-n.wake:
 			if wait(ctx, gather) != nil {
 				return
@@ -169,15 +169,15 @@
 	}
 }
 
-// greet sends all suspects to instances that are new, if that falls to this
+// informNew sends all suspects to instances that are new, if that falls to this
 // instance.
-func (n *Notifier) greet() {
+func (n *Notifier) informNew() {
 	live := n.members.Live()
 	self := n.members.Self()
 	known := make(map[redwingshunt.InstanceID]redwingshunt.Incarnation, len(live))
 	for _, i := range live {
 		known[i.ID] = i.Incarnation
-		if i.ID != self.ID && n.known[i.ID] != i.Incarnation && greeter(live, i) == self.ID {
+		if i.ID != self.ID && n.known[i.ID] != i.Incarnation && informant(live, i) == self.ID {
 			n.mu.Lock()
 			all := n.core.All(n.clock.Now())
 			n.mu.Unlock()
@@ -187,8 +187,8 @@
 	n.known = known
 }
 
-// greeter returns the instance that tells a new one of all suspects.
-func greeter(live []redwingshunt.Instance, fresh redwingshunt.Instance) redwingshunt.InstanceID {
+// informant returns the instance that tells a new one of all suspects.
+func informant(live []redwingshunt.Instance, fresh redwingshunt.Instance) redwingshunt.InstanceID {
 	var first redwingshunt.InstanceID
 	for _, i := range live {
 		if i.ID == fresh.ID {
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -73,7 +73,7 @@
 	Ledger *wire.Ledger
 }
 
-// Viewed gives Seats the view of the fleet.
+// Viewed gives OwnerSet the view of the fleet.
 type Viewed struct{ Members []redwingshunt.Instance }
 
 // Ticked lets time pass. Any cadence is correct; a few a second suit.
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -78,7 +78,7 @@
 
 // NewOwner returns an owner that has not been elected.
 func NewOwner(options OwnerOptions) *Owner {
-	origin := exchanger.Origin{Instance: seatOf(options.Self, options.Cell), Incarnation: options.Incarnation}
+	origin := exchanger.Origin{Instance: ownerName(options.Self, options.Cell), Incarnation: options.Incarnation}
 	return &Owner{
 		options:  options,
 		pool:     balancer.New(rand.New(rand.NewPCG(uint64(options.Incarnation), uint64(options.Cell)))),
--- a/scheduler/seats.go
+++ b/scheduler/ownerset.go
@@ -6,18 +6,18 @@
 	"github.com/redwingshunt/redwingshunt"
 )
 
-// Seats holds the owner cores of one service on one instance: one for each cell
+// OwnerSet holds the owner cores of one service on one instance: one for each cell
 // of the own region that the instance owns or stands by for. It derives from the
 // view of the fleet which these are and who their peers are.
 //
 // In a region with few routers a service has one cell. In a large one it has
 // several, each with a part of the upstreams and of the routers; cells exchange
 // ledgers and lend slots to one another as regions do.
-type Seats struct {
+type OwnerSet struct {
 	self    redwingshunt.Instance
 	service redwingshunt.ServiceID
 	settle  time.Duration
-	cells   []*seat
+	cells   []*cellState
 	members []redwingshunt.Instance
 	config  Configured
 	term    uint64
@@ -26,21 +26,21 @@
 	actions []Action
 }
 
-// seat is one cell; owner is nil as long as the instance never kept it.
-type seat struct {
+// cellState is one cell; owner is nil as long as the instance never kept it.
+type cellState struct {
 	duty  Duty
 	owner *Owner
 }
 
-// NewSeats returns the seats of an instance that knows no other. Settle is the
+// NewOwnerSet returns the owners of an instance that knows no other. Settle is the
 // time in which routers may report to a new owner before it grants.
-func NewSeats(self redwingshunt.Instance, service redwingshunt.ServiceID, settle time.Duration) *Seats {
-	return &Seats{self: self, service: service, settle: settle}
+func NewOwnerSet(self redwingshunt.Instance, service redwingshunt.ServiceID, settle time.Duration) *OwnerSet {
+	return &OwnerSet{self: self, service: service, settle: settle}
 }
 
 // Step takes an event in and returns what is to be done. The actions are valid
 // until the next call.
-func (s *Seats) Step(now time.Time, e Event) []Action {
+func (s *OwnerSet) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
 	switch e := e.(type) {
 	case Viewed:
@@ -60,26 +60,26 @@
 	return s.actions
 }
 
-func (s *Seats) one(now time.Time, cell int, e Event) {
+func (s *OwnerSet) one(now time.Time, cell int, e Event) {
 	if cell < len(s.cells) && s.cells[cell].owner != nil {
 		s.actions = append(s.actions, s.cells[cell].owner.Step(now, e)...)
 	}
 }
 
-func (s *Seats) all(now time.Time, e Event) {
+func (s *OwnerSet) all(now time.Time, e Event) {
 	for cell := range s.cells {
 		s.one(now, cell, e)
 	}
 }
 
 // view takes the part of the instance in each cell.
-func (s *Seats) view(now time.Time, members []redwingshunt.Instance) {
+func (s *OwnerSet) view(now time.Time, members []redwingshunt.Instance) {
 	gone := missing(s.members, members)
 	s.members = members
 	s.routers = len(InRegion(members, s.self.Region))
 	cells := Cells(s.routers)
 	for len(s.cells) < cells {
-		s.cells = append(s.cells, &seat{})
+		s.cells = append(s.cells, &cellState{})
 	}
 	for cell := range s.cells {
 		for _, id := range gone {
@@ -91,7 +91,7 @@
 }
 
 // serve takes the part of the instance in one cell.
-func (s *Seats) serve(now time.Time, cell int, duty Duty) {
+func (s *OwnerSet) serve(now time.Time, cell int, duty Duty) {
 	place := s.cells[cell]
 	was := place.duty
 	place.duty = duty
@@ -132,20 +132,20 @@
 
 // Home returns the name of the owner that the queue of this instance reports
 // to, for Owned.
-func (s *Seats) Home() redwingshunt.InstanceID { return s.home }
+func (s *OwnerSet) Home() redwingshunt.InstanceID { return s.home }
 
 // Period returns the time between the full states of the queue.
-func (s *Seats) Period() time.Duration { return Period(s.routers) }
+func (s *OwnerSet) Period() time.Duration { return Period(s.routers) }
 
 // Active returns the cores of the cells that the instance owns.
-func (s *Seats) Active() []*Owner { return s.pick(func(d Duty) bool { return d.Active }) }
+func (s *OwnerSet) Active() []*Owner { return s.pick(func(d Duty) bool { return d.Active }) }
 
 // Standby returns the cores of the cells for which the instance stands by.
-func (s *Seats) Standby() []*Owner {
+func (s *OwnerSet) Standby() []*Owner {
 	return s.pick(func(d Duty) bool { return d.Keeps && !d.Active })
 }
 
-func (s *Seats) pick(choose func(Duty) bool) []*Owner {
+func (s *OwnerSet) pick(choose func(Duty) bool) []*Owner {
 	var list []*Owner
 	for _, place := range s.cells {
 		if place.owner != nil && choose(place.duty) {
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -151,7 +151,7 @@
 
 // merge takes the ledger of a peer in.
 func (o *Owner) merge(now time.Time, instance redwingshunt.InstanceID, m *wire.Ledger) {
-	from := seatOf(instance, int(m.Cell))
+	from := ownerName(instance, int(m.Cell))
 	p := o.peers[from]
 	origin := exchanger.Origin{Instance: from, Incarnation: redwingshunt.Incarnation(m.Incarnation)}
 	o.mergeCounters(now, origin, p, m)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -233,7 +233,7 @@
 // grant takes slots from the owner.
 func (q *Queue) grant(now time.Time, e Granted) {
 	m := e.Grants
-	if seatOf(e.From, int(m.Cell)) != q.owner || m.Incarnation != uint64(q.options.Incarnation) || m.Term < q.term {
+	if ownerName(e.From, int(m.Cell)) != q.owner || m.Incarnation != uint64(q.options.Incarnation) || m.Term < q.term {
 		return
 	}
 	if m.Term > q.term {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -34,26 +34,26 @@
 	return int(xxhash.Sum64String(id+"\x00"+string(service)) % uint64(cells))
 }
 
-// seatOf names the owner of a cell on an instance among peers.
-func seatOf(id redwingshunt.InstanceID, cell int) redwingshunt.InstanceID {
+// ownerName names the owner of a cell on an instance among peers.
+func ownerName(id redwingshunt.InstanceID, cell int) redwingshunt.InstanceID {
 	if cell == 0 || id == "" {
 		return id
 	}
-	return redwingshunt.InstanceID(string(id) + seatMark + strconv.Itoa(cell))
+	return redwingshunt.InstanceID(string(id) + cellMark + strconv.Itoa(cell))
 }
 
-// seatMark stands between instance and cell in the name of an owner.
-const seatMark = "#"
+// cellMark stands between instance and cell in the name of an owner.
+const cellMark = "#"
 
 // instanceOf splits the name of an owner.
-func instanceOf(seat redwingshunt.InstanceID) (redwingshunt.InstanceID, int) {
-	id, cell, ok := strings.Cut(string(seat), seatMark)
+func instanceOf(name redwingshunt.InstanceID) (redwingshunt.InstanceID, int) {
+	id, cell, ok := strings.Cut(string(name), cellMark)
 	if !ok {
-		return seat, 0
+		return name, 0
 	}
 	n, err := strconv.Atoi(cell)
 	if err != nil {
-		return seat, 0
+		return name, 0
 	}
 	return redwingshunt.InstanceID(id), n
 }
@@ -77,7 +77,7 @@
 	list := InRegion(members, region)
 	weights := make(map[redwingshunt.InstanceID]uint64, len(list))
 	for _, m := range list {
-		weights[m.ID] = xxhash.Sum64String(string(seatOf(m.ID, cell)) + "\x00" + string(service))
+		weights[m.ID] = xxhash.Sum64String(string(ownerName(m.ID, cell)) + "\x00" + string(service))
 	}
 	slices.SortFunc(list, func(a, b redwingshunt.Instance) int {
 		if a.Leaving != b.Leaving && b.Leaving {
@@ -122,7 +122,7 @@
 	if len(home) == 0 || cell >= Cells(len(home)) {
 		return Duty{}
 	}
-	d := Duty{Owner: seatOf(home[0].ID, cell), Active: home[0].ID == self.ID}
+	d := Duty{Owner: ownerName(home[0].ID, cell), Active: home[0].ID == self.ID}
 	standby := len(home) > 1 && home[1].ID == self.ID
 	d.Keeps = d.Active || standby
 	if standby {
@@ -135,7 +135,7 @@
 		d.Peers = append(d.Peers, owners(members, region, service, d.Owner)...)
 	}
 	if len(home) > 1 {
-		d.Peers = append(d.Peers, Peer{ID: seatOf(home[1].ID, cell), Region: self.Region, Standby: true})
+		d.Peers = append(d.Peers, Peer{ID: ownerName(home[1].ID, cell), Region: self.Region, Standby: true})
 	}
 	return d
 }
@@ -144,7 +144,7 @@
 func owners(members []redwingshunt.Instance, region redwingshunt.RegionID, service redwingshunt.ServiceID, but redwingshunt.InstanceID) []Peer {
 	var list []Peer
 	for cell := range Cells(len(InRegion(members, region))) {
-		id := seatOf(Rank(members, region, service, cell)[0].ID, cell)
+		id := ownerName(Rank(members, region, service, cell)[0].ID, cell)
 		if id != but {
 			list = append(list, Peer{ID: id, Region: region})
 		}
