--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -1,6 +1,7 @@
 package spec
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -87,6 +88,23 @@
 	return n
 }
 
+// note logs a line and, where the environment names a file for it, adds it
+// there, since go test hides the logs of tests that pass.
+func note(t *testing.T, format string, arguments ...any) {
+	t.Helper()
+	t.Logf(format, arguments...)
+	name := os.Getenv("REDWINGSHUNT_STATES")
+	if name == "" {
+		return
+	}
+	is := is.New(t)
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	is.NoErr(err)
+	_, err = fmt.Fprintf(file, format+"\n", arguments...)
+	is.NoErr(err)
+	is.NoErr(file.Close())
+}
+
 // TestSpecification checks each model in all its states.
 func TestSpecification(t *testing.T) {
 	tests := map[string]run{
@@ -104,7 +122,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := test.check(t)
-			t.Logf("%s: %d states, %d errors", test.model, r.states, r.errors)
+			note(t, "%s (%s): %d states, %d errors", name, test.model, r.states, r.errors)
 			is.Equal(r.errors, 0)
 			is.True(r.complete) // all states were visited
 		})
@@ -131,7 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := test.check(t)
-			t.Logf("%s: found after %d states", test.model, r.states)
+			note(t, "without a rule: %s (%s): found after %d states", name, test.model, r.states)
 			is.True(r.errors > 0)
 		})
 	}
