Wait for the committed claim before the instance is killed

Cause: the test took the in-progress answer to the second booking as the sign that the claim of the first was committed, but an instance says in-progress from the moment it proposes the claim. Killed in between, the claim never existed, and a resend rightly ran, once. Ruled out: a second run (the count at the upstream was checked) and a lost entry (the quorum had none). The test now waits until the booking is seen in the queue, which it enters only with a granted claim. The check itself is unchanged.

--- a/daemon/kill_test.go
+++ b/daemon/kill_test.go
@@ -160,6 +160,10 @@
 		}()
 	}
 	is.Equal(<-reasons, string(redwingshunt.ReasonInProgress))
+	eventually(t, func() bool { // it waits only after its claim was committed
+		_, accounts := fleet[0].administer(http.MethodGet, "/v1/accounts", "")
+		return strings.Contains(accounts, `"backlog":1`)
+	})
 	fleet[0].kill()
 
 	reason, body := resend(t, fleet[1:], "recorded")
