--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -102,6 +102,16 @@
 
 // assemble connects the parts. The order of the chain stands in chain.go.
 func (d *Daemon) assemble() error {
+	d.assembleLinks()
+	if err := d.assembleControl(); err != nil {
+		return trace.Wrap(err)
+	}
+	d.assembleServing()
+	return nil
+}
+
+// assembleLinks connects what instances need to talk to each other.
+func (d *Daemon) assembleLinks() {
 	self := redwingshunt.Instance{
 		ID:          d.settings.Name,
 		Incarnation: redwingshunt.Incarnation(time.Now().UnixMicro()),
@@ -121,6 +131,12 @@
 		Credentials: d.linkCredentials(),
 	})
 	d.members.attach(d.linker)
+	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
+	wire.RegisterInstancesServer(d.grpc, d.linker)
+}
+
+// assembleControl connects the log, the configuration and what tells of them.
+func (d *Daemon) assembleControl() error {
 	control, configured, err := newControl(d, d.fixed)
 	if err != nil {
 		return trace.Wrap(err)
@@ -128,6 +144,14 @@
 	d.control = control
 	d.configured = configured
 	d.metrics = newMetrics(d)
+	d.surveyor = surveyor.New(surveyor.Options{
+		Members: d.members, Link: d.linker, Configuration: d.configured,
+	})
+	return nil
+}
+
+// assembleServing connects what a request passes, and the administration API.
+func (d *Daemon) assembleServing() {
 	d.scheduling = coordinator.New(coordinator.Options{
 		Members:       d.members,
 		Link:          d.linker,
@@ -136,9 +160,6 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
-	d.surveyor = surveyor.New(surveyor.Options{
-		Members: d.members, Link: d.linker, Configuration: d.configured,
-	})
 	d.guarantees = newGuarantees(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
@@ -154,10 +175,7 @@
 		}),
 		Logger: d.logger,
 	})
-	d.grpc = grpc.NewServer(grpc.Creds(d.linkCredentials()))
-	wire.RegisterInstancesServer(d.grpc, d.linker)
 	d.admin = &http.Server{Handler: administrator.New(d.parts()), ReadHeaderTimeout: adminTimeout}
-	return nil
 }
 
 // log returns the log that claims are committed to.
