--- a/linker/linker.go
+++ b/linker/linker.go
@@ -152,9 +152,6 @@
 }
 
 func (l *Linker) dispatch(from redwingshunt.InstanceID, m redwingshunt.Message) {
-	if m.Kind >= redwingshunt.KindEnd {
-		return
-	}
 	l.mu.Lock()
 	receive := l.handlers[m.Kind]
 	l.mu.Unlock()
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -149,4 +149,21 @@
 	is.Equal(sender.Traffic()[0].Dropped, uint64(1))
 }
 
+func TestKindOfAnotherVersion(t *testing.T) {
+	tests := map[string]struct {
+		kind  uint32
+		known bool
+	}{
+		"known":                      {uint32(redwingshunt.KindDemand), true},
+		"first one of a later fleet": {uint32(redwingshunt.KindEnd), false},
+		"known in its lowest byte":   {256 + uint32(redwingshunt.KindDemand), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, known := kindOf(&wire.Frame{Kind: test.kind})
+			is.New(t).Equal(known, test.known)
+		})
+	}
+}
+
 var _ redwingshunt.Link = (*Linker)(nil)
--- a/linker/server.go
+++ b/linker/server.go
@@ -40,16 +40,24 @@
 	for frame := first; ; {
 		in.received(frame.GetSequence())
 		l.counters.received(frame)
-		l.dispatch(from, redwingshunt.Message{
-			Kind:    redwingshunt.MessageKind(frame.GetKind()),
-			Payload: frame.GetPayload(),
-		})
+		if kind, known := kindOf(frame); known {
+			l.dispatch(from, redwingshunt.Message{Kind: kind, Payload: frame.GetPayload()})
+		}
 		if frame, err = stream.Recv(); err != nil {
 			return nil // the sender closed or lost the stream and will dial again
 		}
 	}
 }
 
+// kindOf returns the kind of a frame, and false for one that this version does
+// not know. The wire has more bits than a kind.
+func kindOf(frame *wire.Frame) (redwingshunt.MessageKind, bool) {
+	if frame.GetKind() >= uint32(redwingshunt.KindEnd) {
+		return 0, false
+	}
+	return redwingshunt.MessageKind(frame.GetKind()), true
+}
+
 // inbound is the receiving end of one stream.
 type inbound struct {
 	stream   wire.Instances_ExchangeServer
