--- a/daemon/guarantees.go
+++ b/daemon/guarantees.go
@@ -50,7 +50,7 @@
 // both before the instance stops.
 func (p *guarantees) finish(ctx context.Context) (unrecorded, left int) {
 	for p.guarantor.Pending() > 0 && ctx.Err() == nil {
-		pause(ctx, finishPause)
+		redwingshunt.Pause(ctx, finishPause)
 	}
 	return p.guarantor.Pending(), p.keeper.Handover(ctx)
 }
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/redwingshunt/redwingshunt"
 )
 
 // shutdown leaves the fleet without cutting a request: it tells the others,
@@ -22,7 +24,7 @@
 	}
 	d.members.leave()
 	d.listener.Leave()
-	pause(ctx, d.settings.Notice)
+	redwingshunt.Pause(ctx, d.settings.Notice)
 	d.listener.Stop()
 	if err := d.listener.Shutdown(ctx); err != nil {
 		d.endRequests()
@@ -53,12 +55,3 @@
 		_ = d.listener.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -103,7 +103,7 @@
 		if err != nil {
 			return r.tell(err)
 		}
-		pause(ctx, after)
+		redwingshunt.Pause(ctx, after)
 	}
 }
 
--- a/dispatcher/resume.go
+++ b/dispatcher/resume.go
@@ -62,7 +62,7 @@
 		if decision.Kind != retrier.Resume {
 			return nil, false
 		}
-		pause(ctx, decision.After)
+		redwingshunt.Pause(ctx, decision.After)
 		request := a.request(ctx)
 		request.Header.Set(redwingshunt.HeaderLastEvent, strconv.FormatUint(a.position.Next()-1, 10))
 		response, err := a.transport().RoundTrip(request)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -98,21 +98,11 @@
 		outcome = &told
 	}
 	if r.lost {
-		pause(r.exchange.HTTP.Context(), quarantiner.Settle)
+		redwingshunt.Pause(r.exchange.HTTP.Context(), quarantiner.Settle)
 	}
 	return outcome
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // trusting is a redwingshunt.Suspects that suspects nothing.
 type trusting struct{}
 
--- a/ending.go
+++ b/ending.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 )
 
 // ErrStopping is the cause with which the contexts of requests end that still
@@ -40,3 +41,13 @@
 	})
 	return detached, func() { stop(); cancel(nil) }
 }
+
+// Pause waits for d, or until ctx ends if that is sooner.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -42,7 +42,7 @@
 		if done || err != nil {
 			return err
 		}
-		pause(ctx, operationDelay)
+		redwingshunt.Pause(ctx, operationDelay)
 	}
 	return trace.Wrap(ctx.Err(), "the replacement is not complete: %s", p.obstacle)
 }
--- a/recorder/propose.go
+++ b/recorder/propose.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -32,7 +31,7 @@
 			return nil, redwingshunt.ErrUnknown
 		}
 		if wait {
-			pause(ctx, retryDelay)
+			redwingshunt.Pause(ctx, retryDelay)
 		}
 	}
 	if a.uncertain {
@@ -82,13 +81,3 @@
 		a.command.Base = max(a.command.Base, reply.GetCommit())
 	}
 }
-
-// pause waits, at most until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/journaler"
 	"github.com/redwingshunt/redwingshunt/replicator"
 	"github.com/redwingshunt/redwingshunt/replicator/encoder"
@@ -40,7 +41,7 @@
 		if done {
 			return
 		}
-		pause(ctx, operationDelay)
+		redwingshunt.Pause(ctx, operationDelay)
 	}
 }
 
