--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,218 @@
+// Package allocator drives the core of package placer on one router: it feeds
+// it the upstreams in use, the document, time, and what other routers tell, and
+// tells them what this router has with upstreams.
+//
+// Routers of one region tell each other often, those of other regions seldom,
+// since traffic between regions is billed. Nothing is sent while a router has
+// nothing to tell.
+//
+// # Usage
+//
+//	a := allocator.New(allocator.Options{
+//		Members: members, Link: link, Configuration: configuration, Clock: clock, Logger: logger,
+//	})
+//	enroller.Watch(a.SetUpstreams)
+//	go a.Run(ctx)
+//	placed, err := a.Place(placement)
+//	defer a.End(placed.Ticket, redwingshunt.EndComplete)
+package allocator
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/placer"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const (
+	// nearPeriod is how often routers of the own region are told; engines read
+	// some thousand tokens meanwhile, little against what waits under load.
+	nearPeriod = 250 * time.Millisecond
+	// farPeriod is how often routers of other regions are told.
+	farPeriod = 500 * time.Millisecond
+	// forgetPeriod is how often silent routers are looked for.
+	forgetPeriod = 500 * time.Millisecond
+)
+
+// Options configure an Allocator.
+type Options struct {
+	Members       redwingshunt.Members
+	Link          redwingshunt.Link
+	Configuration redwingshunt.Configuration
+	Clock         redwingshunt.Clock
+	Budget        redwingshunt.RepeatBudget
+	Logger        *slog.Logger
+}
+
+// Allocator implements redwingshunt.Placer. It is safe for concurrent use.
+type Allocator struct {
+	options Options
+
+	mu       sync.Mutex
+	core     *placer.Core
+	sequence uint64
+	idle     bool // the last message said that there is nothing
+}
+
+var _ redwingshunt.Placer = (*Allocator)(nil)
+
+// New returns an allocator without upstreams and registers it with the link.
+func New(options Options) *Allocator {
+	self := options.Members.Self()
+	a := &Allocator{
+		options: options,
+		core:    placer.New(placer.Options{Self: self.ID, Region: self.Region, Budget: options.Budget}),
+	}
+	options.Link.Handle(redwingshunt.KindLoad, a.receive)
+	return a
+}
+
+// SetUpstreams takes the upstreams that may get new work.
+func (a *Allocator) SetUpstreams(usable []redwingshunt.UpstreamState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.SetUpstreams(usable)
+}
+
+// Run works until ctx ends.
+func (a *Allocator) Run(ctx context.Context) {
+	near, far := time.NewTicker(nearPeriod), time.NewTicker(farPeriod)
+	forget := time.NewTicker(forgetPeriod)
+	defer near.Stop()
+	defer far.Stop()
+	defer forget.Stop()
+	for {
+		changed := a.options.Configuration.Watch()
+		a.configure()
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				waiting = false
+			case <-near.C:
+				a.tell(true)
+			case <-far.C:
+				a.tell(false)
+			case <-forget.C:
+				a.forget()
+			}
+		}
+	}
+}
+
+func (a *Allocator) configure() {
+	snapshot := a.options.Configuration.Current()
+	if snapshot == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Configure(snapshot.Document)
+}
+
+func (a *Allocator) forget() {
+	routers := 0
+	for _, member := range a.options.Members.Live() {
+		if !member.Voter {
+			routers++
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.SetRouters(routers)
+	a.core.Forget(a.options.Clock.Now())
+}
+
+// tell tells the routers of the own region, or those of all others.
+func (a *Allocator) tell(near bool) {
+	self := a.options.Members.Self()
+	now := a.options.Clock.Now()
+	a.mu.Lock()
+	loads := a.core.Loads(now)
+	empty := len(loads.GetUpstreams()) == 0 && len(loads.GetAccounts()) == 0
+	skip := empty && a.idle
+	if !near {
+		a.idle = empty
+	}
+	a.sequence = max(a.sequence+1, uint64(now.UnixNano()))
+	loads.Sequence = a.sequence
+	a.mu.Unlock()
+	if skip {
+		return
+	}
+	payload, err := proto.Marshal(loads)
+	if err != nil {
+		a.options.Logger.Error("the loads could not be encoded", "error", err.Error())
+		return
+	}
+	for _, member := range a.options.Members.Live() {
+		if member.ID != self.ID && !member.Voter && (member.Region == self.Region) == near {
+			a.options.Link.Send(member.ID, redwingshunt.Message{Kind: redwingshunt.KindLoad, Payload: payload})
+		}
+	}
+}
+
+func (a *Allocator) receive(from redwingshunt.InstanceID, payload []byte) {
+	loads := new(wire.Loads)
+	if err := proto.Unmarshal(payload, loads); err != nil {
+		a.options.Logger.Warn("the loads of a router cannot be read", "from", string(from), "error", err.Error())
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Heard(a.options.Clock.Now(), from, loads)
+}
+
+// Place implements redwingshunt.Placer.
+func (a *Allocator) Place(p *redwingshunt.Placement) (redwingshunt.Placed, error) {
+	a.mu.Lock()
+	placed, refusal := a.core.Place(a.options.Clock.Now(), p)
+	a.mu.Unlock()
+	if refusal == nil {
+		return placed, nil
+	}
+	a.options.Logger.Info("refused", "request", p.Request, "attempt", p.Attempt, "service", string(p.Service),
+		"account", string(p.Account), "reason", string(refusal.Reason), "wait", refusal.Wait.String(),
+		"bound", refusal.Bound.String(), "over", refusal.Over, "after", refusal.After.String())
+	detail := "no upstream of the service can take the request now"
+	if refusal.Reason == redwingshunt.ReasonQueueFull {
+		detail = "the wait at the best upstream is too long now"
+	}
+	return redwingshunt.Placed{}, redwingshunt.NotRun(refusal.Reason, http.StatusServiceUnavailable, detail).After(refusal.After)
+}
+
+// First implements redwingshunt.Placer.
+func (a *Allocator) First(ticket uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.First(a.options.Clock.Now(), ticket)
+}
+
+// End implements redwingshunt.Placer.
+func (a *Allocator) End(ticket uint64, end redwingshunt.PlacementEnd) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.End(a.options.Clock.Now(), ticket, end)
+}
+
+// Repeat implements redwingshunt.Placer.
+func (a *Allocator) Repeat(service redwingshunt.ServiceID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Repeat(a.options.Clock.Now(), service)
+}
+
+// Dump returns what this router has with upstreams.
+func (a *Allocator) Dump() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Loads(a.options.Clock.Now())
+}
--- /dev/null
+++ b/carrier/carrier.go
@@ -0,0 +1,411 @@
+// Package carrier sends single HTTP/1.1 requests to upstreams over connections
+// that it keeps, and tells exactly what is known when one fails.
+//
+// The general client of the standard library may send a request twice on its
+// own and hides on which connection an answer came. Here each call is sent at
+// most once, and a failure says whether a byte of it may have reached the
+// upstream. An answer is matched to its request by an identifier that the
+// upstream echoes: an answer to another request that comes first is dropped,
+// and a connection on which more came than was asked for is not used again.
+//
+// Something between two ends may lose track of an open connection. Kept
+// connections are therefore probed by the system, and dropped when bytes stay
+// unacknowledged for a while.
+//
+// # Usage
+//
+//	c := carrier.New(carrier.Options{Header: "X-Request-Id"})
+//	reply, err := c.Send(ctx, carrier.Call{Address: address, ID: id, ...})
+//	var failure *carrier.Failure
+//	if errors.As(err, &failure) && !failure.Sent {
+//		// the upstream has not seen a byte
+//	}
+//	defer reply.Close()
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout is several round trips between regions; a busy upstream
+	// answers the opening of a connection later than its own work.
+	dialTimeout = 700 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a connection
+	// that has gone silent within the pause that callers bear.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 3
+	// idleDefault is how long a connection is kept without use when the
+	// upstream does not tell its own limit.
+	idleDefault = 4 * time.Second
+	// idleMost bounds what an upstream tells.
+	idleMost = 15 * time.Second
+	// onceIdle is how long a connection may have been idle to carry a
+	// non-idempotent request, since an upstream may close it meanwhile.
+	onceIdle = 500 * time.Millisecond
+	// idlePerUpstream bounds the kept connections to one upstream.
+	idlePerUpstream = 12
+	// inlineBody is the size in bytes up to which a body fits the send buffer,
+	// so that writing it does not wait for the upstream.
+	inlineBody = 16 << 10
+	// foreignAnswers is how many answers to other requests are dropped before
+	// the connection is.
+	foreignAnswers = 3
+	// foreignBody bounds in bytes the body of a dropped answer.
+	foreignBody = 1 << 20
+	// lastWrite is how long the rest of a body may take after the answer, for
+	// the connection to be kept.
+	lastWrite   = 50 * time.Millisecond
+	readBuffer  = 4 << 10 // bytes
+	writeBuffer = 4 << 10 // bytes
+)
+
+// Options configure a Carrier.
+type Options struct {
+	// Header echoes the identifier of a request in its answer.
+	Header string
+}
+
+// Call is one request.
+type Call struct {
+	Address netip.AddrPort
+	ID      string // in the header of the options
+	Method  string
+	Target  string // path and query as they go on the wire
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Once    bool // non-idempotent: a connection that may be closing is avoided
+}
+
+// Failure is the error of a call without an answer.
+type Failure struct {
+	Sent bool // a byte may have reached the upstream
+	Err  error
+}
+
+// Error tells how far the call came.
+func (f *Failure) Error() string {
+	if f.Sent {
+		return "no answer to a request that was sent: " + f.Err.Error()
+	}
+	return "request not sent: " + f.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Counts are totals since the start.
+type Counts struct {
+	Opened  uint64 // connections
+	Reused  uint64 // calls on a kept connection
+	Stale   uint64 // kept connections that had ended meanwhile
+	Foreign uint64 // answers to other requests
+}
+
+// Carrier keeps connections. It is safe for concurrent use.
+type Carrier struct {
+	options Options
+	dialer  net.Dialer
+
+	opened, reused, stale, foreign atomic.Uint64
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*connection // longest idle first
+	closed bool
+}
+
+// New returns a carrier without connections.
+func New(options Options) *Carrier {
+	return &Carrier{
+		options: options,
+		idle:    make(map[netip.AddrPort][]*connection),
+		dialer: net.Dialer{
+			Timeout: dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+			},
+			Control: dropSilent,
+		},
+	}
+}
+
+// Counts returns the totals.
+func (c *Carrier) Counts() Counts {
+	return Counts{
+		Opened: c.opened.Load(), Reused: c.reused.Load(), Stale: c.stale.Load(), Foreign: c.foreign.Load(),
+	}
+}
+
+// Dump returns the totals and the kept connections of each upstream.
+func (c *Carrier) Dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := make(map[string]int, len(c.idle))
+	for address, connections := range c.idle {
+		kept[address.String()] = len(connections)
+	}
+	return struct {
+		Counts Counts         `json:"counts"`
+		Kept   map[string]int `json:"kept"`
+	}{c.Counts(), kept}
+}
+
+// Send sends a call and returns once the header of the answer has come. The
+// connection is cut when ctx ends before the answer has been read.
+func (c *Carrier) Send(ctx context.Context, call Call) (*Reply, error) {
+	connection, err := c.connect(ctx, call)
+	if err != nil {
+		return nil, &Failure{Err: err}
+	}
+	stop := context.AfterFunc(ctx, connection.cut)
+	response, err := connection.exchange(call, c.options.Header, &c.foreign) //nolint:bodyclose // Reply.Close ends the connection or keeps it
+	if err != nil {
+		stop()
+		connection.cut()
+		if ctx.Err() != nil {
+			err = errors.Join(context.Cause(ctx), err)
+		}
+		return nil, &Failure{Sent: true, Err: err}
+	}
+	return &Reply{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		response: response, connection: connection, carrier: c, stop: stop,
+	}, nil
+}
+
+// connect returns a kept connection that still looks open, or a new one.
+func (c *Carrier) connect(ctx context.Context, call Call) (*connection, error) {
+	for {
+		kept := c.take(call)
+		if kept == nil {
+			break
+		}
+		if kept.quiet() {
+			c.reused.Add(1)
+			return kept, nil
+		}
+		c.stale.Add(1)
+		kept.cut()
+	}
+	socket, err := c.dialer.DialContext(ctx, "tcp4", call.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	c.opened.Add(1)
+	return newConnection(socket, call.Address), nil
+}
+
+// take removes the connection that was used last, when it may carry the call.
+func (c *Carrier) take(call Call) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[call.Address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	unused := time.Since(last.since)
+	if unused > last.limit || call.Once && unused > onceIdle {
+		return nil
+	}
+	c.idle[call.Address] = list[:len(list)-1]
+	return last
+}
+
+// keep takes a connection back.
+func (c *Carrier) keep(connection *connection, limit time.Duration) {
+	connection.since, connection.limit = time.Now(), limit
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[connection.address]
+	if c.closed || len(list) >= idlePerUpstream {
+		connection.cut()
+		return
+	}
+	c.idle[connection.address] = append(list, connection)
+}
+
+// Sweep closes connections that have been idle for too long. It is called from
+// time to time.
+func (c *Carrier) Sweep() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, connection := range list {
+			if now.Sub(connection.since) > connection.limit {
+				connection.cut()
+				continue
+			}
+			kept = append(kept, connection)
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+}
+
+// Forget closes the kept connections to an address.
+func (c *Carrier) Forget(address netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, connection := range c.idle[address] {
+		connection.cut()
+	}
+	delete(c.idle, address)
+}
+
+// Close closes all kept connections.
+func (c *Carrier) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, list := range c.idle {
+		for _, connection := range list {
+			connection.cut()
+		}
+	}
+	clear(c.idle)
+}
+
+// connection is one open connection to an upstream.
+type connection struct {
+	socket  net.Conn
+	address netip.AddrPort
+	reader  *bufio.Reader
+	since   time.Time     // when it became idle
+	limit   time.Duration // how long it may stay idle
+	written chan error    // of the body that is still being written, or nil
+}
+
+func newConnection(socket net.Conn, address netip.AddrPort) *connection {
+	return &connection{socket: socket, address: address, reader: bufio.NewReaderSize(socket, readBuffer)}
+}
+
+// cut closes the connection; whoever reads or writes it gets an error.
+func (k *connection) cut() { _ = k.socket.Close() }
+
+// quiet reports whether the connection is open and nothing came unasked.
+func (k *connection) quiet() bool {
+	return k.reader.Buffered() == 0 && nothingToRead(k.socket)
+}
+
+// exchange writes a request and reads the header of its answer.
+func (k *connection) exchange(call Call, echo string, foreign *atomic.Uint64) (*http.Response, error) {
+	request := &http.Request{
+		Method:        call.Method,
+		URL:           &url.URL{Opaque: call.Target},
+		Host:          call.Host,
+		Header:        call.Header,
+		ContentLength: int64(len(call.Body)),
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if err := k.write(request, call.Body); err != nil {
+		// The upstream may have answered and closed before it read all.
+		response, answer := k.read(request, call.ID, echo, foreign)
+		if answer != nil {
+			return nil, errors.Join(err, answer)
+		}
+		k.written = make(chan error, 1)
+		k.written <- err
+		return response, nil
+	}
+	return k.read(request, call.ID, echo, foreign)
+}
+
+// write writes a request. A large body goes on in the background, since the
+// upstream may answer before it has read it.
+func (k *connection) write(request *http.Request, body []byte) error {
+	buffer := bufio.NewWriterSize(k.socket, writeBuffer)
+	if err := writeHeader(buffer, request); err != nil {
+		return err
+	}
+	if len(body) <= inlineBody {
+		if _, err := buffer.Write(body); err != nil {
+			return err
+		}
+		return buffer.Flush()
+	}
+	if err := buffer.Flush(); err != nil {
+		return err
+	}
+	written := make(chan error, 1)
+	k.written = written
+	go func() {
+		_, err := k.socket.Write(body)
+		written <- err
+	}()
+	return nil
+}
+
+// writeHeader writes the request line and the header as they were given.
+func writeHeader(w *bufio.Writer, r *http.Request) error {
+	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URL.Opaque, r.Host)
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	if r.ContentLength > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		fmt.Fprintf(w, "Content-Length: %d\r\n", r.ContentLength)
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// read returns the answer to a request; answers to others are dropped.
+func (k *connection) read(r *http.Request, id, echo string, foreign *atomic.Uint64) (*http.Response, error) {
+	for range foreignAnswers {
+		response, err := http.ReadResponse(k.reader, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if echo == "" || response.Header.Get(echo) == id {
+			return response, nil
+		}
+		foreign.Add(1)
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			_ = response.Body.Close()
+			break // it ends with the connection
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, foreignBody)); err != nil {
+			return nil, err
+		}
+		_ = response.Body.Close()
+	}
+	return nil, errors.New("the answer belongs to another request")
+}
+
+// aliveTimeout is how long an upstream may take to accept a connection that
+// only asks whether it is there: a round trip between regions and some work.
+const aliveTimeout = 300 * time.Millisecond
+
+// Alive reports whether an address accepts a new connection.
+func (c *Carrier) Alive(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	socket, err := c.dialer.DialContext(ctx, "tcp4", address.String())
+	if err != nil {
+		return false
+	}
+	c.opened.Add(1)
+	_ = socket.Close()
+	return true
+}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -29,6 +29,8 @@
 // the log and the configuration that it holds.
 type control struct {
 	logger    *slog.Logger
+	documents registrar.DocumentFunc
+	failed    chan error // holds why the log has ended by itself
 	recorder  *recorder.Recorder
 	subscribe *subscriber.Subscriber
 	submitter *submitter.Submitter
@@ -41,12 +43,12 @@
 // newControl opens the data folder. With a fixed document, the configuration of
 // the log is not used.
 func newControl(d *Daemon, fixed *fixedConfiguration) (*control, redwingshunt.Configuration, error) {
-	c := &control{logger: d.logger, stopped: make(chan struct{})}
+	c := &control{logger: d.logger, documents: d.options.documents(), stopped: make(chan struct{}), failed: make(chan error, 1)}
 	c.subscribe = subscriber.New(subscriber.Options{
 		Link:     d.linker,
 		Members:  d.members,
 		Clock:    wallClock{},
-		Document: parser.Document,
+		Document: d.options.documents(),
 		Quorum:   c.quorum.Load,
 		Leader:   c.leader.Load,
 		Seed:     uint64(d.members.Self().Incarnation),
@@ -66,7 +68,7 @@
 		Folder:    d.settings.Data,
 		Initial:   voters,
 		Bootstrap: len(voters) > 0 && voters[0] == d.settings.Name && d.settings.Data != "",
-		Groups:    1 + redwingshunt.MaxGroups,
+		Groups:    groupsOf(d.settings),
 		Machines:  c.machine,
 		Prefer:    preferHome(configuration),
 	})
@@ -80,6 +82,15 @@
 	return c, configuration, nil
 }
 
+// groupsOf returns the groups of the log. Without requests that are claimed
+// there is only the one of the configuration.
+func groupsOf(settings redwingshunt.Settings) int {
+	if settings.Listen.IsValid() {
+		return 1 + redwingshunt.MaxGroups
+	}
+	return 1
+}
+
 // preferHome leads each group of claims in the region that the document in
 // force gives it.
 func preferHome(configuration redwingshunt.Configuration) recorder.Preference {
@@ -98,7 +109,7 @@
 		return claimer.New()
 	}
 	return registrar.New(registrar.Options{
-		Document: parser.Document,
+		Document: c.documents,
 		Section:  parser.Section,
 		Change:   claimer.Moves,
 		Accepted: c.subscribe.Accept,
@@ -115,6 +126,7 @@
 		if err != nil && !errors.Is(err, context.Canceled) {
 			c.logger.Error("the log of this instance has stopped; requests are still routed",
 				"error", err.Error(), "next", "restart the instance; see redwingshunt repair")
+			c.failed <- err
 		}
 	}()
 	go c.subscribe.Run(ctx)
@@ -136,6 +148,20 @@
 	}
 }
 
+// votes reports whether this instance is a voter of the control group.
+func (c *control) votes() bool {
+	status := c.recorder.Status()
+	if len(status.Groups) == 0 {
+		return false
+	}
+	for _, member := range status.Groups[0].Members {
+		if member.Folder == status.Folder && member.Instance == status.Self {
+			return member.Voter
+		}
+	}
+	return false
+}
+
 // close stops the log, which hands over what this instance leads.
 func (c *control) close() {
 	c.stop()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,8 +29,11 @@
 	"github.com/redwingshunt/redwingshunt/certifier"
 	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
+	"github.com/redwingshunt/redwingshunt/enroller"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
+	"github.com/redwingshunt/redwingshunt/parser"
+	"github.com/redwingshunt/redwingshunt/registrar"
 	"github.com/redwingshunt/redwingshunt/surveyor"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
@@ -44,10 +47,23 @@
 	// Log commits the claims of non-idempotent requests instead of the log of
 	// the instance; may be nil.
 	Log redwingshunt.Log
+	// Documents reads documents instead of the parser of this project, for a
+	// fleet whose document is kept in another format; may be nil.
+	Documents registrar.DocumentFunc
+	// Dialect names the headers of callers and upstreams of routes.
+	Dialect redwingshunt.Dialect
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
 }
 
+// documents returns the function that reads documents.
+func (o Options) documents() registrar.DocumentFunc {
+	if o.Documents != nil {
+		return o.Documents
+	}
+	return parser.Document
+}
+
 // Daemon is one instance of the fleet.
 type Daemon struct {
 	settings   redwingshunt.Settings
@@ -67,6 +83,9 @@
 	admin      *http.Server
 	metrics    *metrics
 	sockets    sockets
+	enroller   *enroller.Enroller
+	front      *front        // nil unless the settings name an address for routes
+	failed     error         // why the log has ended, when that ends the daemon
 	drain      chan struct{} // closed when an operator asks for a graceful shutdown
 	draining   sync.Once
 
@@ -164,6 +183,12 @@
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
 	})
+	d.enroller = enroller.New(enroller.Options{
+		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
+	})
+	if d.settings.Routes.IsValid() {
+		d.front = newFront(d)
+	}
 	d.listener = listener.New(listener.Options{
 		Chain:         d.newChain(),
 		Configuration: d.configured,
@@ -194,27 +219,69 @@
 	var group errgroup.Group
 	group.Go(func() error { return ignoreClosed(d.grpc.Serve(d.sockets.links)) })
 	group.Go(func() error { return ignoreClosed(d.admin.Serve(d.secure(d.sockets.admin))) })
-	group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+	if d.sockets.callers != nil {
+		group.Go(func() error { return d.listener.Serve(d.secure(d.sockets.callers)) })
+		group.Go(func() error { _ = d.scheduling.Run(background); return nil })
+	}
+	if d.front != nil {
+		d.front.start(background, &group)
+	}
 	group.Go(func() error { return d.guarantees.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
+	group.Go(func() error { d.enroller.Run(background); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
-	group.Go(func() error { _ = d.scheduling.Run(background); return nil })
+	if d.settings.Wanted > 0 && d.settings.Data != "" {
+		group.Go(func() error { newSteward(d).run(background); return nil })
+	}
 	if d.sockets.metrics != nil {
 		group.Go(func() error { return d.metrics.serve(background, d.secure(d.sockets.metrics)) })
 	}
-	d.logger.Info("serving", "instance", string(d.settings.Name),
-		"listen", d.Listen().String(), "link", d.Link().String(), "admin", d.Admin().String())
+	d.logger.Info("serving", "instance", string(d.settings.Name), "incarnation", uint64(d.Self().Incarnation),
+		"listen", d.settings.Listen.String(), "routes", d.settings.Routes.String(), "link", d.Link().String(), "admin", d.Admin().String())
+	failed := d.control.failed
+	if !d.settings.Restart {
+		failed = nil
+	}
 	select {
 	case <-ctx.Done():
 	case <-d.drain:
+	case d.failed = <-failed:
 	}
 	d.shutdown()
 	stop()
-	return trace.Wrap(group.Wait())
+	if err := group.Wait(); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(d.failed)
+}
+
+// Replace changes the whole document under the highest-version rule.
+func (d *Daemon) Replace(ctx context.Context, text []byte) (redwingshunt.Replacement, error) {
+	return d.control.submitter.Replace(ctx, text)
+}
+
+// Newest returns the text of the newest document, as a quorum confirms it.
+func (d *Daemon) Newest(ctx context.Context) ([]byte, error) {
+	part, err := d.control.submitter.Text(ctx, "", 0)
+	return part.Text, trace.Wrap(err)
 }
 
-// Listen returns the address for callers and upstreams.
-func (d *Daemon) Listen() netip.AddrPort { return addressOf(d.sockets.callers) }
+// Configuration returns the configuration in force on this instance.
+func (d *Daemon) Configuration() redwingshunt.Configuration { return d.configured }
+
+// Logger returns the logger of the instance.
+func (d *Daemon) Logger() *slog.Logger { return d.logger }
+
+// Roll takes announcements of upstreams for the whole fleet.
+func (d *Daemon) Roll() redwingshunt.Roll { return d.enroller }
+
+// Listen returns the address for callers and upstreams, invalid without one.
+func (d *Daemon) Listen() netip.AddrPort {
+	if d.sockets.callers == nil {
+		return netip.AddrPort{}
+	}
+	return addressOf(d.sockets.callers)
+}
 
 // Traffic returns what the instance sent to and received from others.
 func (d *Daemon) Traffic() []linker.Traffic { return d.linker.Traffic() }
--- /dev/null
+++ b/daemon/front.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/allocator"
+	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/relayer"
+)
+
+const (
+	// routesHeaderTimeout is how long a caller may take to send a header until
+	// the document names a limit.
+	routesHeaderTimeout = 5 * time.Second
+	// routesIdleTimeout is longer than callers keep connections, so that a
+	// request does not cross the end of its connection.
+	routesIdleTimeout = 2 * time.Minute
+	// routesHeaderLimit bounds a header in bytes until the document does.
+	routesHeaderLimit = 32 << 10
+	// sweepPeriod is how often connections to upstreams are looked through.
+	sweepPeriod = time.Second
+)
+
+// front serves callers by the routes of the document.
+type front struct {
+	daemon    *Daemon
+	allocator *allocator.Allocator
+	carrier   *carrier.Carrier
+	relayer   *relayer.Relayer
+	server    *http.Server
+	ready     *http.Server
+	upstreams atomic.Bool // some were heard of
+}
+
+func newFront(d *Daemon) *front {
+	f := &front{
+		daemon:  d,
+		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request}),
+		allocator: allocator.New(allocator.Options{
+			Members: d.members, Link: d.linker, Configuration: d.configured, Clock: wallClock{},
+			Budget: d.settings.Repeats, Logger: d.logger,
+		}),
+	}
+	f.relayer = relayer.New(relayer.Options{
+		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier,
+		Carrier: f.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
+	})
+	d.enroller.Watch(func(usable []redwingshunt.UpstreamState) {
+		f.upstreams.Store(f.upstreams.Load() || len(usable) > 0)
+		f.allocator.SetUpstreams(usable)
+	})
+	f.server = &http.Server{
+		Handler:           f.relayer,
+		ReadHeaderTimeout: routesHeaderTimeout,
+		IdleTimeout:       routesIdleTimeout,
+		MaxHeaderBytes:    routesHeaderLimit,
+		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+	}
+	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: adminTimeout}
+	return f
+}
+
+// equipped reports whether upstreams have been heard of.
+func (f *front) equipped() bool { return f.upstreams.Load() }
+
+// start serves until the context ends.
+func (f *front) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return ignoreClosed(f.server.Serve(f.daemon.secure(f.daemon.sockets.routes))) })
+	if socket := f.daemon.sockets.ready; socket != nil {
+		group.Go(func() error { return f.serveUntil(ctx, socket) })
+	}
+	group.Go(func() error { f.allocator.Run(ctx); return nil })
+	group.Go(func() error { f.sweep(ctx); return nil })
+}
+
+func (f *front) serveUntil(ctx context.Context, socket net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = f.ready.Close() })
+	defer stop()
+	return ignoreClosed(f.ready.Serve(socket))
+}
+
+func (f *front) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.carrier.Close()
+			return
+		case <-ticker.C:
+			f.carrier.Sweep()
+		}
+	}
+}
+
+// serveReady tells a balancer whether to send connections here.
+func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := f.daemon.Ready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// shutdown waits for running requests until ctx ends, and ends the rest.
+func (f *front) shutdown(ctx context.Context) {
+	f.relayer.Stop()
+	if err := f.server.Shutdown(ctx); err == nil || errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	f.daemon.logger.Warn("requests were still running at the drain limit", "running", f.relayer.Running())
+	f.relayer.Abort()
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	if f.server.Shutdown(last) != nil {
+		_ = f.server.Close()
+	}
+}
+
+// lastWords is how long requests that are ended early may take to tell their
+// callers.
+const lastWords = 200 * time.Millisecond
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/logger"
 	"github.com/redwingshunt/redwingshunt/parser"
 )
 
@@ -56,24 +57,44 @@
 	if options.Check {
 		return exitOK
 	}
-	return serve(*settings, stderr)
+	return Supervise(*settings, Options{}, nil, stderr)
 }
 
-func serve(settings redwingshunt.Settings, stderr io.Writer) int {
-	logger := slog.New(slog.NewJSONHandler(stderr, &slog.HandlerOptions{Level: settings.Log}))
+// Supervise runs a daemon until SIGTERM or SIGINT and returns the exit code.
+// Attach, unless nil, is called once the daemon listens; it serves what else
+// belongs to the instance until its context ends.
+func Supervise(settings redwingshunt.Settings, options Options, attach func(context.Context, *Daemon) error, stderr io.Writer) int {
+	lines := logger.New(stderr, settings.Log)
+	defer lines.Close()
+	log := slog.New(lines.Handler())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			log.Info("settings may have changed; they are read at the next start", "signal", "SIGHUP")
+		}
+	}()
 	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	abort := make(chan struct{})
 	go func() {
-		<-signals
+		received := <-signals
+		log.Info("stopping", "signal", received.String())
 		stop()
 		<-signals
 		close(abort)
 	}()
 	reserve := newReserve()
 	defer runtime.KeepAlive(reserve)
-	d, err := New(settings, Options{Logger: logger, Abort: abort})
+	options.Logger, options.Abort = log, abort
+	d, err := New(settings, options)
+	if err == nil && attach != nil {
+		attached, detach := context.WithCancel(context.Background())
+		defer detach()
+		err = attach(attached, d)
+	}
 	if err == nil {
 		err = d.Run(ctx)
 	}
@@ -83,7 +104,7 @@
 		fmt.Fprintln(stderr, findings.Error())
 		return exitSettings
 	case err != nil:
-		logger.Error("stopped by an error", "error", err.Error())
+		log.Error("stopped by an error", "error", err.Error())
 		return exitFailed
 	}
 	return exitOK
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -49,6 +49,7 @@
 			"scheduling": d.scheduling,
 			"log":        d.control.recorder,
 			"document":   d.control.subscribe,
+			"roll":       d.enroller,
 		},
 		Drainer: d,
 	}
@@ -76,6 +77,10 @@
 	switch {
 	case d.listener.Leaving():
 		return "the instance is shutting down"
+	case d.front != nil && d.front.relayer.Leaving():
+		return "the instance is shutting down"
+	case d.front != nil && !d.front.equipped():
+		return "the instance has heard of no upstream yet"
 	case d.configured.Current() == nil:
 		return "the instance has no configuration yet"
 	default:
@@ -106,6 +111,7 @@
 type metrics struct {
 	scope    tally.Scope
 	observer *observer.Observer
+	routes   *routeMetrics
 	handler  http.Handler
 	closer   io.Closer
 }
@@ -113,7 +119,8 @@
 func newMetrics(d *Daemon) *metrics {
 	scope, handler, closer := reporter.New()
 	return &metrics{
-		scope: scope,
+		scope:  scope,
+		routes: newRouteMetrics(scope),
 		observer: observer.New(scope, observer.Sources{
 			Configuration: d.configured,
 			Members:       d.members,
--- /dev/null
+++ b/daemon/route_metrics.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/redwingshunt/redwingshunt/relayer"
+)
+
+// maxRouteSeries bounds the routes that have series of their own.
+const maxRouteSeries = 100
+
+// otherRoute stands for the routes beyond that.
+const otherRoute = "other"
+
+// routeBuckets fit latency objectives from 200 ms to a few seconds.
+var routeBuckets = tally.DurationBuckets{
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond,
+	5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// routeMetrics are the series of routes.
+type routeMetrics struct {
+	scope tally.Scope
+
+	mu     sync.Mutex
+	routes map[string]*routeSeries
+}
+
+// routeSeries are the series of one route.
+type routeSeries struct {
+	outcomes map[string]tally.Counter
+	attempts tally.Counter
+	first    tally.Histogram
+	total    tally.Histogram
+	scope    tally.Scope
+}
+
+func newRouteMetrics(scope tally.Scope) *routeMetrics {
+	return &routeMetrics{scope: scope, routes: make(map[string]*routeSeries)}
+}
+
+// observe counts the end of a request.
+func (m *routeMetrics) observe(record relayer.Record) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	series := m.of(string(record.Route), string(record.Service))
+	counter := series.outcomes[record.Outcome]
+	if counter == nil {
+		counter = series.scope.Tagged(map[string]string{"outcome": record.Outcome}).Counter("route_requests")
+		series.outcomes[record.Outcome] = counter
+	}
+	counter.Inc(1)
+	series.attempts.Inc(int64(record.Attempts))
+	if record.First > 0 {
+		series.first.RecordDuration(record.First)
+	}
+	series.total.RecordDuration(record.Total)
+}
+
+// of returns the series of a route, or those that stand for further ones.
+func (m *routeMetrics) of(route, service string) *routeSeries {
+	if route == "" {
+		route = otherRoute
+	}
+	if series := m.routes[route]; series != nil {
+		return series
+	}
+	if len(m.routes) >= maxRouteSeries {
+		route, service = otherRoute, otherRoute
+		if series := m.routes[route]; series != nil {
+			return series
+		}
+	}
+	scope := m.scope.Tagged(map[string]string{"route": route, "service": service})
+	series := &routeSeries{
+		outcomes: make(map[string]tally.Counter),
+		attempts: scope.Counter("route_attempts"),
+		first:    scope.Histogram("route_first_seconds", routeBuckets),
+		total:    scope.Histogram("route_seconds", routeBuckets),
+		scope:    scope,
+	}
+	m.routes[route] = series
+	return series
+}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -10,7 +10,7 @@
 // shutdown leaves the fleet without cutting a request: it tells the others,
 // refuses new requests, and waits for running ones up to the drain limit.
 func (d *Daemon) shutdown() {
-	d.logger.Info("shutting down", "running", d.listener.Running(), "limit", d.settings.Drain.String())
+	d.logger.Info("shutting down", "running", d.running(), "limit", d.settings.Drain.String())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Notice+d.settings.Drain)
 	defer cancel()
 	if d.options.Abort != nil {
@@ -24,8 +24,14 @@
 	}
 	d.members.leave()
 	d.listener.Leave()
+	if d.front != nil {
+		d.front.relayer.Leave()
+	}
 	redwingshunt.Pause(ctx, d.settings.Notice)
 	d.listener.Stop()
+	if d.front != nil {
+		d.front.shutdown(ctx)
+	}
 	if err := d.listener.Shutdown(ctx); err != nil {
 		d.endRequests()
 	}
@@ -55,3 +61,12 @@
 		_ = d.listener.Close()
 	}
 }
+
+// running returns the requests that are being served.
+func (d *Daemon) running() int64 {
+	running := d.listener.Running()
+	if d.front != nil {
+		running += d.front.relayer.Running()
+	}
+	return running
+}
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -19,6 +19,7 @@
 type sockets struct {
 	callers, links, admin net.Listener
 	metrics               net.Listener // nil when they are part of admin
+	routes, ready         net.Listener // nil on instances that serve no routes
 }
 
 // open listens on the addresses of the settings.
@@ -32,6 +33,8 @@
 		{settings.Link, &s.links},
 		{settings.Admin, &s.admin},
 		{settings.Metrics, &s.metrics},
+		{settings.Routes, &s.routes},
+		{settings.Ready, &s.ready},
 	} {
 		if !entry.address.IsValid() {
 			continue
@@ -46,7 +49,7 @@
 }
 
 func (s *sockets) close() {
-	for _, socket := range []net.Listener{s.callers, s.links, s.admin, s.metrics} {
+	for _, socket := range []net.Listener{s.callers, s.links, s.admin, s.metrics, s.routes, s.ready} {
 		if socket != nil {
 			_ = socket.Close()
 		}
--- /dev/null
+++ b/daemon/steward.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt/founder"
+)
+
+const (
+	// stewardPeriod is how often an instance with a folder looks whether it
+	// should take part in the log.
+	stewardPeriod = 500 * time.Millisecond
+	// stewardTimeout bounds a look at the membership.
+	stewardTimeout = time.Second
+	// changeTimeout bounds one change of the membership; it is begun again when
+	// it is still wanted.
+	changeTimeout = 10 * time.Second
+)
+
+// steward carries out what package founder decides.
+type steward struct {
+	daemon *Daemon
+	core   *founder.Core
+}
+
+func newSteward(d *Daemon) *steward {
+	return &steward{daemon: d, core: founder.New(founder.Options{
+		Self: d.settings.Name, Founders: d.settings.Founders, Wanted: d.settings.Wanted,
+	})}
+}
+
+func (s *steward) run(ctx context.Context) {
+	ticker := time.NewTicker(stewardPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.turn(ctx)
+		}
+	}
+}
+
+// turn looks once and does what is to be done.
+func (s *steward) turn(ctx context.Context) {
+	log := s.daemon.control.recorder
+	if s.daemon.control.votes() {
+		return
+	}
+	view := founder.View{Live: s.daemon.members.Live()}
+	look, cancel := context.WithTimeout(ctx, stewardTimeout)
+	defer cancel()
+	seeded, err := log.Seeded(look)
+	if err != nil {
+		return // the log has ended, which is logged where it ends
+	}
+	view.Seeded = seeded
+	view.Membership, view.Own, err = log.Membership(look)
+	if err != nil {
+		s.daemon.logger.Debug("the membership of the log is not known", "error", err.Error())
+	}
+	switch action := s.core.Decide(time.Now(), view).(type) {
+	case founder.Form:
+		s.daemon.logger.Info("making the first membership of the log", "voters", action.Voters)
+		forming, done := context.WithTimeout(ctx, changeTimeout)
+		defer done()
+		log.Form(forming, action.Voters)
+	case founder.Join:
+		s.daemon.logger.Info("joining the log", "lost", string(action.Lost), "membership", len(view.Membership), "own", view.Own.String())
+		joining, done := context.WithTimeout(ctx, changeTimeout)
+		defer done()
+		if err := log.Replace(joining, action.Lost, s.daemon.settings.Name); err != nil {
+			s.daemon.logger.Warn("joining the log has not ended", "error", err.Error())
+			return
+		}
+		s.daemon.logger.Info("joined the log")
+	}
+}
--- a/document.go
+++ b/document.go
@@ -15,6 +15,10 @@
 	SectionFleet    Section = "fleet"
 )
 
+// SectionWhole stands for a document that is kept as one text and changed as a
+// whole. It is not a key of a document.
+const SectionWhole Section = "whole"
+
 // Sections lists all sections in document order.
 func Sections() []Section {
 	return []Section{
@@ -31,6 +35,12 @@
 	Accounts []Account          `yaml:"accounts"`
 	Once     []OnceRule         `yaml:"once"`
 	Fleet    FleetConfiguration `yaml:"fleet"`
+
+	// Version orders whole documents: the highest one is in force. It is zero
+	// in a document of sections.
+	Version uint64        `yaml:"-"`
+	Routes  []Route       `yaml:"-"`
+	Limits  RequestLimits `yaml:"-"`
 }
 
 // Team may edit the named sections with the key of which the hash is given.
@@ -80,6 +90,9 @@
 	Wait    time.Duration `yaml:"wait"`            // longest wait for an upstream
 	Stall   time.Duration `yaml:"stall"`           // longest silence of an upstream within an answer
 	Retries int           `yaml:"retries"`         // attempts after the first for an idempotent request
+
+	Connections int    `yaml:"-"` // that one upstream accepts from all callers; zero is unlimited
+	Engine      Engine `yaml:"-"`
 }
 
 // Account is a client account and its share of every service.
@@ -91,6 +104,9 @@
 	Queue    int       `yaml:"queue"`    // requests that may wait on one instance
 	Bytes    int64     `yaml:"bytes"`    // bytes of bodies that may wait on one instance
 	Parallel int       `yaml:"parallel"` // requests that may run at once on the fleet; zero is unlimited
+
+	Keys []KeyHash   `yaml:"-"` // further keys
+	Rank Option[int] `yaml:"-"` // urgency instead of that of the route
 }
 
 // OnceRule marks requests that run at most once (non-idempotent requests).
--- /dev/null
+++ b/enroller/table.go
@@ -0,0 +1,219 @@
+package enroller
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	// DefaultSilence is how long an upstream may stay silent before it is
+	// taken for dead: four announcements of the usual period.
+	DefaultSilence = 5 * time.Second
+	// forgetAfter is how long an upstream that left or fell silent is
+	// remembered, so that a late announcement does not bring it back.
+	forgetAfter = 2 * time.Minute
+	// feedSilence is how long this instance may hear nothing of any upstream
+	// before it distrusts its own view instead of the upstreams.
+	feedSilence = 3 * time.Second
+	// maxEntries bounds the table; the oldest go first.
+	maxEntries = 20_000
+)
+
+// Table is what one instance knows of the upstreams. It is used by one
+// goroutine at a time and takes time as an argument.
+//
+// Announcements may come late, twice and through several instances. The newest
+// incarnation of an identity counts, within it the largest sequence; and at an
+// address the newest incarnation of all identities, since an address is given
+// to another upstream when its holder is gone.
+type Table struct {
+	silence time.Duration
+	entries map[redwingshunt.UpstreamID]*entry
+	left    map[redwingshunt.UpstreamID]time.Time // dismissed before they were known, and when
+	heard   time.Time                             // last announcement of any upstream
+}
+
+// entry is the newest announcement of one identity.
+type entry struct {
+	state   redwingshunt.UpstreamState
+	heard   time.Time // when it was announced
+	changed time.Time // when something but the sequence changed
+	gone    bool      // a newer upstream has its address
+}
+
+// NewTable returns an empty table. Upstreams are taken for dead after silence.
+func NewTable(silence time.Duration) *Table {
+	if silence == 0 {
+		silence = DefaultSilence
+	}
+	return &Table{
+		silence: silence,
+		entries: make(map[redwingshunt.UpstreamID]*entry),
+		left:    make(map[redwingshunt.UpstreamID]time.Time),
+	}
+}
+
+// Enroll takes an announcement that was made at a time. It reports whether it
+// was news, and whether it changed more than the time of the last news.
+func (t *Table) Enroll(s redwingshunt.UpstreamState, made time.Time) (news, changed bool) {
+	known := t.entries[s.ID]
+	if at, ok := t.left[s.ID]; ok && s.Born.Before(at) {
+		s.Leaving = true
+	}
+	if known != nil && older(s, known.state) {
+		return false, false
+	}
+	if t.heard.Before(made) {
+		t.heard = made
+	}
+	e := &entry{state: s, heard: made, changed: made}
+	if known != nil && same(s, known.state) {
+		e.changed, e.gone = known.changed, known.gone
+	}
+	changed = known == nil || !same(s, known.state)
+	t.entries[s.ID] = e
+	if changed {
+		t.settleAddress(e)
+	}
+	return true, changed
+}
+
+// older reports whether a is no newer than b, of the same identity. A state
+// that says to leave counts once more under its number: it may have been told
+// in another way than by an announcement.
+func older(a, b redwingshunt.UpstreamState) bool {
+	if c := a.Born.Compare(b.Born); c != 0 {
+		return c < 0
+	}
+	if b.Leaving && !a.Leaving {
+		return true // an incarnation that leaves does not come back
+	}
+	if a.Leaving && !b.Leaving {
+		return a.Sequence < b.Sequence
+	}
+	return a.Sequence <= b.Sequence
+}
+
+// same reports whether two states differ in their sequence at most.
+func same(a, b redwingshunt.UpstreamState) bool {
+	a.Sequence = b.Sequence
+	return a == b
+}
+
+// settleAddress leaves an address to the newest incarnation that announced it.
+func (t *Table) settleAddress(e *entry) {
+	for _, other := range t.entries {
+		if other == e || other.state.Address != e.state.Address || other.gone || e.gone {
+			continue
+		}
+		if other.state.Born.After(e.state.Born) {
+			e.gone = true
+			continue
+		}
+		other.gone = true
+	}
+}
+
+// Dismiss marks an incarnation of an identity as leaving, or any when born is
+// zero, and returns the state to pass on.
+func (t *Table) Dismiss(id redwingshunt.UpstreamID, born, now time.Time) (redwingshunt.UpstreamState, bool) {
+	e := t.entries[id]
+	if e != nil && !born.IsZero() && e.state.Born.After(born) {
+		return redwingshunt.UpstreamState{}, false // an older incarnation left
+	}
+	if e == nil {
+		t.left[id] = now // an announcement that is on its way must not bring it back
+		return redwingshunt.UpstreamState{}, false
+	}
+	if !e.state.Leaving {
+		e.state.Leaving, e.changed = true, now
+	}
+	return e.state, true
+}
+
+// Usable returns the upstreams that take new work, ordered by service and name.
+// While nothing is heard of any upstream, this instance is cut off from the
+// announcements, and those known last stay.
+func (t *Table) Usable(now time.Time) []redwingshunt.UpstreamState {
+	t.forget(now)
+	cutOff := now.Sub(t.heard) > feedSilence
+	var usable []redwingshunt.UpstreamState
+	for _, e := range t.entries {
+		silent := now.Sub(e.heard) > t.silence
+		if cutOff {
+			silent = t.heard.Sub(e.heard) > t.silence
+		}
+		if !e.gone && !e.state.Leaving && !silent {
+			usable = append(usable, e.state)
+		}
+	}
+	slices.SortFunc(usable, func(a, b redwingshunt.UpstreamState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return usable
+}
+
+// Announced is one entry with the age of its announcement.
+type Announced struct {
+	State redwingshunt.UpstreamState
+	Age   time.Duration
+}
+
+// All returns every entry.
+func (t *Table) All(now time.Time) []Announced {
+	return t.since(now, time.Time{}, time.Time{})
+}
+
+// Since returns the entries that were announced after one time or have changed
+// after another.
+func (t *Table) Since(now, announced, changed time.Time) []Announced {
+	return t.since(now, announced, changed)
+}
+
+func (t *Table) since(now, announced, changed time.Time) []Announced {
+	var found []Announced
+	for _, e := range t.entries {
+		if e.heard.After(announced) || e.changed.After(changed) {
+			found = append(found, Announced{State: e.state, Age: max(now.Sub(e.heard), 0)})
+		}
+	}
+	slices.SortFunc(found, func(a, b Announced) int { return cmp.Compare(a.State.ID, b.State.ID) })
+	return found
+}
+
+// At returns who announced an address last.
+func (t *Table) At(address netip.AddrPort) (redwingshunt.UpstreamState, bool) {
+	for _, e := range t.entries {
+		if e.state.Address == address && !e.gone {
+			return e.state, true
+		}
+	}
+	return redwingshunt.UpstreamState{}, false
+}
+
+// forget drops what was heard of long ago.
+func (t *Table) forget(now time.Time) {
+	for id, e := range t.entries {
+		if now.Sub(e.heard) > forgetAfter && t.heard.Sub(e.heard) > forgetAfter {
+			delete(t.entries, id)
+		}
+	}
+	for id, at := range t.left {
+		if now.Sub(at) > forgetAfter {
+			delete(t.left, id)
+		}
+	}
+	for len(t.entries) > maxEntries {
+		var oldest redwingshunt.UpstreamID
+		for id, e := range t.entries {
+			if oldest == "" || e.heard.Before(t.entries[oldest].heard) {
+				oldest = id
+			}
+		}
+		delete(t.entries, oldest)
+	}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -38,6 +38,8 @@
 	KindSuspect                           // fingerprints of suspect requests
 	KindClaim                             // claims of non-idempotent requests
 	KindSurvey                            // questions for the revision in force
+	KindRoll                              // upstreams that announced themselves, to all instances
+	KindLoad                              // work that routers have with upstreams
 	KindEnd                               // one past the last kind
 )
 
@@ -46,6 +48,7 @@
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
 		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
+		"roll", "load",
 	}
 	if int(k) >= len(names) {
 		return names[0]
--- a/merger/merger.go
+++ b/merger/merger.go
@@ -40,7 +40,7 @@
 // order. The argument is not changed.
 func Put(parts []Part, part Part) []Part {
 	var next []Part
-	for _, section := range redwingshunt.Sections() {
+	for _, section := range slots() {
 		p := Find(parts, section)
 		if section == part.Section {
 			p = part
@@ -55,12 +55,17 @@
 // Join returns the texts in document order as one document.
 func Join(parts []Part) []byte {
 	var text []byte
-	for _, section := range redwingshunt.Sections() {
+	for _, section := range slots() {
 		text = append(text, Find(parts, section).Text...)
 	}
 	return text
 }
 
+// slots returns the sections in which parts are kept, in order.
+func slots() []redwingshunt.Section {
+	return append(redwingshunt.Sections(), redwingshunt.SectionWhole)
+}
+
 // Split cuts a document at the keys of its sections. Text before the first key
 // belongs to the first section. A document of which the keys do not begin a
 // line cannot be cut; it comes back as something else when its parts are joined.
--- /dev/null
+++ b/placer/choose.go
@@ -0,0 +1,180 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// option is an upstream with what is predicted of an attempt there.
+type option struct {
+	upstream *upstream
+	wait     time.Duration // until the engine begins to read
+	read     time.Duration // of what it does not keep
+	way      time.Duration // there and back
+	unread   int64         // tokens to read
+	cost     time.Duration // by which options are compared
+}
+
+// best returns the option with the least cost among those that are up.
+func (c *Core) best(now time.Time, s *service, p *redwingshunt.Placement) option {
+	home := c.home(now, s, p)
+	var best option
+	for _, u := range s.upstreams {
+		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
+			continue
+		}
+		o := c.weigh(now, s, p, u, u == home)
+		if best.upstream == nil || o.cost < best.cost || o.cost == best.cost && u.ID < best.upstream.ID {
+			best = o
+		}
+	}
+	return best
+}
+
+// home returns the upstream that keeps what the request shares with others, or
+// nil when it shares nothing. An upstream that is spared for a moment stays a
+// home: its things would else be read again elsewhere and then there.
+func (c *Core) home(now time.Time, s *service, p *redwingshunt.Placement) *upstream {
+	key := affinity(p.Prompt)
+	if key == "" {
+		return nil
+	}
+	var home *upstream
+	var highest uint64
+	for _, u := range s.upstreams {
+		if u.downUntil.Sub(now) > firstDown {
+			continue
+		}
+		if weight := rendezvous(key, u.ID); home == nil || weight > highest {
+			home, highest = u, weight
+		}
+	}
+	return home
+}
+
+// affinity returns the part by which requests about one thing are kept
+// together: the last one that is shared.
+func affinity(prompt []redwingshunt.Part) string {
+	switch len(prompt) {
+	case 0:
+		return ""
+	case 1:
+		return prompt[0].ID
+	}
+	return prompt[len(prompt)-2].ID
+}
+
+// rendezvous returns the weight of an upstream for a key.
+func rendezvous(key string, id redwingshunt.UpstreamID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key) // never fails
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+// weigh predicts an attempt at an upstream.
+func (c *Core) weigh(now time.Time, s *service, p *redwingshunt.Placement, u *upstream, home bool) option {
+	o := option{upstream: u}
+	if u.Region != c.options.Region {
+		o.way = c.options.Away
+	}
+	if s.model && len(p.Prompt) > 0 {
+		c.weighEngine(now, s, p, &o, home)
+	} else {
+		weighPlain(&o)
+	}
+	if u.fullUntil.After(now) {
+		o.wait += fullPenalty
+	}
+	o.cost = o.wait + o.read + o.way
+	// An upstream that fails a share of its requests costs the time that those
+	// have spent in vain.
+	aim := p.Route.Aim
+	if aim == 0 {
+		aim = defaultAim
+	}
+	o.cost += time.Duration(u.failing * float64(aim) * 2)
+	return o
+}
+
+func (c *Core) weighEngine(now time.Time, s *service, p *redwingshunt.Placement, o *option, home bool) {
+	u := o.upstream
+	found := u.parts.found(p.Prompt)
+	if home {
+		found = max(found, p.Tokens()-p.Prompt[len(p.Prompt)-1].Tokens)
+	}
+	o.unread = p.Tokens() - found
+	o.wait = time.Duration(float64(u.unread(now)) / u.speed() * float64(time.Second))
+	o.read = time.Duration(float64(o.unread) / u.speed() * float64(time.Second))
+	if slots := int64(s.engine.Slots); slots > 0 && u.running() >= slots {
+		// A request waits for the end of another one; how long is not known.
+		o.wait += time.Duration(float64(u.running()-slots+1) / float64(slots) * float64(time.Second))
+	}
+	if room := int64(float64(s.engine.Memory) * memoryShare); room > 0 && u.memory()+p.Tokens()+p.Output > room {
+		o.wait += time.Second
+	}
+}
+
+func weighPlain(o *option) {
+	u := o.upstream
+	slots := max(int64(u.Slots), 1)
+	o.read = u.duration
+	o.wait = time.Duration(float64(u.running()) / float64(slots) * float64(u.duration) / 4)
+	if over := u.running() - slots + 1; over > 0 {
+		o.wait += time.Duration(float64(over) / float64(slots) * float64(u.duration))
+	}
+}
+
+// admit refuses a request for which the wait at the best upstream is beyond its
+// bound. A repeat has been admitted before and is bound by its deadline alone.
+func (c *Core) admit(now time.Time, s *service, p *redwingshunt.Placement, o option) *Refusal {
+	left := p.Deadline.Sub(now)
+	predicted := o.wait + o.read + o.way
+	if !p.Deadline.IsZero() && predicted >= left {
+		return refuse(o.wait, left, false)
+	}
+	if p.Attempt > 1 || !s.model {
+		return nil
+	}
+	aim := p.Route.Aim
+	if aim == 0 {
+		aim = defaultAim
+	}
+	over := c.shares.over(now, p.Account)
+	bound := admission(aim, o.read+o.way, over)
+	if o.wait > bound {
+		return refuse(o.wait, bound, over)
+	}
+	return nil
+}
+
+// The shares of the latency objective that a request may wait before an engine
+// reads it. A large prompt takes longer to read; it may wait at least as long
+// as a small one with leastWait, so that the largest are not starved.
+const (
+	mostWait  = 0.85
+	leastWait = 0.5
+	// overWait is the part of the bound that an account beyond its share has.
+	overWait = 0.5
+)
+
+// admission returns how long a request may wait.
+func admission(aim, own time.Duration, over bool) time.Duration {
+	bound := max(time.Duration(mostWait*float64(aim))-own, time.Duration(leastWait*float64(aim)))
+	if over {
+		bound = time.Duration(overWait * float64(bound))
+	}
+	return bound
+}
+
+func refuse(wait, bound time.Duration, over bool) *Refusal {
+	return &Refusal{
+		Reason: redwingshunt.ReasonQueueFull, Wait: wait, Bound: bound, Over: over,
+		After: min(max(wait-bound, retryLeast), retryMost),
+	}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,264 @@
+// Package placer decides to which upstream an attempt of a request goes, or
+// that it is refused at once. It answers the load of model engines that keep
+// prompt parts in memory: most of a prompt is shared by many requests, and
+// reading it again costs more than anything else.
+//
+// Each request has a home among the upstreams of its service, by rendezvous
+// hashing of the last part that it shares with others. So every router sends
+// requests about one thing to one engine, without a word between routers, and
+// when an engine goes only its own things move. A request leaves its home when
+// another upstream would answer clearly sooner: the wait there, reading the
+// whole prompt anew, and the way included.
+//
+// The wait at an engine is predicted from the prompt tokens that it has not
+// read yet: what this router has sent and what other routers tell of theirs,
+// at the speed that the engine has shown. A request is refused when the
+// prediction at the best upstream is past the bound that its client account has
+// at that moment, with the time after which there will be room.
+//
+// A client account that takes no more than its max-min share of the tokens is
+// admitted up to a longer wait than one beyond it, so that under overload each
+// account gets its share, whatever others send.
+//
+// The core reads no clock and sends nothing; package allocator drives it.
+//
+// # Usage
+//
+//	core := placer.New(placer.Options{Self: self, Region: region})
+//	core.SetUpstreams(now, usable)
+//	placed, refusal := core.Place(now, placement)
+//	core.First(now, placed.Ticket)
+//	core.End(now, placed.Ticket, redwingshunt.EndComplete)
+package placer
+
+import (
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	// defaultSpeed is the prompt tokens a second that an engine is taken to
+	// read before it has shown its speed.
+	defaultSpeed = 60_000
+	// defaultService is how long a plain request is taken to run at first.
+	defaultService = 20 * time.Millisecond
+	// defaultAim stands in for the latency objective of a route without one.
+	defaultAim = time.Second
+	// DefaultAway is one round trip between regions.
+	DefaultAway = 60 * time.Millisecond
+	// lookback is how old the news of another router may be to count.
+	lookback = 1500 * time.Millisecond
+	// maxDown bounds how long an upstream is spared after failures.
+	maxDown = 4 * time.Second
+	// firstDown is how long an upstream is spared after its first failure; it
+	// doubles with each one in a row.
+	firstDown = 500 * time.Millisecond
+	// fullPenalty is how long an upstream that refused is taken to be full.
+	fullPenalty = 150 * time.Millisecond
+	// memoryShare is the share of an engine's memory that running requests may
+	// take: beyond it engines preempt requests and read them again.
+	memoryShare = 0.85
+	// partsShare is the share of an engine's memory that kept prompt parts are
+	// taken to have.
+	partsShare = 0.6
+	// retryLeast and retryMost bound the time after which a refused caller is
+	// told to return.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 3 * time.Second
+	// ticketLife is how long a ticket without an end is believed in.
+	ticketLife = time.Minute
+)
+
+// Options configure a Core.
+type Options struct {
+	Self   redwingshunt.InstanceID
+	Region redwingshunt.RegionID
+	Away   time.Duration // round trip between regions; zero is DefaultAway
+	Budget redwingshunt.RepeatBudget
+}
+
+// Refusal says why a request is not placed.
+type Refusal struct {
+	Reason redwingshunt.Reason
+	After  time.Duration // when the caller may come back; zero for never
+	Wait   time.Duration // predicted at the best upstream
+	Bound  time.Duration // that the wait exceeds
+	Over   bool          // the client account is beyond its share
+}
+
+// Core is the state of one router. It is used by one goroutine at a time.
+type Core struct {
+	options   Options
+	upstreams map[redwingshunt.UpstreamKey]*upstream
+	services  map[redwingshunt.ServiceID]*service
+	tickets   map[uint64]*ticket
+	peers     map[redwingshunt.InstanceID]*peer
+	shares    *shares
+	repeats   map[redwingshunt.ServiceID]*repeats
+	routers   int
+	next      uint64
+}
+
+// service is what is known of a service and its upstreams.
+type service struct {
+	engine    redwingshunt.Engine
+	model     bool // upstreams are engines that read prompts
+	upstreams []*upstream
+}
+
+// ticket is one attempt that is with an upstream.
+type ticket struct {
+	upstream  *upstream
+	account   redwingshunt.AccountID
+	unread    int64 // prompt tokens until the first event
+	memory    int64
+	placed    time.Time
+	predicted time.Duration
+	begun     bool
+}
+
+// New returns a core that knows no upstreams.
+func New(options Options) *Core {
+	if options.Away == 0 {
+		options.Away = DefaultAway
+	}
+	return &Core{
+		options:   options,
+		upstreams: make(map[redwingshunt.UpstreamKey]*upstream),
+		services:  make(map[redwingshunt.ServiceID]*service),
+		tickets:   make(map[uint64]*ticket),
+		peers:     make(map[redwingshunt.InstanceID]*peer),
+		shares:    newShares(),
+		repeats:   make(map[redwingshunt.ServiceID]*repeats),
+		routers:   1,
+	}
+}
+
+// Configure takes the services and limits of a document.
+func (c *Core) Configure(document *redwingshunt.Document) {
+	c.shares.capacity = float64(document.Limits.Tokens)
+	known := redwingshunt.NewSet[redwingshunt.ServiceID]()
+	for _, s := range document.Services {
+		known.Add(s.Name)
+		entry := c.services[s.Name]
+		if entry == nil {
+			entry = &service{}
+			c.services[s.Name] = entry
+		}
+		entry.engine, entry.model = s.Engine, s.Kind == redwingshunt.ServiceEngine
+	}
+	for name := range c.services {
+		if !known.Has(name) {
+			delete(c.services, name)
+		}
+	}
+	c.assign()
+}
+
+// SetRouters tells how many routers share the budget for repeats.
+func (c *Core) SetRouters(n int) { c.routers = max(n, 1) }
+
+// SetUpstreams takes the upstreams that may get new work.
+func (c *Core) SetUpstreams(usable []redwingshunt.UpstreamState) {
+	kept := make(map[redwingshunt.UpstreamKey]*upstream, len(usable))
+	for _, s := range usable {
+		u := c.upstreams[s.Key()]
+		if u == nil || u.born != s.Born {
+			u = newUpstream(s)
+		}
+		u.Upstream = s.Upstream
+		kept[s.Key()] = u
+	}
+	c.upstreams = kept
+	c.assign()
+}
+
+// assign lists the upstreams of each service.
+func (c *Core) assign() {
+	for _, s := range c.services {
+		s.upstreams = nil
+	}
+	for _, u := range c.upstreams {
+		if s := c.services[u.Service]; s != nil {
+			s.upstreams = append(s.upstreams, u)
+		}
+	}
+	c.weighPeers()
+}
+
+// Place chooses an upstream, or refuses.
+func (c *Core) Place(now time.Time, p *redwingshunt.Placement) (redwingshunt.Placed, *Refusal) {
+	c.expire(now)
+	tokens := p.Tokens() + 2*p.Output
+	if p.Attempt <= 1 {
+		c.shares.ask(now, p.Account, tokens)
+		c.requested(now, p.Service)
+	}
+	s := c.services[p.Service]
+	if s == nil || len(s.upstreams) == 0 {
+		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
+	}
+	best := c.best(now, s, p)
+	if best.upstream == nil {
+		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
+	}
+	if refusal := c.admit(now, s, p, best); refusal != nil {
+		return redwingshunt.Placed{}, refusal
+	}
+	if p.Attempt <= 1 {
+		c.shares.admit(now, p.Account, tokens)
+	}
+	return c.take(now, s, p, best), nil
+}
+
+// noUpstreamAfter is when a caller may come back that found no upstream: an
+// upstream that restarts announces itself about once a second.
+const noUpstreamAfter = time.Second
+
+// take books the attempt at its upstream.
+func (c *Core) take(now time.Time, s *service, p *redwingshunt.Placement, o option) redwingshunt.Placed {
+	c.next++
+	t := &ticket{
+		upstream: o.upstream, account: p.Account, placed: now, predicted: o.wait + o.read + o.way,
+	}
+	if s.model {
+		t.unread, t.memory = o.unread, p.Tokens()+p.Output
+		o.upstream.keep(p.Prompt, now, partsLimit(s))
+	}
+	c.tickets[c.next] = t
+	o.upstream.take(t)
+	return redwingshunt.Placed{Ticket: c.next, Upstream: o.upstream.Upstream, Predicted: t.predicted}
+}
+
+func partsLimit(s *service) int64 { return int64(float64(s.engine.Memory) * partsShare) }
+
+// First notes the first byte of an answer, or its first event.
+func (c *Core) First(now time.Time, number uint64) {
+	t := c.tickets[number]
+	if t == nil || t.begun {
+		return
+	}
+	t.begun = true
+	t.upstream.begin(t, now.Sub(t.placed))
+}
+
+// End notes the end of an attempt.
+func (c *Core) End(now time.Time, number uint64, end redwingshunt.PlacementEnd) {
+	t := c.tickets[number]
+	if t == nil {
+		return
+	}
+	delete(c.tickets, number)
+	t.upstream.end(t, now, end)
+}
+
+// expire drops tickets of which the end was never told.
+func (c *Core) expire(now time.Time) {
+	for number, t := range c.tickets {
+		if len(c.tickets) > 10_000 && now.Sub(t.placed) > ticketLife {
+			delete(c.tickets, number)
+			t.upstream.end(t, now, redwingshunt.EndLeft)
+		}
+	}
+}
--- /dev/null
+++ b/placer/shares.go
@@ -0,0 +1,116 @@
+package placer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	// rateWindow smooths the rates of accounts: an account that comes back has
+	// its share within about that time.
+	rateWindow = 2 * time.Second
+	// shareSlack is how far above its share an account counts as within it.
+	shareSlack = 1.05
+	// shareAge is how long a computed share is used.
+	shareAge = 100 * time.Millisecond
+	// leastRate is the tokens a second below which an account is forgotten.
+	leastRate = 1
+)
+
+// rate is a rate in tokens a second, smoothed exponentially.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) add(now time.Time, tokens int64) {
+	r.value = r.get(now) + float64(tokens)/rateWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) get(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
+}
+
+// accountRates are the rates of one account at this router and at all others.
+type accountRates struct {
+	asked, admitted             rate
+	remoteAsked, remoteAdmitted float64
+}
+
+// shares divides the tokens that the engines produce between client accounts.
+type shares struct {
+	capacity float64 // tokens a second; zero is unlimited
+	accounts map[redwingshunt.AccountID]*accountRates
+	share    float64
+	computed time.Time
+}
+
+func newShares() *shares {
+	return &shares{accounts: make(map[redwingshunt.AccountID]*accountRates)}
+}
+
+func (s *shares) of(account redwingshunt.AccountID) *accountRates {
+	a := s.accounts[account]
+	if a == nil {
+		a = &accountRates{}
+		s.accounts[account] = a
+	}
+	return a
+}
+
+func (s *shares) ask(now time.Time, account redwingshunt.AccountID, tokens int64) {
+	s.of(account).asked.add(now, tokens)
+}
+
+func (s *shares) admit(now time.Time, account redwingshunt.AccountID, tokens int64) {
+	s.of(account).admitted.add(now, tokens)
+}
+
+// over reports whether an account has been given more than its max-min share.
+func (s *shares) over(now time.Time, account redwingshunt.AccountID) bool {
+	if s.capacity == 0 {
+		return false
+	}
+	if now.Sub(s.computed) > shareAge || s.computed.IsZero() {
+		s.compute(now)
+	}
+	a := s.of(account)
+	return a.admitted.get(now)+a.remoteAdmitted > s.share*shareSlack
+}
+
+// compute finds the share that all accounts get who ask for more than it.
+func (s *shares) compute(now time.Time) {
+	s.computed = now
+	var asked []float64
+	for id, a := range s.accounts {
+		total := a.asked.get(now) + a.remoteAsked
+		if total < leastRate && a.admitted.get(now)+a.remoteAdmitted < leastRate {
+			delete(s.accounts, id)
+			continue
+		}
+		asked = append(asked, total)
+	}
+	s.share = maxMin(s.capacity, asked)
+}
+
+// maxMin returns the largest share for which the demands, each cut to it, fit
+// the capacity.
+func maxMin(capacity float64, asked []float64) float64 {
+	slices.Sort(asked)
+	left := capacity
+	for i, demand := range asked {
+		even := left / float64(len(asked)-i)
+		if demand > even {
+			return even
+		}
+		left -= demand
+	}
+	return math.Inf(1)
+}
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -26,6 +26,17 @@
 	return nil
 }
 
+// Membership returns the members of the control group as its leader has them,
+// and the identity of this instance with its folder.
+func (r *Recorder) Membership(ctx context.Context) (replicator.Membership, replicator.MemberID, error) {
+	p := &replacement{recorder: r, group: redwingshunt.GroupControl}
+	reply := p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Status: true})
+	if reply.GetOutcome() != wire.LogOutcome_LOG_OUTCOME_APPLIED {
+		return nil, r.self, trace.ConnectionProblem(nil, "the membership of the log is not known: %s", p.obstacle)
+	}
+	return encoder.ParseMembers(reply.GetMembership()), r.self, nil
+}
+
 // replacement carries the replacement of a voter through in one group.
 type replacement struct {
 	recorder *Recorder
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -63,7 +63,7 @@
 	go r.write()
 	defer r.close()
 	if r.options.Bootstrap {
-		go r.bootstrap(ctx)
+		go r.bootstrap(ctx, r.options.Initial)
 	}
 	r.loop(ctx.Done(), func() bool { return false })
 	if r.failed != nil {
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -31,9 +31,9 @@
 // bootstrap makes the first membership out of all initial voters, once each of
 // them has said that its folder is empty. When some have not learnt of it, since
 // this instance stopped meanwhile, they are told again.
-func (r *Recorder) bootstrap(ctx context.Context) {
+func (r *Recorder) bootstrap(ctx context.Context, initial []redwingshunt.InstanceID) {
 	for ctx.Err() == nil {
-		done, err := r.tryBootstrap(ctx)
+		done, err := r.tryBootstrap(ctx, initial)
 		if err != nil {
 			r.options.Logger.Error("no first membership was made", "error", err)
 			return
@@ -46,8 +46,8 @@
 }
 
 // tryBootstrap reports whether nothing is left to do.
-func (r *Recorder) tryBootstrap(ctx context.Context) (bool, error) {
-	voters, err := r.initialVoters(ctx)
+func (r *Recorder) tryBootstrap(ctx context.Context, initial []redwingshunt.InstanceID) (bool, error) {
+	voters, err := r.initialVoters(ctx, initial)
 	if err != nil {
 		return false, nil // one does not answer yet
 	}
@@ -77,17 +77,17 @@
 	return true, nil
 }
 
-// initialVoters is what the instances of Options.Initial say of their folders.
+// initialVoters is what the initial voters say of their folders.
 type initialVoters struct {
 	ids        []replicator.MemberID
 	incomplete []replicator.MemberID // that lack state of a group; this instance comes first
 	states     uint32                // groups with state, over all folders
 }
 
-// initialVoters asks all of Options.Initial for their folders.
-func (r *Recorder) initialVoters(ctx context.Context) (initialVoters, error) {
+// initialVoters asks all initial voters for their folders.
+func (r *Recorder) initialVoters(ctx context.Context, initial []redwingshunt.InstanceID) (initialVoters, error) {
 	var voters initialVoters
-	for _, instance := range r.options.Initial {
+	for _, instance := range initial {
 		reply, err := r.ask(ctx, instance, &wire.LogRequest{Identify: true})
 		if err != nil {
 			return voters, err
@@ -138,6 +138,19 @@
 	}
 }
 
+// Form makes the first membership out of the named instances, this one among
+// them, unless one of them has state already. It returns when that is settled
+// or ctx ends. Only one of the instances calls it, once Run has begun.
+func (r *Recorder) Form(ctx context.Context, initial []redwingshunt.InstanceID) {
+	r.bootstrap(ctx, initial)
+}
+
+// Seeded reports whether the folder of this instance has state.
+func (r *Recorder) Seeded(ctx context.Context) (bool, error) {
+	own, err := r.ownState(ctx)
+	return own.states > 0, err
+}
+
 // takeSeed gives the first membership to the groups that have no state, once.
 func (r *Recorder) takeSeed(seed *wire.LogSeed, reply func(*wire.LogReply)) {
 	membership := encoder.ParseMembers(seed.GetMembership())
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -147,6 +147,8 @@
 		return &wire.RegistrarReply{Changes: r.history.list(c.GetHistory())}
 	case c.GetText() != nil:
 		return r.text(c.GetText())
+	case c.GetReplace() != nil:
+		return r.replace(c.GetReplace(), at)
 	}
 	return &wire.RegistrarReply{Error: "the command is of an unknown kind"}
 }
--- a/registrar/submit.go
+++ b/registrar/submit.go
@@ -57,7 +57,7 @@
 func (r *Registrar) evaluate(c *wire.SubmitCommand, at time.Time) (*wire.ReceiptRecord, *State) {
 	section := redwingshunt.Section(c.GetSection())
 	current := uint64(r.state.Revision)
-	if text := checkForm(c); text != "" {
+	if text := r.checkForm(c); text != "" {
 		return refuse(current, c, text), nil
 	}
 	if text := r.forbidden(c, section); text != "" {
@@ -84,13 +84,15 @@
 	return &wire.ReceiptRecord{Accepted: true, Revision: uint64(next.Revision), Section: c.GetSection()}, next
 }
 
-// checkForm returns what is wrong with a command, whatever the state.
-func checkForm(c *wire.SubmitCommand) string {
+// checkForm returns what is wrong with a command, whatever the section holds.
+func (r *Registrar) checkForm(c *wire.SubmitCommand) string {
 	switch {
 	case c.GetId() == "" || len(c.GetId()) > MaxID:
 		return fmt.Sprintf("the submission ID must have 1 to %d bytes", MaxID)
 	case len(c.GetText()) > MaxText:
 		return fmt.Sprintf("the text must have at most %d bytes", MaxText)
+	case len(r.wholeText()) > 0:
+		return "the document is kept as a whole and changed under the highest-version rule only"
 	case c.GetSection() != "" && !isSection(redwingshunt.Section(c.GetSection())):
 		return fmt.Sprintf("there is no section %q", c.GetSection())
 	}
@@ -193,7 +195,7 @@
 // changed returns the sections of which the text differs, in document order.
 func changed(before, after []merger.Part) []redwingshunt.Section {
 	var sections []redwingshunt.Section
-	for _, section := range redwingshunt.Sections() {
+	for _, section := range append(redwingshunt.Sections(), redwingshunt.SectionWhole) {
 		if !bytes.Equal(merger.Find(before, section).Text, merger.Find(after, section).Text) {
 			sections = append(sections, section)
 		}
--- /dev/null
+++ b/relayer/attempt.go
@@ -0,0 +1,274 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/carrier"
+)
+
+const (
+	// maxTries bounds the upstreams that one request is tried at, those
+	// included that could not be reached.
+	maxTries = 4
+	// againAfter is when a caller may come back whose request no upstream took.
+	againAfter = 200 * time.Millisecond
+	// wholeAnswer bounds in bytes an answer that is held until it is complete.
+	wholeAnswer = 8 << 20
+	// leastLeft is the time below which an attempt is not worth making.
+	leastLeft = 20 * time.Millisecond
+)
+
+// errDeadline is the cause of a context whose request has taken too long.
+var errDeadline = errors.New("the deadline of the request has passed")
+
+// verdict is what is known after an attempt.
+type verdict struct {
+	end   redwingshunt.PlacementEnd
+	done  bool // the caller has its answer
+	ran   bool // the upstream may have begun
+	sent  bool // a byte may have reached it
+	err   error
+	reply *answer // that the upstream made although it failed, to fall back on
+}
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempts sends the request to one upstream after the other until it has been
+// answered or must not be sent again.
+func (x *exchange) attempts(ctx context.Context) error {
+	complete := false
+	defer func() { x.settleSuspect(complete) }()
+	var last verdict
+	for {
+		err := x.admitSuspect(ctx)
+		var placed redwingshunt.Placed
+		if err == nil {
+			placed, err = x.place()
+		}
+		if err != nil {
+			return x.giveUp(ctx, last, err)
+		}
+		last = x.attempt(ctx, placed)
+		x.relayer.options.Placer.End(placed.Ticket, last.end)
+		x.run = x.run || last.ran
+		if last.done {
+			complete = true
+			return nil
+		}
+		if last.sent {
+			x.sent++
+		}
+		if reason := x.mayRepeat(ctx, last); reason != "" {
+			x.logAttempt(placed, last, "not sent again: "+reason)
+			return x.giveUp(ctx, last, nil)
+		}
+		x.logAttempt(placed, last, "sent again")
+	}
+}
+
+// place chooses the next upstream.
+func (x *exchange) place() (redwingshunt.Placed, error) {
+	x.tries++
+	placed, err := x.relayer.options.Placer.Place(&redwingshunt.Placement{
+		Request: x.id, Service: x.service, Account: x.account, Route: x.route,
+		Prompt: x.prompt, Output: x.output, Attempt: x.tries, Deadline: x.deadline, Avoid: x.avoid,
+	})
+	if err != nil {
+		return placed, err
+	}
+	x.upstream = placed.Upstream.ID
+	if x.avoid == nil {
+		x.avoid = redwingshunt.NewSet[redwingshunt.UpstreamID]()
+	}
+	x.avoid.Add(x.upstream)
+	return placed, nil
+}
+
+// mayRepeat returns why the request must not be sent to another upstream, or
+// nothing.
+func (x *exchange) mayRepeat(ctx context.Context, v verdict) string {
+	switch {
+	case ctx.Err() != nil:
+		return "the caller left or the deadline passed"
+	case v.ran && !x.route.Idempotent():
+		return "it may have run and is not idempotent"
+	case x.started && !x.route.Resumable:
+		return "a part of the answer is with the caller"
+	case x.tries >= maxTries:
+		return "too many upstreams were tried"
+	case x.sent >= max(x.route.Attempts, 1):
+		return "the route allows no further attempt"
+	case time.Until(x.deadline) < leastLeft:
+		return "no time is left"
+	case x.sent > 0 && !x.relayer.options.Placer.Repeat(x.service):
+		return "the budget for repeats is used up"
+	}
+	return ""
+}
+
+// giveUp returns what the caller is told when no further attempt is made.
+func (x *exchange) giveUp(ctx context.Context, v verdict, refusal error) error {
+	cause := context.Cause(ctx)
+	switch {
+	case x.started:
+		return errBroken
+	case ctx.Err() != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, redwingshunt.ErrStopping):
+		return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, "the caller went away")
+	case v.reply != nil:
+		return x.write(v.reply)
+	case !x.run && refusal != nil:
+		return refusal
+	case !x.run && ctx.Err() != nil:
+		return redwingshunt.NotRun(redwingshunt.ReasonDeadline, http.StatusServiceUnavailable,
+			"the deadline passed before an upstream took the request").After(againAfter)
+	case !x.run:
+		return redwingshunt.NotRun(redwingshunt.ReasonUpstreamRefused, http.StatusServiceUnavailable,
+			"no upstream took the request").After(againAfter)
+	case ctx.Err() != nil:
+		return redwingshunt.MayHaveRun(redwingshunt.ReasonDeadline, http.StatusGatewayTimeout,
+			"the deadline passed before the upstream answered")
+	}
+	detail := "the upstream failed after it had taken the request"
+	if v.err != nil {
+		detail += ": " + v.err.Error()
+	}
+	return redwingshunt.MayHaveRun(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway, detail)
+}
+
+// attempt sends the request to one upstream and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) verdict {
+	watched, progress, stop := x.watch(ctx, placed)
+	defer stop()
+	reply, err := x.relayer.options.Carrier.Send(watched, x.call(placed))
+	if err != nil {
+		var failure *carrier.Failure
+		if errors.As(err, &failure) && !failure.Sent {
+			return verdict{end: lostUnless(ctx), err: err}
+		}
+		x.suspect(ctx, placed)
+		return verdict{end: lostUnless(ctx), sent: true, ran: true, err: err}
+	}
+	defer reply.Close()
+	dialect := x.relayer.options.Dialect
+	notRun := dialect.NotRun != "" && reply.Header.Get(dialect.NotRun) != ""
+	switch {
+	case reply.Status == http.StatusMisdirectedRequest, notRun && reply.Status != http.StatusBadRequest:
+		_, _ = io.Copy(io.Discard, io.LimitReader(reply, wholeAnswer)) // only to keep the connection
+		return verdict{end: redwingshunt.EndRefused, sent: true, err: errors.New("the upstream has not begun, status " + strconv.Itoa(reply.Status))}
+	case reply.Status >= 200 && reply.Status < 300 && (reply.Header.Get(dialect.Signature) == "" || reply.Header.Get("Content-Encoding") != ""):
+		return verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: errors.New("the answer is not of the upstream")}
+	case x.route.Kind == redwingshunt.RouteStream && reply.Status >= 200 && reply.Status < 300:
+		return x.relayStream(ctx, placed, reply, progress)
+	}
+	return x.relayWhole(ctx, placed, reply)
+}
+
+const (
+	// firstPatience is how long beyond its prediction and objective an upstream
+	// may stay silent before an idempotent request goes to another one; callers
+	// bear two seconds and four times the objective.
+	firstPatience = 700 * time.Millisecond
+	// eventPatience is how many times the pause on time an upstream may stay
+	// silent within a stream; callers bear eight times.
+	eventPatience = 4
+	// leastPatience bounds the patience within a stream from below, since an
+	// engine that runs out of memory stops its newest request for a while.
+	leastPatience = 1200 * time.Millisecond
+)
+
+// errSilent is the cause of an attempt that ended for want of progress.
+var errSilent = errors.New("the upstream made no progress")
+
+// watch returns a context that ends when an attempt makes no progress for too
+// long and the request may be sent again, and the function that notes progress.
+func (x *exchange) watch(ctx context.Context, placed redwingshunt.Placed) (context.Context, func(), func()) {
+	if !x.route.Idempotent() || x.sent+1 >= x.route.Attempts {
+		return ctx, func() {}, func() {}
+	}
+	watched, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(placed.Predicted+x.route.Aim+firstPatience, func() { cancel(errSilent) })
+	pause := max(eventPatience*x.route.Pause, leastPatience)
+	stop := func() {
+		timer.Stop()
+		cancel(nil)
+	}
+	return watched, func() { timer.Reset(pause) }, stop
+}
+
+// lostUnless returns that the upstream was lost, unless the request ended for
+// another reason.
+func lostUnless(ctx context.Context) redwingshunt.PlacementEnd {
+	if ctx.Err() != nil {
+		return redwingshunt.EndLeft
+	}
+	return redwingshunt.EndLost
+}
+
+// suspect notes that an upstream died while it ran the request. One that still
+// accepts connections has not died.
+func (x *exchange) suspect(ctx context.Context, placed redwingshunt.Placed) {
+	suspects := x.relayer.options.Suspects
+	if suspects == nil || !x.admitted || ctx.Err() != nil || x.relayer.options.Carrier.Alive(ctx, placed.Upstream.Address) {
+		return
+	}
+	x.relayer.options.Carrier.Forget(placed.Upstream.Address)
+	x.admitted = false
+	suspects.Lost(x.suspicion, placed.Upstream.Key())
+	x.relayer.options.Logger.Warn("upstream died with a request", "request", x.id, "upstream", string(placed.Upstream.ID))
+}
+
+// relayWhole reads an answer to its end before the caller sees any of it.
+func (x *exchange) relayWhole(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply) verdict {
+	x.relayer.options.Placer.First(placed.Ticket)
+	body, err := io.ReadAll(io.LimitReader(reply, wholeAnswer+1))
+	if err == nil && len(body) > wholeAnswer {
+		err = errors.New("the answer is too long to be held")
+	}
+	if err != nil {
+		x.suspect(ctx, placed)
+		return verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: err}
+	}
+	made := &answer{status: reply.Status, header: reply.Header, body: body}
+	if reply.Status < http.StatusInternalServerError && !promisesNotRun(reply.Status) {
+		if err := x.write(made); err != nil {
+			return verdict{end: redwingshunt.EndLeft, sent: true, ran: true, err: err}
+		}
+		return verdict{end: redwingshunt.EndComplete, sent: true, ran: true, done: true}
+	}
+	v := verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: errors.New("the upstream answered " + strconv.Itoa(reply.Status))}
+	if !promisesNotRun(reply.Status) {
+		v.reply = made
+	}
+	return v
+}
+
+// promisesNotRun reports whether a caller reads a status as "not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// logAttempt writes why an attempt was followed by another one or was not.
+func (x *exchange) logAttempt(placed redwingshunt.Placed, v verdict, decision string) {
+	reason := ""
+	if v.err != nil {
+		reason = v.err.Error()
+	}
+	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
+		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.ran,
+		"predicted", placed.Predicted.String(), "event", x.events.last, "error", reason, "decision", decision)
+}
--- /dev/null
+++ b/relayer/headers.go
@@ -0,0 +1,110 @@
+package relayer
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/carrier"
+)
+
+// perConnection are the headers that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// call returns the request as the upstream gets it.
+func (x *exchange) call(placed redwingshunt.Placed) carrier.Call {
+	dialect := x.relayer.options.Dialect
+	header := passed(x.request.Header)
+	for _, name := range append([]string{dialect.Key, dialect.Account, dialect.Expect}, dialect.Internal...) {
+		header.Del(name)
+	}
+	if left := time.Until(x.deadline); dialect.Deadline != "" {
+		header.Set(dialect.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	}
+	if dialect.Expect != "" {
+		header.Set(dialect.Expect, string(placed.Upstream.ID))
+	}
+	if dialect.Account != "" && x.account != "" {
+		header.Set(dialect.Account, string(x.account))
+	}
+	if x.events.last > 0 {
+		header.Set(redwingshunt.HeaderLastEvent, strconv.FormatUint(x.events.last, 10))
+	}
+	return carrier.Call{
+		Address: placed.Upstream.Address, ID: x.id, Method: x.request.Method, Target: targetOf(x.request),
+		Host: x.request.Host, Header: header, Body: x.body, Once: !x.route.Idempotent(),
+	}
+}
+
+// passed returns a copy of a header without what concerns one connection.
+func passed(header http.Header) http.Header {
+	next := make(http.Header, len(header))
+	for name, values := range header {
+		next[name] = values
+	}
+	for _, list := range header["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			next.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perConnection {
+		next.Del(name)
+	}
+	return next
+}
+
+// answerHeader copies the header of an upstream's answer to the caller.
+func (x *exchange) answerHeader(header http.Header) {
+	to := x.writer.Header()
+	for name, values := range passed(header) {
+		to[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		to["Content-Type"] = nil // keeps the server from guessing one
+	}
+}
+
+// write passes a whole answer on.
+func (x *exchange) write(made *answer) error {
+	x.answerHeader(made.header)
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(made.body)))
+	x.begin(made.status)
+	if x.request.Method == http.MethodHead {
+		return nil
+	}
+	if _, err := x.writer.Write(made.body); err != nil {
+		return errBroken
+	}
+	return nil
+}
+
+// begin sends the status of an answer.
+func (x *exchange) begin(status int) {
+	x.started, x.status = true, status
+	x.first = time.Since(x.arrived)
+	x.writer.WriteHeader(status)
+}
+
+// refuse answers with an error of this instance.
+func (x *exchange) refuse(err *redwingshunt.OutcomeError) {
+	header := x.writer.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set(redwingshunt.HeaderOutcome, string(err.Outcome))
+	header.Set(redwingshunt.HeaderReason, string(err.Reason))
+	if x.id != "" {
+		header.Set(x.relayer.options.Dialect.Request, x.id)
+	}
+	if err.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	x.status = err.Status
+	body := err.Detail + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(err.Status)
+	_, _ = x.writer.Write([]byte(body)) // a caller that left needs no answer
+}
--- /dev/null
+++ b/relayer/read.go
@@ -0,0 +1,143 @@
+package relayer
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	// defaultLimit is how long a caller is kept waiting on a route that names
+	// no limit.
+	defaultLimit = 30 * time.Second
+	// defaultBody bounds a body in bytes when the document does not.
+	defaultBody = 4 << 20
+	// bodyTimeout is how long a caller may take to send a body.
+	bodyTimeout = 10 * time.Second
+	// trustedLength bounds in bytes the memory that is taken for a body before
+	// it arrives.
+	trustedLength = 64 << 10
+	// maxParts bounds the parts of a prompt.
+	maxParts = 64
+)
+
+// pathOf returns the path as it goes on the wire.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(targetOf(r), "?")
+	return path
+}
+
+// targetOf returns path and query as the caller sent them.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// readHeader reads what the caller tells of its request.
+func (x *exchange) readHeader() error {
+	dialect, header := x.relayer.options.Dialect, x.request.Header
+	limit := x.route.Limit
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	if text := header.Get(dialect.Deadline); text != "" {
+		left, err := strconv.ParseFloat(text, 64)
+		if err != nil || left <= 0 || left > 1e9 {
+			return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
+				"the header "+dialect.Deadline+" is no number of milliseconds")
+		}
+		limit = min(limit, time.Duration(left*float64(time.Millisecond)))
+	}
+	x.deadline = x.arrived.Add(limit)
+	x.prompt = parsePrompt(header.Get(dialect.Prompt))
+	input, output := parseCount(header.Get(dialect.Count))
+	x.output = output
+	if len(x.prompt) == 0 && input > 0 {
+		x.prompt = []redwingshunt.Part{{ID: x.id, Tokens: input}}
+	}
+	return nil
+}
+
+// parsePrompt reads the parts of a prompt. What cannot be read is passed on as
+// it came and not used here.
+func parsePrompt(text string) []redwingshunt.Part {
+	if text == "" {
+		return nil
+	}
+	fields := strings.Split(text, ",")
+	if len(fields) > maxParts {
+		return nil
+	}
+	parts := make([]redwingshunt.Part, 0, len(fields))
+	for _, field := range fields {
+		id, count, ok := strings.Cut(strings.TrimSpace(field), ":")
+		tokens, err := strconv.ParseUint(count, 10, 31)
+		if !ok || err != nil || id == "" {
+			return nil
+		}
+		parts = append(parts, redwingshunt.Part{ID: id, Tokens: int64(tokens)})
+	}
+	return parts
+}
+
+// parseCount reads the tokens of a prompt and of its longest answer.
+func parseCount(text string) (input, output int64) {
+	first, second, _ := strings.Cut(text, ",")
+	in, err := strconv.ParseUint(strings.TrimSpace(first), 10, 31)
+	if err != nil {
+		return 0, 0
+	}
+	out, err := strconv.ParseUint(strings.TrimSpace(second), 10, 31)
+	if err != nil {
+		return int64(in), 0
+	}
+	return int64(in), int64(out)
+}
+
+// readBody reads the whole body, so that the request can be sent again.
+func (x *exchange) readBody(limits redwingshunt.RequestLimits) error {
+	if x.request.Body == nil || x.request.Body == http.NoBody {
+		return nil
+	}
+	limit := limits.Body
+	if limit == 0 {
+		limit = defaultBody
+	}
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // not on a recorded response
+	var body bytes.Buffer
+	body.Grow(int(min(max(x.request.ContentLength, 0), trustedLength)) + bytes.MinRead)
+	_, err := body.ReadFrom(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	_ = controller.SetReadDeadline(time.Time{}) // the server goes on reading to notice a caller that leaves
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return redwingshunt.NotRun(redwingshunt.ReasonTooLarge, http.StatusRequestEntityTooLarge,
+			"the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
+	case err != nil:
+		return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
+			"the body could not be read: "+err.Error())
+	}
+	x.body = body.Bytes()
+	return nil
+}
+
+// fingerprint names the content of a request, whatever its identifier.
+func fingerprint(x *exchange) redwingshunt.Fingerprint {
+	hash := sha256.New()
+	for _, part := range []string{string(x.account), x.request.Host, x.request.Method, targetOf(x.request)} {
+		_, _ = io.WriteString(hash, part) // never fails
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(x.body)
+	return redwingshunt.Fingerprint(hash.Sum(nil)[:len(redwingshunt.Fingerprint{})])
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,347 @@
+// Package relayer serves the requests of callers by the routes of the document:
+// it finds route and client account, has an upstream chosen, sends the request
+// there and passes the answer on.
+//
+// What it may tell a caller follows from what is known of each attempt:
+//
+//   - an attempt that no byte of was sent, or that the upstream says it has not
+//     begun, may be followed by another one whatever the request is;
+//   - after any other one, only idempotent requests are sent again;
+//   - "not run" (503) is told only when every attempt was of the first sort;
+//   - an answer is whole, or its connection breaks visibly.
+//
+// An answer that is no stream is read whole before the caller sees any of it,
+// so that a broken one can still be replaced. A stream is passed on event by
+// event; when its upstream breaks it off, a resumable one goes on at another
+// upstream after the last event that was passed on.
+//
+// # Usage
+//
+//	r := relayer.New(relayer.Options{
+//		Configuration: configuration, Placer: allocator, Suspects: notifier,
+//		Carrier: carrier, Dialect: dialect, Logger: logger,
+//	})
+//	server := &http.Server{Handler: r}
+package relayer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/authenticator"
+	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/matcher"
+)
+
+// Options configure a Relayer.
+type Options struct {
+	Configuration redwingshunt.Configuration
+	Placer        redwingshunt.Placer
+	Suspects      redwingshunt.Suspects // may be nil
+	Carrier       *carrier.Carrier
+	Dialect       redwingshunt.Dialect
+	Logger        *slog.Logger
+	// Observe is told the end of each request; may be nil.
+	Observe func(Record)
+}
+
+// Record is the end of one request, for metrics.
+type Record struct {
+	Route    redwingshunt.RouteID
+	Service  redwingshunt.ServiceID
+	Outcome  string
+	Attempts int
+	First    time.Duration // until the first byte of the answer; zero without one
+	Total    time.Duration
+}
+
+// Relayer is an http.Handler. It is safe for concurrent use.
+type Relayer struct {
+	options  Options
+	index    atomic.Pointer[index]
+	running  atomic.Int64
+	leaving  atomic.Bool
+	stopping atomic.Bool
+	base     context.Context
+	abort    context.CancelCauseFunc
+}
+
+// index is what is looked up in one configuration.
+type index struct {
+	snapshot *redwingshunt.Snapshot
+	routes   *matcher.Table
+	accounts map[redwingshunt.KeyHash]redwingshunt.AccountID
+}
+
+// New returns a relayer.
+func New(options Options) *Relayer {
+	r := &Relayer{options: options}
+	r.base, r.abort = context.WithCancelCause(context.Background())
+	return r
+}
+
+// Running returns the number of requests that are being served.
+func (r *Relayer) Running() int64 { return r.running.Load() }
+
+// Leave closes each connection after its next answer, while requests are still
+// served.
+func (r *Relayer) Leave() { r.leaving.Store(true) }
+
+// Stop refuses new requests as not run.
+func (r *Relayer) Stop() { r.leaving.Store(true); r.stopping.Store(true) }
+
+// Leaving reports whether Leave or Stop was called.
+func (r *Relayer) Leaving() bool { return r.leaving.Load() }
+
+// Abort ends the requests that still run.
+func (r *Relayer) Abort() { r.abort(redwingshunt.ErrStopping) }
+
+// indexOf returns the index of the configuration in force, or nil without one.
+func (r *Relayer) indexOf() *index {
+	snapshot := r.options.Configuration.Current()
+	if snapshot == nil {
+		return nil
+	}
+	if i := r.index.Load(); i != nil && i.snapshot == snapshot {
+		return i
+	}
+	i := newIndex(snapshot)
+	r.index.Store(i)
+	return i
+}
+
+func newIndex(snapshot *redwingshunt.Snapshot) *index {
+	i := &index{
+		snapshot: snapshot,
+		routes:   matcher.New(snapshot.Document),
+		accounts: make(map[redwingshunt.KeyHash]redwingshunt.AccountID),
+	}
+	for _, account := range snapshot.Document.Accounts {
+		if account.Key != "" {
+			i.accounts[account.Key] = account.Name
+		}
+		for _, key := range account.Keys {
+			i.accounts[key] = account.Name
+		}
+	}
+	return i
+}
+
+// ServeHTTP serves one request.
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.running.Add(1)
+	defer r.running.Add(-1)
+	if r.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(r.base, func() { cancel(context.Cause(r.base)) })
+	defer stop()
+	x := &exchange{relayer: r, writer: w, request: request, arrived: time.Now()}
+	err := x.serve(ctx)
+	x.finish(ctx, err)
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	relayer *Relayer
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+
+	id        string
+	route     *redwingshunt.Route
+	service   redwingshunt.ServiceID
+	account   redwingshunt.AccountID
+	prompt    []redwingshunt.Part
+	output    int64
+	body      []byte
+	deadline  time.Time
+	suspicion redwingshunt.Fingerprint
+	admitted  bool // by Options.Suspects, and not settled yet
+
+	tries    int  // upstreams chosen
+	sent     int  // attempts of which a byte was sent
+	run      bool // an attempt may have begun
+	avoid    redwingshunt.Set[redwingshunt.UpstreamID]
+	upstream redwingshunt.UpstreamID // of the last attempt
+	first    time.Duration
+	started  bool // a byte of the answer went to the caller
+	status   int  // that the caller saw
+	events   stream
+}
+
+// errBroken ends a request whose caller has got a part of the answer.
+var errBroken = errors.New("the answer was broken off")
+
+// serve returns nil once the caller has its answer, an OutcomeError that is
+// still to be told, or errBroken.
+func (x *exchange) serve(ctx context.Context) error {
+	if err := x.admit(); err != nil {
+		return err
+	}
+	// A caller that takes no bytes must not hold the request beyond its time.
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetWriteDeadline(x.deadline.Add(lastWrite)) // not on a recorded response
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+	defer cancel()
+	return x.attempts(ctx)
+}
+
+// lastWrite is how long after its deadline a request may still be told its end.
+const lastWrite = 400 * time.Millisecond
+
+// admit reads the request and checks it against the configuration in force.
+func (x *exchange) admit() error {
+	r := x.relayer
+	dialect := r.options.Dialect
+	x.id = x.request.Header.Get(dialect.Request)
+	if r.stopping.Load() {
+		return redwingshunt.NotRun(redwingshunt.ReasonStopping, http.StatusServiceUnavailable,
+			"this instance is shutting down; use another").After(stoppingAfter)
+	}
+	i := r.indexOf()
+	if i == nil {
+		return redwingshunt.NotRun(redwingshunt.ReasonNoConfiguration, http.StatusServiceUnavailable,
+			"this instance has no configuration yet").After(redwingshunt.RetrySoon)
+	}
+	if x.id == "" {
+		return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
+			"the header "+dialect.Request+" is missing")
+	}
+	x.route = i.routes.Find(x.request.Host, pathOf(x.request))
+	if x.route == nil {
+		return redwingshunt.NotRun(redwingshunt.ReasonUnknownService, http.StatusNotFound, "no route fits the host and path")
+	}
+	if err := x.authenticate(i); err != nil {
+		return err
+	}
+	x.service = matcher.Pick(x.route, rand.Uint64())
+	if err := x.readHeader(); err != nil {
+		return err
+	}
+	return x.readBody(i.snapshot.Document.Limits)
+}
+
+// stoppingAfter is when a caller may come back that met an instance at the end
+// of its shutdown: other instances serve it at once.
+const stoppingAfter = 50 * time.Millisecond
+
+// authenticate finds the client account by its key. Routes without accounts in
+// the document, and public ones, ask for none.
+func (x *exchange) authenticate(i *index) error {
+	dialect := x.relayer.options.Dialect
+	key := x.request.Header.Get(dialect.Key)
+	account, known := redwingshunt.AccountID(""), false
+	if key != "" && len(i.accounts) > 0 {
+		account, known = i.accounts[authenticator.HashKey(key)]
+	}
+	if !known && len(i.accounts) > 0 && !x.route.Public {
+		return redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, http.StatusUnauthorized,
+			"send the key of a client account in "+dialect.Key)
+	}
+	x.account = account
+	return nil
+}
+
+// admitSuspect waits until a request may run during which upstreams have died.
+func (x *exchange) admitSuspect(ctx context.Context) error {
+	suspects := x.relayer.options.Suspects
+	if suspects == nil || x.admitted {
+		return nil
+	}
+	if x.suspicion == (redwingshunt.Fingerprint{}) {
+		x.suspicion = fingerprint(x)
+	}
+	if err := suspects.Admit(ctx, x.suspicion); err != nil {
+		outcome := *redwingshunt.OutcomeOf(err)
+		outcome.Status = http.StatusServiceUnavailable // the status that promises "not run"
+		return &outcome
+	}
+	x.admitted = true
+	return nil
+}
+
+// settleSuspect tells what became of the request, once admitted.
+func (x *exchange) settleSuspect(complete bool) {
+	if !x.admitted {
+		return
+	}
+	x.admitted = false
+	if complete {
+		x.relayer.options.Suspects.Completed(x.suspicion)
+		return
+	}
+	x.relayer.options.Suspects.Ended(x.suspicion)
+}
+
+// finish tells the caller an error that it has not been told, logs the end of
+// the request and breaks the connection of a broken answer.
+func (x *exchange) finish(ctx context.Context, err error) {
+	outcome := "answered"
+	var told *redwingshunt.OutcomeError
+	switch {
+	case errors.Is(err, errBroken):
+		outcome = "broken"
+	case err != nil:
+		told = redwingshunt.OutcomeOf(err)
+		outcome = string(told.Reason)
+		if told.Status != redwingshunt.StatusClientClosed {
+			x.refuse(told)
+		}
+	}
+	x.log(ctx, outcome, told, err)
+	if x.relayer.options.Observe != nil {
+		x.relayer.options.Observe(x.record(outcome))
+	}
+	if errors.Is(err, errBroken) || told != nil && told.Status == redwingshunt.StatusClientClosed {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) record(outcome string) Record {
+	record := Record{
+		Service: x.service, Outcome: outcome, Attempts: x.sent, First: x.first, Total: time.Since(x.arrived),
+	}
+	if x.route != nil {
+		record.Route = x.route.Name
+	}
+	return record
+}
+
+// log writes the one line that tells a request's whole story at its end.
+func (x *exchange) log(ctx context.Context, outcome string, told *redwingshunt.OutcomeError, err error) {
+	level := slog.LevelInfo
+	attributes := []slog.Attr{
+		slog.String("request", x.id), slog.String("outcome", outcome), slog.Int("status", x.status),
+		slog.String("service", string(x.service)), slog.String("account", string(x.account)),
+		slog.String("upstream", string(x.upstream)), slog.Int("tries", x.tries), slog.Int("sent", x.sent),
+		slog.Duration("first", x.first), slog.Duration("total", time.Since(x.arrived)),
+	}
+	if x.route != nil {
+		attributes = append(attributes, slog.String("route", string(x.route.Name)))
+	}
+	if x.events.last > 0 {
+		attributes = append(attributes, slog.Uint64("event", x.events.last))
+	}
+	if told != nil {
+		level = slog.LevelWarn
+		attributes = append(attributes, slog.String("promise", string(told.Outcome)),
+			slog.String("detail", told.Detail), slog.Duration("after", told.RetryAfter))
+	} else if err != nil {
+		level = slog.LevelWarn
+		attributes = append(attributes, slog.String("detail", err.Error()))
+	}
+	if i := x.relayer.index.Load(); i != nil {
+		attributes = append(attributes, slog.Uint64("version", i.snapshot.Document.Version))
+	}
+	x.relayer.options.Logger.LogAttrs(context.WithoutCancel(ctx), level, "request ended", attributes...)
+}
--- /dev/null
+++ b/relayer/stream.go
@@ -0,0 +1,158 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/carrier"
+)
+
+const (
+	// eventChunk is read from an upstream at a time, in bytes.
+	eventChunk = 4 << 10
+	// longestEvent bounds in bytes an event that has not ended.
+	longestEvent = 1 << 20
+)
+
+var (
+	errEventOrder = errors.New("an event is missing or came twice")
+	errEventLong  = errors.New("an event does not end")
+	errEventCut   = errors.New("the stream ended within an event")
+)
+
+// stream takes the bytes of an event stream apart into whole events and checks
+// that their numbers go on without a gap.
+type stream struct {
+	last    uint64 // number of the last whole event, zero before the first
+	pending []byte // of an event that has not ended
+}
+
+// take appends bytes and returns those of all events that are whole now. The
+// result is valid until the next call.
+func (s *stream) take(p []byte) ([]byte, error) {
+	s.pending = append(s.pending, p...)
+	end := 0
+	for {
+		size := eventEnd(s.pending[end:])
+		if size == 0 {
+			break
+		}
+		if number, ok := eventNumber(s.pending[end : end+size]); ok {
+			if s.last != 0 && number != s.last+1 {
+				return s.pending[:end], errEventOrder
+			}
+			s.last = number
+		}
+		end += size
+	}
+	whole := s.pending[:end:end]
+	if len(s.pending)-end > longestEvent {
+		return whole, errEventLong
+	}
+	s.pending = bytes.Clone(s.pending[end:])
+	return whole, nil
+}
+
+// eventEnd returns the size of the event at the beginning of p, its empty line
+// included, or zero when it has not ended.
+func eventEnd(p []byte) int {
+	for offset := 0; ; {
+		i := bytes.IndexByte(p[offset:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := bytes.TrimSuffix(p[offset:offset+i], []byte{'\r'})
+		offset += i + 1
+		if len(line) == 0 {
+			return offset
+		}
+	}
+}
+
+// eventNumber returns the number that an event carries.
+func eventNumber(event []byte) (uint64, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		return number, err == nil
+	}
+	return 0, false
+}
+
+// relayStream passes a stream on, event by event. The header of the first
+// upstream stays when a later one goes on.
+func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, progress func()) verdict {
+	x.events.pending = nil
+	if x.events.last == 0 {
+		x.events.last = x.resumedAfter()
+	}
+	begun := false
+	chunk := make([]byte, eventChunk)
+	for {
+		n, err := reply.Read(chunk)
+		if n > 0 {
+			progress()
+		}
+		whole, broken := x.events.take(chunk[:n])
+		if len(whole) > 0 {
+			if !begun {
+				begun = true
+				x.relayer.options.Placer.First(placed.Ticket)
+			}
+			if !x.pass(reply, whole) {
+				return verdict{end: redwingshunt.EndLeft, sent: true, ran: true, err: errBroken}
+			}
+		}
+		switch {
+		case broken != nil:
+			return verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: broken}
+		case errors.Is(err, io.EOF) && len(x.events.pending) > 0:
+			return verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: errEventCut}
+		case errors.Is(err, io.EOF):
+			if !x.started {
+				x.pass(reply, nil)
+			}
+			return verdict{end: redwingshunt.EndComplete, sent: true, ran: true, done: true}
+		case err != nil:
+			x.suspect(ctx, placed)
+			return verdict{end: failedUnless(ctx), sent: true, ran: true, err: err}
+		}
+	}
+}
+
+func failedUnless(ctx context.Context) redwingshunt.PlacementEnd {
+	if ctx.Err() != nil {
+		return redwingshunt.EndLeft
+	}
+	return redwingshunt.EndFailed
+}
+
+// resumedAfter returns the event after which the caller itself asked to go on.
+func (x *exchange) resumedAfter() uint64 {
+	number, err := strconv.ParseUint(x.request.Header.Get(redwingshunt.HeaderLastEvent), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// pass writes whole events to the caller at once. It reports whether the caller
+// still takes them.
+func (x *exchange) pass(reply *carrier.Reply, events []byte) bool {
+	if !x.started {
+		x.answerHeader(reply.Header)
+		x.begin(reply.Status)
+	}
+	if _, err := x.writer.Write(events); err != nil {
+		return false
+	}
+	return http.NewResponseController(x.writer).Flush() == nil
+}
--- a/settings.go
+++ b/settings.go
@@ -24,8 +24,15 @@
 	Notice    time.Duration    // how long a leaving instance still takes requests, so that balancers notice
 	Drain     time.Duration    // limit of a graceful shutdown after that
 	Log       slog.Level
-	TLS       TLSFiles
-	Plain     bool // plain text is allowed; never set together with TLS
+
+	Routes   netip.AddrPort   // where callers of the routes of the document connect; invalid when none do
+	Ready    netip.AddrPort   // tells the balancer of these callers whether to send connections here
+	Founders []netip.AddrPort // link addresses of the first voters, at the first start of the fleet only
+	Wanted   int              // voters that the log should have; zero leaves its members to operators
+	Restart  bool             // the process ends when its log fails, to be restarted by its supervisor
+	Repeats  RepeatBudget     // bounds what routers send more than once
+	TLS      TLSFiles
+	Plain    bool // plain text is allowed; never set together with TLS
 }
 
 // TLSFiles are paths of PEM files.
@@ -37,3 +44,11 @@
 
 // Enabled reports whether any file is named.
 func (t TLSFiles) Enabled() bool { return t != TLSFiles{} }
+
+// RepeatBudget bounds the sends beyond the first of each request, over the whole
+// fleet and for each service, within a sliding window.
+type RepeatBudget struct {
+	Ratio  int // percent of the requests
+	Extra  int // beyond that
+	Window time.Duration
+}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -80,6 +80,21 @@
 	return s.propose(ctx, submission)
 }
 
+// Replace changes the whole document under the highest-version rule and returns
+// once the change is committed, superseded or invalid. After an error that wraps
+// redwingshunt.ErrUnknown it may still take effect; sending it again is safe.
+func (s *Submitter) Replace(ctx context.Context, text []byte) (redwingshunt.Replacement, error) {
+	command, err := registrar.Replace(s.options.Clock.Now(), text)
+	if err != nil {
+		return redwingshunt.Replacement{}, trace.Wrap(err)
+	}
+	reply, err := s.commit(ctx, command)
+	if err != nil {
+		return redwingshunt.Replacement{}, err
+	}
+	return registrar.Replaced(reply), nil
+}
+
 // doubtful reports whether the change looks wrong from here.
 func (s *Submitter) doubtful(submission redwingshunt.Submission) bool {
 	snapshot := s.options.View.Current()
