Keep accounts at their max-min shares, and requests at their homes

The leader of a small fleet now pushes to all, and an instance without a confirmed revision asks a voter. Reading counts 2.5 times in the choice of an upstream, since a request away from its home reads what all behind it wait for.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -181,7 +181,7 @@
 	}
 	a.options.Logger.Info("refused", "request", p.Request, "attempt", p.Attempt, "service", string(p.Service),
 		"account", string(p.Account), "reason", string(refusal.Reason), "wait", refusal.Wait.String(),
-		"bound", refusal.Bound.String(), "over", refusal.Over, "after", refusal.After.String())
+		"bound", refusal.Bound.String(), "excess", refusal.Excess, "after", refusal.After.String())
 	detail := "no upstream of the service can take the request now"
 	if refusal.Reason == redwingshunt.ReasonQueueFull {
 		detail = "the wait at the best upstream is too long now"
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -18,6 +18,10 @@
 	cost     time.Duration // by which options are compared
 }
 
+// readWeight is how much longer than its own time reading counts: while it
+// lasts all requests behind it wait too.
+const readWeight = 2.5
+
 // best returns the option with the least cost among those that are up.
 func (c *Core) best(now time.Time, s *service, p *redwingshunt.Placement) option {
 	home := c.home(now, s, p)
@@ -91,7 +95,7 @@
 	if u.fullUntil.After(now) {
 		o.wait += fullPenalty
 	}
-	o.cost = o.wait + o.read + o.way
+	o.cost = o.wait + time.Duration(readWeight*float64(o.read)) + o.way
 	// An upstream that fails a share of its requests costs the time that those
 	// have spent in vain.
 	aim := p.Route.Aim
@@ -136,7 +140,7 @@
 	left := p.Deadline.Sub(now)
 	predicted := o.wait + o.read + o.way
 	if !p.Deadline.IsZero() && predicted >= left {
-		return refuse(o.wait, left, false)
+		return refuse(o.wait, left, 0)
 	}
 	if p.Attempt > 1 || !s.model {
 		return nil
@@ -145,10 +149,10 @@
 	if aim == 0 {
 		aim = defaultAim
 	}
-	over := c.shares.over(now, p.Account)
-	bound := admission(aim, o.read+o.way, over)
+	excess := c.shares.excess(now, p.Account)
+	bound := admission(aim, o.read+o.way, excess)
 	if o.wait > bound {
-		return refuse(o.wait, bound, over)
+		return refuse(o.wait, bound, excess)
 	}
 	return nil
 }
@@ -159,22 +163,25 @@
 const (
 	mostWait  = 0.85
 	leastWait = 0.5
-	// overWait is the part of the bound that an account beyond its share has.
-	overWait = 0.5
+	// An account has the whole bound up to withinShare of its share, and only
+	// overWait of it from beyondShare on; in between the bound falls evenly, so
+	// that accounts settle near their shares without swinging.
+	withinShare = 0.9
+	beyondShare = 1.2
+	overWait    = 0.08
 )
 
-// admission returns how long a request may wait.
-func admission(aim, own time.Duration, over bool) time.Duration {
+// admission returns how long a request may wait of an account that has been
+// given so much of its share.
+func admission(aim, own time.Duration, excess float64) time.Duration {
 	bound := max(time.Duration(mostWait*float64(aim))-own, time.Duration(leastWait*float64(aim)))
-	if over {
-		bound = time.Duration(overWait * float64(bound))
-	}
-	return bound
+	part := (beyondShare - excess) / (beyondShare - withinShare)
+	return time.Duration(float64(bound) * min(max(part, overWait), 1))
 }
 
-func refuse(wait, bound time.Duration, over bool) *Refusal {
+func refuse(wait, bound time.Duration, excess float64) *Refusal {
 	return &Refusal{
-		Reason: redwingshunt.ReasonQueueFull, Wait: wait, Bound: bound, Over: over,
+		Reason: redwingshunt.ReasonQueueFull, Wait: wait, Bound: bound, Excess: excess,
 		After: min(max(wait-bound, retryLeast), retryMost),
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -84,7 +84,7 @@
 	After  time.Duration // when the caller may come back; zero for never
 	Wait   time.Duration // predicted at the best upstream
 	Bound  time.Duration // that the wait exceeds
-	Over   bool          // the client account is beyond its share
+	Excess float64       // of the client account: what it has been given against its share
 }
 
 // Core is the state of one router. It is used by one goroutine at a time.
--- a/placer/shares.go
+++ b/placer/shares.go
@@ -12,8 +12,6 @@
 	// rateWindow smooths the rates of accounts: an account that comes back has
 	// its share within about that time.
 	rateWindow = 2 * time.Second
-	// shareSlack is how far above its share an account counts as within it.
-	shareSlack = 1.05
 	// shareAge is how long a computed share is used.
 	shareAge = 100 * time.Millisecond
 	// leastRate is the tokens a second below which an account is forgotten.
@@ -73,22 +71,24 @@
 	s.of(account).admitted.add(now, tokens)
 }
 
-// over reports whether an account has been given more than its max-min share.
-func (s *shares) over(now time.Time, account redwingshunt.AccountID) bool {
+// excess returns what an account has been given against its max-min share: one
+// is just its share.
+func (s *shares) excess(now time.Time, account redwingshunt.AccountID) float64 {
 	if s.capacity == 0 {
-		return false
+		return 0
 	}
 	if now.Sub(s.computed) > shareAge || s.computed.IsZero() {
 		s.compute(now)
 	}
 	a := s.of(account)
-	return a.admitted.get(now)+a.remoteAdmitted > s.share*shareSlack
+	return (a.admitted.get(now) + a.remoteAdmitted) / s.share
 }
 
 // compute finds the share that all accounts get who ask for more than it.
 func (s *shares) compute(now time.Time) {
 	s.computed = now
 	var asked []float64
+	produced := 0.0
 	for id, a := range s.accounts {
 		total := a.asked.get(now) + a.remoteAsked
 		if total < leastRate && a.admitted.get(now)+a.remoteAdmitted < leastRate {
@@ -96,8 +96,10 @@
 			continue
 		}
 		asked = append(asked, total)
+		produced += a.admitted.get(now) + a.remoteAdmitted
 	}
-	s.share = maxMin(s.capacity, asked)
+	// Kept prompt parts let the engines produce more than the document says.
+	s.share = maxMin(max(s.capacity, produced), asked)
 }
 
 // maxMin returns the largest share for which the demands, each cut to it, fit
--- a/publisher/digest.go
+++ b/publisher/digest.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// askIfStale asks a voter whether there is something newer, when nobody has
+// confirmed the revision for a while: the whole region may be cut off from the
+// log without knowing it.
+func (c *Core) askIfStale(now time.Time) {
+	if !c.settled || c.quorum || c.Age(now) < staleAge || now.Before(c.nextStale) {
+		return
+	}
+	c.nextStale = now.Add(askTimeout)
+	var voters []redwingshunt.InstanceID
+	for _, instance := range c.live {
+		if instance.Voter && instance.ID != c.self.ID {
+			voters = append(voters, instance.ID)
+		}
+	}
+	if len(voters) == 0 {
+		return
+	}
+	c.send(voters[c.random.IntN(len(voters))], encode(redwingshunt.KindDigest, &wire.Digest{
+		Revision: uint64(c.state.Revision), Age: milliseconds(c.Age(now)), Ask: true,
+	}))
+}
+
 // nextPeer returns some peer of the own region, and elsewhere every time that
 // nearTries of them were of no help.
 func (c *Core) nextPeer() (redwingshunt.InstanceID, bool) {
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -7,11 +7,16 @@
 // each of them to fanout others. The first voter also sends to the speaker of
 // each region that has no voter. An instance sends on once, when it moves.
 //
+// A fleet of up to directFanout instances needs no tree: a voter sends to all
+// instances of its region, and the leader to all, so that a region whose own
+// voter is cut off from the log is not left behind.
+//
 // Below the push there is a digest: every digestPeriod an instance tells its
 // revision to one instance of its own region; whichever of the two is behind
 // is brought forward. Across regions one speaker tells one speaker every
 // acrossPeriod. An instance that knows to be behind asks one peer of its own
-// region, and after some unanswered questions one elsewhere.
+// region, and after some unanswered questions one elsewhere. One that has heard
+// of no confirmation for staleAge asks a voter, whatever its region.
 //
 // An instance only ever moves to a larger revision. One that starts empty takes
 // the first answer that was confirmed by a quorum within freshAge; without one
@@ -48,6 +53,8 @@
 	acrossPeriod  = 2 * time.Second        // between two regions
 	askTimeout    = 500 * time.Millisecond // until the next question
 	maxBackoff    = 4                      // doublings of askTimeout between unprompted questions
+	staleAge      = 3 * time.Second        // age from which an instance asks a voter whether it is behind
+	directFanout  = 64                     // instances up to which a voter pushes to each one itself
 	nearTries     = 2                      // questions in the own region before one elsewhere
 	freshAge      = 10 * time.Second       // age up to which an empty instance takes an answer at once
 	startPatience = 3 * time.Second        // wait for a fresh answer when there is an old one
@@ -141,6 +148,7 @@
 	nextAcross time.Time
 	nextAsk    time.Time // to a peer that is known to be ahead
 	nextProbe  time.Time // to any peer
+	nextStale  time.Time // to a voter, whether there is something newer
 	tries      int       // questions without success
 	now        time.Time
 
@@ -176,6 +184,7 @@
 	c.confirmOwn(now)
 	c.settle(now)
 	c.askIfBehind(now)
+	c.askIfStale(now)
 	c.digest(now)
 	return c.actions
 }
--- a/publisher/tree.go
+++ b/publisher/tree.go
@@ -42,10 +42,21 @@
 }
 
 // outward returns the instances that a voter passes a configuration of the log
-// to, besides its children: the speaker of its own region, and as the leader the
+// to, besides its children. In a small fleet these are all of its region, and
+// as the leader all others. In a large one they are the speaker of its own region, and as the leader the
 // speakers of all others, so that none waits for the log to tell it.
 func (c *Core) outward() []redwingshunt.InstanceID {
 	var ids []redwingshunt.InstanceID
+	if len(c.live) <= directFanout {
+		children := c.children()
+		for _, instance := range c.live {
+			told := instance.ID == c.self.ID || slices.Contains(children, instance.ID)
+			if !told && (c.leader || instance.Region == c.self.Region) {
+				ids = append(ids, instance.ID)
+			}
+		}
+		return ids
+	}
 	for _, region := range c.regions() {
 		speaker := c.speaker(region)
 		if speaker != c.self.ID && (c.leader || region == c.self.Region) {
