--- a/daemon/control.go
+++ b/daemon/control.go
@@ -73,7 +73,7 @@
 		Prefer:    preferHome(configuration),
 	})
 	if err != nil {
-		return nil, nil, trace.Wrap(err)
+		return nil, nil, errors.Join(errRestart, err)
 	}
 	c.recorder = log
 	c.submitter = submitter.New(submitter.Options{
@@ -126,7 +126,7 @@
 		if err != nil && !errors.Is(err, context.Canceled) {
 			c.logger.Error("the log of this instance has stopped; requests are still routed",
 				"error", err.Error(), "next", "restart the instance; see redwingshunt repair")
-			c.failed <- err
+			c.failed <- errors.Join(errRestart, err)
 		}
 	}()
 	go c.subscribe.Run(ctx)
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -89,14 +90,14 @@
 	reserve := newReserve()
 	defer runtime.KeepAlive(reserve)
 	options.Logger, options.Abort = log, abort
-	d, err := New(settings, options)
-	if err == nil && attach != nil {
-		attached, detach := context.WithCancel(context.Background())
-		defer detach()
-		err = attach(attached, d)
+	err := runOnce(ctx, settings, options, attach)
+	for settings.Restart && errors.Is(err, errRestart) && ctx.Err() == nil {
+		log.Warn("starting anew", "error", err.Error(), "after", restartPause.String())
+		redwingshunt.Pause(ctx, restartPause)
+		err = runOnce(ctx, settings, options, attach)
 	}
-	if err == nil {
-		err = d.Run(ctx)
+	if ctx.Err() != nil && errors.Is(err, errRestart) {
+		err = nil // stopped while it waited for its folder
 	}
 	var findings redwingshunt.Findings
 	switch {
@@ -109,3 +110,26 @@
 	}
 	return exitOK
 }
+
+// restartPause is the time before a daemon whose disk failed begins anew.
+const restartPause = 500 * time.Millisecond
+
+// errRestart marks errors after which the instance can begin anew: its folder
+// may be usable again, or a new one may begin in its place.
+var errRestart = errors.New("the data folder of this instance cannot be used")
+
+// runOnce runs a daemon from its start to its end.
+func runOnce(ctx context.Context, settings redwingshunt.Settings, options Options, attach func(context.Context, *Daemon) error) error {
+	d, err := New(settings, options)
+	if err != nil {
+		return err
+	}
+	if attach != nil {
+		attached, detach := context.WithCancel(context.Background())
+		defer detach()
+		if err := attach(attached, d); err != nil {
+			return err
+		}
+	}
+	return d.Run(ctx)
+}
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -60,6 +60,7 @@
 // Enroll takes an announcement that was made at a time. It reports whether it
 // was news, and whether it changed more than the time of the last news.
 func (t *Table) Enroll(s redwingshunt.UpstreamState, made time.Time) (news, changed bool) {
+	s.Born = time.UnixMilli(s.Born.UnixMilli()) // as it is told to other instances
 	known := t.entries[s.ID]
 	if at, ok := t.left[s.ID]; ok && s.Born.Before(at) {
 		s.Leaving = true
--- /dev/null
+++ b/publisher/cut_test.go
@@ -0,0 +1,54 @@
+package publisher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// commitAt lets some voters apply a revision.
+func (f *fleet) commitAt(revision redwingshunt.Revision, ids ...redwingshunt.InstanceID) {
+	for _, id := range ids {
+		f.step(id, Accepted{State: state(revision, accounts)})
+	}
+}
+
+// TestRegionOfCutVoter cuts the only voter of a region off from the log. All
+// others reach both sides, so the region must still move, also when the push
+// of the leader is lost.
+func TestRegionOfCutVoter(t *testing.T) {
+	tests := map[string]struct {
+		lost   time.Duration // how long nothing reaches the region from outside
+		within time.Duration
+	}{
+		"pushed": {within: time.Second},
+		"asked":  {lost: time.Second, within: 2 * staleAge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 9, 3) // n001 is the only voter of the south
+			f.commit(1)
+			f.run(10 * time.Second)
+			voters := redwingshunt.NewSet[redwingshunt.InstanceID]("n000", "n001", "n002")
+			loneVoter := func(from, to redwingshunt.InstanceID) bool {
+				return voters.Has(from) && voters.Has(to) && (from == "n001" || to == "n001")
+			}
+			f.cut = loneVoter
+			f.run(3 * time.Second)
+			if test.lost > 0 {
+				f.cut = func(from, to redwingshunt.InstanceID) bool {
+					return loneVoter(from, to) || f.region(from) != f.region(to)
+				}
+			}
+			f.commitAt(2, "n000", "n002")
+			f.run(test.lost)
+			f.cut = loneVoter
+			f.run(test.within)
+			is.True(f.at(2) >= 8) // all, but perhaps the voter itself
+		})
+	}
+}
