Weigh reading by the load, join late seeds at once, elect sooner after a start

Reading now counts 1.5 to 6 times by the mean wait, and those who leave meet at a second home. Cause of the pause after a loss of power (served from 38.5 s on, after 35.4 s): routers tried their seeds once before these listened and again 3 s later; voters waited 2 to 3 s for a leader that nobody had heard.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -23,7 +23,7 @@
 
 // quorumInterval is how often a voter looks whether it is in touch with a
 // quorum.
-const quorumInterval = 500 * time.Millisecond
+const quorumInterval = 200 * time.Millisecond
 
 // control is the durable state of the fleet as one instance takes part in it:
 // the log and the configuration that it holds.
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,19 +19,34 @@
 	cost     time.Duration // by which options are compared
 }
 
-// readWeight is how much longer than its own time reading counts: while it
-// lasts all requests behind it wait too.
-const readWeight = 2.5
+// Reading counts longer than it takes, since all requests behind it wait too:
+// leastRead times while engines are idle, and more the longer requests wait at
+// all of them, up to mostRead times at a mean wait of a latency objective. So a
+// request leaves its home for an idle engine, but not when that only moves the
+// wait and adds the reading.
+const (
+	leastRead = 1.5
+	mostRead  = 6
+	// secondRead is the part of the weight at the second home: requests that
+	// leave their home meet there, and the part is soon kept at both.
+	secondRead = 0.5
+)
 
 // best returns the option with the least cost among those that are up.
 func (c *Core) best(now time.Time, s *service, p *redwingshunt.Placement) option {
-	home := c.home(now, s, p)
+	home, second := c.homes(now, s, p)
+	weight := c.readWeight(now, s, p)
 	var best option
 	for _, u := range s.upstreams {
 		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
 			continue
 		}
 		o := c.weigh(now, s, p, u, u == home)
+		if u == second {
+			o.cost += time.Duration(secondRead * weight * float64(o.read))
+		} else {
+			o.cost += time.Duration(weight * float64(o.read))
+		}
 		if best.upstream == nil || o.cost < best.cost || o.cost == best.cost && u.ID < best.upstream.ID {
 			best = o
 		}
@@ -38,25 +54,49 @@
 	return best
 }
 
-// home returns the upstream that keeps what the request shares with others, or
-// nil when it shares nothing. An upstream that is spared for a moment stays a
-// home: its things would else be read again elsewhere and then there.
-func (c *Core) home(now time.Time, s *service, p *redwingshunt.Placement) *upstream {
+// homes returns the upstream that keeps what the request shares with others and
+// the one that comes next, or nil when it shares nothing. An upstream that is
+// spared for a moment stays a home: its things would else be read again
+// elsewhere and then there.
+func (c *Core) homes(now time.Time, s *service, p *redwingshunt.Placement) (home, second *upstream) {
 	key := affinity(p.Prompt)
 	if key == "" {
-		return nil
+		return nil, nil
 	}
-	var home *upstream
-	var highest uint64
+	var highest, next uint64
 	for _, u := range s.upstreams {
 		if u.downUntil.Sub(now) > firstDown {
 			continue
 		}
-		if weight := rendezvous(key, u.ID); home == nil || weight > highest {
-			home, highest = u, weight
+		switch weight := rendezvous(key, u.ID); {
+		case home == nil || weight > highest:
+			home, highest, second, next = u, weight, home, highest
+		case second == nil || weight > next:
+			second, next = u, weight
 		}
 	}
-	return home
+	return home, second
+}
+
+// readWeight returns how many times reading counts under the present load.
+func (c *Core) readWeight(now time.Time, s *service, p *redwingshunt.Placement) float64 {
+	if !s.model || len(s.upstreams) == 0 {
+		return 1
+	}
+	total := 0.0
+	for _, u := range s.upstreams {
+		total += float64(u.unread(now)) / u.speed()
+	}
+	mean := total / float64(len(s.upstreams))
+	return min(leastRead+(mostRead-leastRead)*mean/aimOf(p.Route).Seconds(), mostRead)
+}
+
+// aimOf returns the latency objective of a route.
+func aimOf(route *redwingshunt.Route) time.Duration {
+	if route.Aim == 0 {
+		return defaultAim
+	}
+	return route.Aim
 }
 
 // affinity returns the part by which requests about one thing are kept
@@ -95,14 +135,9 @@
 	if u.fullUntil.After(now) {
 		o.wait += fullPenalty
 	}
-	o.cost = o.wait + time.Duration(readWeight*float64(o.read)) + o.way
 	// An upstream that fails a share of its requests costs the time that those
 	// have spent in vain.
-	aim := p.Route.Aim
-	if aim == 0 {
-		aim = defaultAim
-	}
-	o.cost += time.Duration(u.failing * float64(aim) * 2)
+	o.cost = o.wait + o.way + time.Duration(u.failing*float64(aimOf(p.Route))*2)
 	return o
 }
 
@@ -145,10 +180,7 @@
 	if p.Attempt > 1 || !s.model {
 		return nil
 	}
-	aim := p.Route.Aim
-	if aim == 0 {
-		aim = defaultAim
-	}
+	aim := aimOf(p.Route)
 	excess := c.shares.excess(now, p.Account)
 	bound := admission(aim, o.read+o.way, excess)
 	if o.wait > bound {
@@ -182,6 +214,15 @@
 func refuse(wait, bound time.Duration, excess float64) *Refusal {
 	return &Refusal{
 		Reason: redwingshunt.ReasonQueueFull, Wait: wait, Bound: bound, Excess: excess,
-		After: min(max(wait-bound, retryLeast), retryMost),
+		After: min(max(wait-bound, untilShare(excess), retryLeast), retryMost),
+	}
+}
+
+// untilShare returns when an account beyond its share will be within it, should
+// it send nothing meanwhile.
+func untilShare(excess float64) time.Duration {
+	if excess <= 1 {
+		return 0
 	}
+	return time.Duration(float64(rateWindow) * math.Log(excess))
 }
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,316 @@
+package placer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+// engines returns n upstreams of service s in a region.
+func engines(n int, region redwingshunt.RegionID) []redwingshunt.UpstreamState {
+	var states []redwingshunt.UpstreamState
+	for i := range n {
+		states = append(states, redwingshunt.UpstreamState{
+			Upstream: redwingshunt.Upstream{
+				ID: redwingshunt.UpstreamID(fmt.Sprintf("%s-%02d", region, i)), Service: "s", Region: region, Slots: 64,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			},
+			Born: begin, Sequence: 1,
+		})
+	}
+	return states
+}
+
+func document(tokens int64) *redwingshunt.Document {
+	return &redwingshunt.Document{
+		Services: []redwingshunt.Service{
+			{Name: "s", Kind: redwingshunt.ServiceEngine, Engine: redwingshunt.Engine{Slots: 64, Memory: 600_000}},
+			{Name: "p", Kind: redwingshunt.ServicePlain},
+		},
+		Limits: redwingshunt.RequestLimits{Tokens: tokens},
+	}
+}
+
+func newCore(n int) *Core {
+	c := New(Options{Self: "r", Region: "north", Budget: redwingshunt.RepeatBudget{Ratio: 20, Extra: 8, Window: 10 * time.Second}})
+	c.Configure(document(0))
+	c.SetUpstreams(engines(n, "north"))
+	return c
+}
+
+var plan = &redwingshunt.Route{Name: "plan", Kind: redwingshunt.RouteStream, Aim: 800 * time.Millisecond, Limit: 10 * time.Second, Attempts: 2, Prompt: true}
+
+// about returns a placement of a request about a thing.
+func about(thing string, own int64) *redwingshunt.Placement {
+	return &redwingshunt.Placement{
+		Service: "s", Account: "alpha", Route: plan, Attempt: 1,
+		Prompt: []redwingshunt.Part{{ID: "all", Tokens: 800}, {ID: thing, Tokens: 12_500}, {ID: "own-" + thing, Tokens: own}},
+	}
+}
+
+// TestHome sends requests about one thing from several routers to one upstream,
+// and those about many things to all.
+func TestHome(t *testing.T) {
+	is := is.New(t)
+	homes := redwingshunt.NewSet[redwingshunt.UpstreamID]()
+	for thing := range 100 {
+		name := fmt.Sprint("thing-", thing)
+		first, _ := newCore(6).Place(begin, about(name, 100))
+		second, _ := newCore(6).Place(begin, about(name, 100))
+		is.Equal(first.Upstream.ID, second.Upstream.ID)
+		homes.Add(first.Upstream.ID)
+	}
+	is.Equal(len(homes), 6)
+}
+
+// TestHomesStay moves only the things of an upstream that is gone.
+func TestHomesStay(t *testing.T) {
+	is := is.New(t)
+	c := newCore(6)
+	gone := engines(6, "north")[2].ID
+	for thing := range 200 {
+		name := fmt.Sprint("thing-", thing)
+		c.SetUpstreams(engines(6, "north"))
+		before, _ := c.Place(begin, about(name, 100))
+		c.End(begin, before.Ticket, redwingshunt.EndComplete)
+		states := engines(6, "north")
+		c.SetUpstreams(append(states[:2:2], states[3:]...))
+		after, _ := c.Place(begin, about(name, 100))
+		c.End(begin, after.Ticket, redwingshunt.EndComplete)
+		if before.Upstream.ID != gone {
+			is.Equal(before.Upstream.ID, after.Upstream.ID)
+		}
+	}
+}
+
+// TestLeavesBusyHome goes to an idle upstream when the wait at home is longer
+// than reading anew, and stays when all are as busy.
+func TestLeavesBusyHome(t *testing.T) {
+	tests := map[string]struct {
+		home, others uint32 // unread tokens
+		stays        bool
+	}{
+		"idle":        {0, 0, true},
+		"a little":    {9_000, 0, true},
+		"home busy":   {45_000, 0, false},
+		"all as busy": {30_000, 30_000, true},
+		"all busy":    {36_000, 20_000, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(6)
+			home, _ := c.Place(begin, about("x", 100))
+			c.End(begin, home.Ticket, redwingshunt.EndComplete)
+			loads := &wire.Loads{Sequence: 1}
+			for _, u := range engines(6, "north") {
+				unread := test.others
+				if u.ID == home.Upstream.ID {
+					unread = test.home
+				}
+				loads.Upstreams = append(loads.Upstreams, &wire.UpstreamLoad{Id: string(u.ID), Service: "s", Unread: unread, Running: 1})
+			}
+			c.Heard(begin, "other", loads)
+			placed, refusal := c.Place(begin, about("x", 100))
+			is.True(refusal == nil)
+			is.Equal(placed.Upstream.ID == home.Upstream.ID, test.stays)
+		})
+	}
+}
+
+// TestRefusal refuses at once what could not be answered in time, and says when
+// there will be room.
+func TestRefusal(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2)
+	tell := func(unread uint32, sequence uint64) {
+		loads := &wire.Loads{Sequence: sequence}
+		for _, u := range engines(2, "north") {
+			loads.Upstreams = append(loads.Upstreams, &wire.UpstreamLoad{Id: string(u.ID), Service: "s", Unread: unread, Running: 9})
+		}
+		c.Heard(begin, "other", loads)
+	}
+	tell(20_000, 1)
+	_, refusal := c.Place(begin, about("x", 100))
+	is.True(refusal == nil)
+	tell(120_000, 2) // two seconds of reading
+	_, refusal = c.Place(begin, about("x", 100))
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, redwingshunt.ReasonQueueFull)
+	is.True(refusal.After >= time.Second && refusal.After <= 2*time.Second)
+	_, refusal = c.Place(begin.Add(refusal.After+100*time.Millisecond), about("x", 100))
+	is.True(refusal == nil) // there is room when it said so
+	repeated := about("x", 100)
+	repeated.Attempt = 2
+	tell(120_000, 3)
+	_, refusal = c.Place(begin, repeated)
+	is.True(refusal == nil) // it has been admitted once
+	repeated.Deadline = begin.Add(time.Second)
+	_, refusal = c.Place(begin, repeated)
+	is.True(refusal != nil) // but it cannot be answered
+}
+
+// TestNews takes the newest of what a router tells and forgets silent ones.
+func TestNews(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1)
+	id := string(engines(1, "north")[0].ID)
+	say := func(sequence uint64, running uint32) {
+		c.Heard(begin, "other", &wire.Loads{Sequence: sequence, Upstreams: []*wire.UpstreamLoad{{Id: id, Service: "s", Running: running}}})
+	}
+	running := func() int64 { return c.services["s"].upstreams[0].running() }
+	say(2, 5)
+	say(1, 9) // late
+	say(2, 7) // twice
+	is.Equal(running(), int64(5))
+	c.Forget(begin.Add(lookback + time.Millisecond))
+	is.Equal(running(), int64(0))
+	say(3, 4)
+	is.Equal(running(), int64(4))
+}
+
+// TestSpared keeps new work from an upstream that was lost, a while longer each
+// time, and returns to it.
+func TestSpared(t *testing.T) {
+	is := is.New(t)
+	c := newCore(2)
+	now := begin
+	lost := engines(2, "north")[0].ID
+	things := 0
+	// fresh returns a thing that is at home at the lost upstream.
+	fresh := func() *redwingshunt.Placement {
+		for {
+			things++
+			p := about(fmt.Sprint("thing-", things), 100)
+			if home, _ := c.homes(now, c.services["s"], p); home.ID == lost {
+				return p
+			}
+		}
+	}
+	first, _ := c.Place(now, fresh())
+	is.Equal(first.Upstream.ID, lost)
+	c.End(now, first.Ticket, redwingshunt.EndLost)
+	meanwhile, _ := c.Place(now, about("x", 100))
+	is.True(meanwhile.Upstream.ID != lost)
+	c.End(now, meanwhile.Ticket, redwingshunt.EndComplete)
+	now = now.Add(firstDown + time.Millisecond)
+	again, _ := c.Place(now, fresh())
+	is.Equal(again.Upstream.ID, lost)
+	c.End(now, again.Ticket, redwingshunt.EndLost)
+	now = now.Add(firstDown + time.Millisecond)
+	meanwhile, _ = c.Place(now, about("x", 100))
+	is.True(meanwhile.Upstream.ID != lost) // it was lost twice in a row
+}
+
+// TestBudget bounds the repeats within any window, over a fleet of routers.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	const routers, window = 4, 10 * time.Second
+	var cores []*Core
+	for range routers {
+		c := newCore(2)
+		c.SetRouters(routers)
+		cores = append(cores, c)
+	}
+	var requests, repeats []time.Time
+	now := begin
+	for i := range 20_000 {
+		now = now.Add(2 * time.Millisecond)
+		c := cores[i%routers]
+		if i%3 == 0 {
+			c.requested(now, "s")
+			requests = append(requests, now)
+		}
+		if c.Repeat(now, "s") {
+			repeats = append(repeats, now)
+		}
+	}
+	is.True(len(repeats) > 0)
+	for i, end := range repeats {
+		begun, asked := 0, 0
+		for _, at := range repeats[:i+1] {
+			if end.Sub(at) < window {
+				begun++
+			}
+		}
+		for _, at := range requests {
+			if !at.After(end) && end.Sub(at) < window {
+				asked++
+			}
+		}
+		if float64(begun) > 0.2*float64(asked)+8 {
+			t.Fatalf("%d repeats beside %d requests", begun, asked)
+		}
+	}
+}
+
+// TestMaxMin divides a capacity.
+func TestMaxMin(t *testing.T) {
+	tests := map[string]struct {
+		asked []float64
+		want  float64
+	}{
+		"all fit":        {[]float64{10, 20}, 1},
+		"one floods":     {[]float64{10, 20, 1000}, 70},
+		"two flood":      {[]float64{1000, 20, 1000}, 40},
+		"all alike":      {[]float64{100, 100, 100, 100}, 25},
+		"nobody":         {nil, 1},
+		"just as much":   {[]float64{50, 50}, 1},
+		"a little more":  {[]float64{50, 51}, 50},
+		"tiny and large": {[]float64{0.1, 99, 1}, 98.9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			share := maxMin(100, test.asked)
+			if share > 1e9 {
+				share = 1 // unlimited
+			}
+			is.True(share-test.want < 1e-9 && test.want-share < 1e-9)
+		})
+	}
+}
+
+// TestAdmission lets an account wait longer the less of its share it has had.
+func TestAdmission(t *testing.T) {
+	is := is.New(t)
+	aim := time.Second
+	before := admission(aim, 0, 0)
+	is.Equal(before, time.Duration(mostWait*float64(aim)))
+	for _, excess := range []float64{0.5, 0.95, 1, 1.1, 1.2, 5} {
+		bound := admission(aim, 0, excess)
+		is.True(bound <= before && bound > 0)
+		before = bound
+	}
+	is.True(before < aim/10)
+	is.Equal(admission(aim, 10*time.Second, 0), time.Duration(leastWait*float64(aim))) // the largest are not starved
+}
+
+// TestPlain spreads plain requests over the slots near by before it goes far.
+func TestPlain(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Self: "r", Region: "north"})
+	c.Configure(document(0))
+	states := append(engines(1, "north"), engines(1, "south")...)
+	for i := range states {
+		states[i].Service, states[i].Slots = "p", 6
+	}
+	c.SetUpstreams(states)
+	route := &redwingshunt.Route{Kind: redwingshunt.RouteSafe, Aim: 200 * time.Millisecond, Limit: 2 * time.Second, Attempts: 2}
+	count := make(map[redwingshunt.RegionID]int)
+	for range 40 {
+		placed, refusal := c.Place(begin, &redwingshunt.Placement{Service: "p", Route: route, Attempt: 1, Deadline: begin.Add(2 * time.Second)})
+		is.True(refusal == nil)
+		count[placed.Upstream.Region]++
+	}
+	is.True(count["north"] >= 6)
+	is.True(count["south"] >= 6)
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -42,6 +42,7 @@
 	Suspicion time.Duration // from suspect to dead
 	Digest    time.Duration // between two digests to another region
 	Rejoin    time.Duration // between two tries to reach a dead instance or a seed
+	Join      time.Duration // the same while nobody else is known to be alive
 	Forget    time.Duration // how long a dead instance is remembered
 	Relays    int           // instances asked to relay a ping
 }
@@ -54,6 +55,7 @@
 		Suspicion: 1500 * time.Millisecond,
 		Digest:    2 * time.Second,
 		Rejoin:    3 * time.Second,
+		Join:      300 * time.Millisecond,
 		Forget:    time.Hour,
 		Relays:    3,
 	}
@@ -169,7 +171,7 @@
 		p.pingNext(now)
 	}
 	if !now.Before(p.nextJoin) {
-		p.nextJoin = now.Add(p.params.Rejoin)
+		p.nextJoin = now.Add(p.joinPause())
 		p.rejoin(now)
 	}
 	if !now.Before(p.nextSync) {
@@ -366,3 +368,12 @@
 	}
 	return hash.Sum64()
 }
+
+// joinPause returns the time until the next try to reach others. An instance that
+// is alone has nothing else to do, and its seeds may start any moment.
+func (p *Prober) joinPause() time.Duration {
+	if p.params.Join > 0 && len(p.Live()) <= 1 {
+		return p.params.Join
+	}
+	return p.params.Rejoin
+}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -99,6 +99,9 @@
 			to, probe = a.To, a.Probe
 		case SendAddress:
 			to, probe = f.byAddr[a.Address], a.Probe
+			if to == "" {
+				continue // nobody listens there yet
+			}
 		default:
 			continue
 		}
@@ -203,3 +206,16 @@
 		is.True(instance.Leaving)
 	}
 }
+
+// TestJoinsLateSeeds starts an instance before its seeds, as when a whole fleet
+// loses power: it must be in the fleet a second after they are.
+func TestJoinsLateSeeds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(0, 0, 1)
+	f.start(0, 1, 1)
+	f.run(1500 * time.Millisecond) // nobody listens
+	f.start(0, 0, 1)
+	f.start(1, 0, 1)
+	f.run(time.Second)
+	is.Equal(len(f.probers[name(0, 1)].Live()), 3)
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -178,9 +178,9 @@
 }
 
 // events returns the whole stream of five events.
-func events(from int) string {
+func events() string {
 	var text strings.Builder
-	for i := from; i <= 5; i++ {
+	for i := 1; i <= 5; i++ {
 		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", i, i)
 	}
 	return text.String()
@@ -210,13 +210,13 @@
 		"once, failing is passed on":         {path: "/once/a", mood: mimic.Fail, status: 500, body: "", runs: [2]int{1, 0}},
 		"once, unsigned is not repeated":     {path: "/once/a", mood: mimic.Unsigned, status: 502, runs: [2]int{1, 0}},
 		"once, silent ends at its limit":     {path: "/short/a", mood: mimic.Hang, status: 504, runs: [2]int{1, 0}},
-		"stream, whole":                      {path: "/stream/a", mood: mimic.Behave, status: 200, body: events(1), runs: [2]int{1, 0}, streaming: true},
+		"stream, whole":                      {path: "/stream/a", mood: mimic.Behave, status: 200, body: events(), runs: [2]int{1, 0}, streaming: true},
 		"stream, cut is broken":              {path: "/stream/a", mood: mimic.CutStream, status: 200, broken: true, runs: [2]int{1, 0}, streaming: true},
 		"stream, a missing event breaks":     {path: "/stream/a", mood: mimic.Wander, status: 200, broken: true, runs: [2]int{1, 0}, streaming: true},
 		"stream, cut early is not run twice": {path: "/stream/a", mood: mimic.CutHeader, status: 502, runs: [2]int{1, 0}, streaming: true},
-		"resumable, cut goes on":             {path: "/resumable/a", mood: mimic.CutStream, status: 200, body: events(1), runs: [2]int{1, 1}, streaming: true},
-		"resumable, a missing event":         {path: "/resumable/a", mood: mimic.Wander, status: 200, body: events(1), runs: [2]int{1, 1}, streaming: true},
-		"resumable, silent goes on":          {path: "/resumable/a", mood: mimic.Hang, status: 200, body: events(1), runs: [2]int{1, 1}, streaming: true},
+		"resumable, cut goes on":             {path: "/resumable/a", mood: mimic.CutStream, status: 200, body: events(), runs: [2]int{1, 1}, streaming: true},
+		"resumable, a missing event":         {path: "/resumable/a", mood: mimic.Wander, status: 200, body: events(), runs: [2]int{1, 1}, streaming: true},
+		"resumable, silent goes on":          {path: "/resumable/a", mood: mimic.Hang, status: 200, body: events(), runs: [2]int{1, 1}, streaming: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -108,7 +108,7 @@
 	c.log.put(stored.Entries)
 	c.memberships = []membershipAt{{stored.Snapshot.Index, stored.Snapshot.Membership}}
 	c.addMemberships(stored.Entries)
-	c.resetElection(ElectionTimeout, ElectionSpread)
+	c.resetElection(StartTimeout, StartSpread)
 	return c
 }
 
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -29,7 +29,11 @@
 // replica behaves as if it had just heard one, so that a living leader can
 // check its disk before it votes.
 func (c *Core) leaderAlive() bool {
-	return c.role == RoleLeader || c.now-c.leaderHeard < ElectionTimeout
+	timeout := ElectionTimeout
+	if c.leaderHeard == 0 { // none since the start
+		timeout = StartTimeout
+	}
+	return c.role == RoleLeader || c.now-c.leaderHeard < timeout
 }
 
 // mayVote reports whether the replica is a voter of its newest membership.
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -11,10 +11,12 @@
 
 // Periods and bounds of the protocol.
 const (
-	HeartbeatPeriod    = time.Second            // leader to each member
-	ElectionTimeout    = 2 * time.Second        // silence of the leader before an election, at least
-	ElectionSpread     = time.Second            // random addition to ElectionTimeout
-	CampaignRetry      = 500 * time.Millisecond // after a campaign without result, at least; doubled each time
+	HeartbeatPeriod    = time.Second             // leader to each member
+	ElectionTimeout    = 2 * time.Second         // silence of the leader before an election, at least
+	ElectionSpread     = time.Second             // random addition to ElectionTimeout
+	StartTimeout       = 1200 * time.Millisecond // the same after a start, in which a living leader sends a heartbeat
+	StartSpread        = 400 * time.Millisecond  // random addition to StartTimeout
+	CampaignRetry      = 500 * time.Millisecond  // after a campaign without result, at least; doubled each time
 	CampaignRetryMax   = 2 * time.Second
 	RetransmitTimeout  = 500 * time.Millisecond // an append or a chunk without acknowledgement is sent again
 	PreferredTimeout   = 500 * time.Millisecond // for handing over to a preferred voter
