--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -181,33 +181,25 @@
 // time, and returns to it.
 func TestSpared(t *testing.T) {
 	is := is.New(t)
-	c := newCore(2)
+	c := newCore(1)
 	now := begin
-	lost := engines(2, "north")[0].ID
-	things := 0
-	// fresh returns a thing that is at home at the lost upstream.
-	fresh := func() *redwingshunt.Placement {
-		for {
-			things++
-			p := about(fmt.Sprint("thing-", things), 100)
-			if home, _ := c.homes(now, c.services["s"], p); home.ID == lost {
-				return p
-			}
-		}
+	for _, pause := range []time.Duration{firstDown, 2 * firstDown, 4 * firstDown, maxDown, maxDown} {
+		placed, refusal := c.Place(now, about("x", 100))
+		is.True(refusal == nil)
+		c.End(now, placed.Ticket, redwingshunt.EndLost)
+		_, refusal = c.Place(now.Add(pause-time.Millisecond), about("x", 100))
+		is.True(refusal != nil)
+		is.Equal(refusal.Reason, redwingshunt.ReasonNoUpstream)
+		is.True(refusal.After > 0)
+		now = now.Add(pause + time.Millisecond)
 	}
-	first, _ := c.Place(now, fresh())
-	is.Equal(first.Upstream.ID, lost)
-	c.End(now, first.Ticket, redwingshunt.EndLost)
-	meanwhile, _ := c.Place(now, about("x", 100))
-	is.True(meanwhile.Upstream.ID != lost)
-	c.End(now, meanwhile.Ticket, redwingshunt.EndComplete)
-	now = now.Add(firstDown + time.Millisecond)
-	again, _ := c.Place(now, fresh())
-	is.Equal(again.Upstream.ID, lost)
-	c.End(now, again.Ticket, redwingshunt.EndLost)
-	now = now.Add(firstDown + time.Millisecond)
-	meanwhile, _ = c.Place(now, about("x", 100))
-	is.True(meanwhile.Upstream.ID != lost) // it was lost twice in a row
+	placed, _ := c.Place(now, about("x", 100))
+	c.First(now, placed.Ticket)
+	c.End(now, placed.Ticket, redwingshunt.EndComplete)
+	placed, _ = c.Place(now, about("x", 100))
+	c.End(now, placed.Ticket, redwingshunt.EndLost)
+	_, refusal := c.Place(now.Add(firstDown+time.Millisecond), about("x", 100))
+	is.True(refusal == nil) // an answer in between makes up for the losses before
 }
 
 // TestBudget bounds the repeats within any window, over a fleet of routers.
