--- a/cmd/redwingshunt/commander/table.go
+++ b/cmd/redwingshunt/commander/table.go
@@ -38,6 +38,7 @@
 		VerbUpstreamsSetup,
 		VerbTopSetup,
 		VerbDumpSetup,
+		VerbExplainSetup,
 		VerbDrainSetup,
 		VerbRepairSetup,
 		VerbBackupSetup,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -136,8 +137,13 @@
 func (c *control) watchQuorum(ctx context.Context) {
 	ticker := time.NewTicker(quorumInterval)
 	defer ticker.Stop()
+	var known recorder.GroupStatus
 	for {
 		groups := c.recorder.Status().Groups
+		if len(groups) > 0 {
+			c.logChange(known, groups[0])
+			known = groups[0]
+		}
 		c.quorum.Store(len(groups) > 0 && groups[0].Role != "" && groups[0].Leader != "")
 		c.leader.Store(len(groups) > 0 && groups[0].Role == replicator.RoleLeader)
 		select {
@@ -148,6 +154,28 @@
 	}
 }
 
+// logChange tells of a new leader and of new members of the control group.
+func (c *control) logChange(before, after recorder.GroupStatus) {
+	if before.Leader != after.Leader {
+		c.logger.Info("leader of the log changed", "leader", string(after.Leader), "before", string(before.Leader),
+			"term", after.Term, "commit", after.Commit)
+	}
+	if was, is := votersOf(before), votersOf(after); !slices.Equal(was, is) {
+		c.logger.Info("voters of the log changed", "voters", is, "before", was, "commit", after.Commit)
+	}
+}
+
+// votersOf returns the voters of a group.
+func votersOf(status recorder.GroupStatus) []redwingshunt.InstanceID {
+	var voters []redwingshunt.InstanceID
+	for _, member := range status.Members {
+		if member.Voter {
+			voters = append(voters, member.Instance)
+		}
+	}
+	return voters
+}
+
 // votes reports whether this instance is a voter of the control group.
 func (c *control) votes() bool {
 	status := c.recorder.Status()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,7 +139,7 @@
 		Address:     addressOf(d.sockets.links),
 		Voter:       d.settings.Data != "",
 	}
-	d.members = newMemberTable(self, d.settings.Peers)
+	d.members = newMemberTable(self, d.settings.Peers, d.logger)
 	d.linker = linker.New(linker.Options{
 		Self:     d.members.Self,
 		Resolve:  d.members.find,
@@ -236,7 +236,7 @@
 	if d.sockets.metrics != nil {
 		group.Go(func() error { return d.metrics.serve(background, d.secure(d.sockets.metrics)) })
 	}
-	d.logger.Info("serving", "instance", string(d.settings.Name), "incarnation", uint64(d.Self().Incarnation),
+	d.logger.Info("serving", "incarnation", uint64(d.Self().Incarnation),
 		"listen", d.settings.Listen.String(), "routes", d.settings.Routes.String(), "link", d.Link().String(), "admin", d.Admin().String())
 	failed := d.control.failed
 	if !d.settings.Restart {
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -67,7 +67,7 @@
 func Supervise(settings redwingshunt.Settings, options Options, attach func(context.Context, *Daemon) error, stderr io.Writer) int {
 	lines := logger.New(stderr, settings.Log)
 	defer lines.Close()
-	log := slog.New(lines.Handler())
+	log := slog.New(lines.Handler()).With("instance", string(settings.Name))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -23,14 +24,16 @@
 	self   atomic.Pointer[redwingshunt.Instance]
 	live   atomic.Pointer[[]redwingshunt.Instance]
 	linker *linker.Linker
+	logger *slog.Logger
 
 	mu     sync.Mutex
 	prober *prober.Prober
 }
 
-func newMemberTable(self redwingshunt.Instance, seeds []netip.AddrPort) *memberTable {
+func newMemberTable(self redwingshunt.Instance, seeds []netip.AddrPort, logger *slog.Logger) *memberTable {
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == self.Address })
 	t := &memberTable{
+		logger: logger,
 		prober: prober.New(self, seeds, prober.Defaults(), uint64(self.Incarnation)),
 	}
 	t.self.Store(&self)
@@ -94,7 +97,9 @@
 
 func (t *memberTable) refresh() {
 	live := t.prober.Live()
-	t.live.Store(&live)
+	if known := t.live.Swap(&live); known != nil {
+		t.logChange(*known, live)
+	}
 	for _, i := range live {
 		if i.ID == t.self.Load().ID {
 			t.self.Store(&i)
@@ -102,6 +107,29 @@
 	}
 }
 
+// logChange tells which instances came and went.
+func (t *memberTable) logChange(before, after []redwingshunt.Instance) {
+	came, went := missingIn(before, after), missingIn(after, before)
+	if len(came)+len(went) > 0 {
+		t.logger.Info("instances alive changed", "came", came, "went", went, "alive", len(after))
+	}
+}
+
+// missingIn returns the instances of one view that another one lacks.
+func missingIn(view, of []redwingshunt.Instance) []redwingshunt.InstanceID {
+	known := make(redwingshunt.Set[redwingshunt.InstanceID], len(view))
+	for _, i := range view {
+		known.Add(i.ID)
+	}
+	var missing []redwingshunt.InstanceID
+	for _, i := range of {
+		if !known.Has(i.ID) {
+			missing = append(missing, i.ID)
+		}
+	}
+	return missing
+}
+
 // Self returns this instance.
 func (t *memberTable) Self() redwingshunt.Instance { return *t.self.Load() }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return placed, err
 	}
-	x.upstream = placed.Upstream.ID
+	x.upstream, x.predicted = placed.Upstream.ID, placed.Predicted
 	if x.avoid == nil {
 		x.avoid = redwingshunt.NewSet[redwingshunt.UpstreamID]()
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -167,15 +167,16 @@
 	suspicion redwingshunt.Fingerprint
 	admitted  bool // by Options.Suspects, and not settled yet
 
-	tries    int  // upstreams chosen
-	sent     int  // attempts of which a byte was sent
-	run      bool // an attempt may have begun
-	avoid    redwingshunt.Set[redwingshunt.UpstreamID]
-	upstream redwingshunt.UpstreamID // of the last attempt
-	first    time.Duration
-	started  bool // a byte of the answer went to the caller
-	status   int  // that the caller saw
-	events   stream
+	tries     int  // upstreams chosen
+	sent      int  // attempts of which a byte was sent
+	run       bool // an attempt may have begun
+	avoid     redwingshunt.Set[redwingshunt.UpstreamID]
+	upstream  redwingshunt.UpstreamID // of the last attempt
+	first     time.Duration
+	predicted time.Duration // until the first event, at the last attempt
+	started   bool          // a byte of the answer went to the caller
+	status    int           // that the caller saw
+	events    stream
 }
 
 // errBroken ends a request whose caller has got a part of the answer.
@@ -324,7 +325,7 @@
 		slog.String("request", x.id), slog.String("outcome", outcome), slog.Int("status", x.status),
 		slog.String("service", string(x.service)), slog.String("account", string(x.account)),
 		slog.String("upstream", string(x.upstream)), slog.Int("tries", x.tries), slog.Int("sent", x.sent),
-		slog.Duration("first", x.first), slog.Duration("total", time.Since(x.arrived)),
+		slog.Duration("predicted", x.predicted), slog.Duration("first", x.first), slog.Duration("total", time.Since(x.arrived)),
 	}
 	if x.route != nil {
 		attributes = append(attributes, slog.String("route", string(x.route.Name)))
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -181,7 +181,7 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
-	s.options.Logger.Info("configuration in force", "revision", uint64(state.Revision))
+	s.options.Logger.Info("configuration in force", "revision", uint64(state.Revision), "version", state.Document.Version)
 }
 
 func (s *Subscriber) refuse(a publisher.Refused) {
