--- a/parser/settings.go
+++ b/parser/settings.go
@@ -44,6 +44,25 @@
 	optional("log", func(s *settings) *slog.Level { return &s.Log }, level),
 	optional("tls", func(s *settings) *redwingshunt.TLSFiles { return &s.TLS }, tlsObject),
 	optional("plain", func(s *settings) *bool { return &s.Plain }, boolean()),
+	optional("routes", func(s *settings) *netip.AddrPort { return &s.Routes }, address()),
+	optional("ready", func(s *settings) *netip.AddrPort { return &s.Ready }, address()),
+	optional("founders", func(s *settings) *[]netip.AddrPort { return &s.Founders }, list(netip.AddrPort{}, address())),
+	optional("wanted", func(s *settings) *int { return &s.Wanted }, integer[int](0, maxVoters)),
+	optional("restart", func(s *settings) *bool { return &s.Restart }, boolean()),
+	optional("repeats", func(s *settings) *redwingshunt.RepeatBudget { return &s.Repeats }, repeatsObject),
+)
+
+var repeatsObject = object(
+	optional("ratio", func(b *redwingshunt.RepeatBudget) *int { return &b.Ratio }, integer[int](0, 100)),
+	optional("extra", func(b *redwingshunt.RepeatBudget) *int { return &b.Extra }, integer[int](0, 1_000_000)),
+	optional("window", func(b *redwingshunt.RepeatBudget) *time.Duration { return &b.Window }, duration(time.Second, time.Hour)),
+)
+
+// The budget for repeats: what an upstream in trouble bears beside its load.
+const (
+	defaultRepeatRatio  = 20 // percent
+	defaultRepeatExtra  = 10
+	defaultRepeatWindow = 10 * time.Second
 )
 
 var tlsObject = object(
@@ -54,7 +73,10 @@
 
 // emptySettings are settings with the defaults.
 func emptySettings() settings {
-	return settings{Notice: defaultNotice, Drain: defaultDrain, Log: slog.LevelInfo}
+	return settings{
+		Notice: defaultNotice, Drain: defaultDrain, Log: slog.LevelInfo,
+		Repeats: redwingshunt.RepeatBudget{Ratio: defaultRepeatRatio, Extra: defaultRepeatExtra, Window: defaultRepeatWindow},
+	}
 }
 
 // checkSettings reports what is wrong between the keys.
@@ -74,13 +96,17 @@
 
 // checkAddresses reports addresses that collide or that nobody could dial.
 func checkAddresses(s *settings, report reporter) {
-	paths := []string{"listen", "link", "admin", "metrics"}
-	own := []netip.AddrPort{s.Listen, s.Link, s.Admin, s.Metrics}
+	paths := []string{"listen", "link", "admin", "metrics", "routes", "ready"}
+	own := []netip.AddrPort{s.Listen, s.Link, s.Admin, s.Metrics, s.Routes, s.Ready}
 	unique(own, func(i int) string { return paths[i] }, formatAddress, report)
 	if s.Link.IsValid() && s.Link.Addr().IsUnspecified() {
 		report("link", "is %s; must be an address that other instances can dial", s.Link)
 	}
 	unique(s.Peers, at("peers[%d]"), formatAddress, report)
+	unique(s.Founders, at("founders[%d]"), formatAddress, report)
+	if s.Ready.IsValid() && !s.Routes.IsValid() {
+		report("ready", "tells of the address routes, which is missing")
+	}
 }
 
 // formatAddress returns an address as text, empty when there is none.
@@ -97,6 +123,15 @@
 	if n := len(s.Voters); n > 0 && (n%2 == 0 || n > maxVoters) {
 		report("voters", "are %d; must be an odd number up to %d", n, maxVoters)
 	}
+	if len(s.Founders) > 0 && len(s.Voters) > 0 {
+		report("founders", "contradicts voters; name the first voters in one of the two ways")
+	}
+	if len(s.Founders) > 0 && s.Data == "" {
+		report("data", "is missing; an instance that makes the log needs a folder on a disk")
+	}
+	if s.Wanted > 0 && s.Wanted%2 == 0 {
+		report("wanted", "is %d; must be an odd number", s.Wanted)
+	}
 	if slices.Contains(s.Voters, s.Name) && s.Data == "" {
 		report("data", fmt.Sprintf("is missing; %s is a voter and needs a folder on a disk", s.Name))
 	}
