Sum the loads of routers up at a gatherer near by

Now a router sends and gets one message a period, whatever the fleet. Ruled out: a longer period with the same mesh, which leaves stale views at any size.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -2,9 +2,8 @@
 // it the upstreams in use, the document, time, and what other routers tell, and
 // tells them what this router has with upstreams.
 //
-// Routers of one region tell each other often, those of other regions seldom,
-// since traffic between regions is billed. Nothing is sent while a router has
-// nothing to tell.
+// Routers talk through a gatherer near by, see package gatherer. Nothing is
+// sent while a router has nothing to tell.
 //
 // # Usage
 //
@@ -27,19 +26,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/gatherer"
 	"github.com/redwingshunt/redwingshunt/placer"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-const (
-	// nearPeriod is how often routers of the own region are told; engines read
-	// some thousand tokens meanwhile, little against what waits under load.
-	nearPeriod = 250 * time.Millisecond
-	// farPeriod is how often routers of other regions are told.
-	farPeriod = 500 * time.Millisecond
-	// forgetPeriod is how often silent routers are looked for.
-	forgetPeriod = 500 * time.Millisecond
-)
+// forgetPeriod is how often it is looked whether news of others have ceased.
+const forgetPeriod = 500 * time.Millisecond
 
 // Options configure an Allocator.
 type Options struct {
@@ -70,7 +63,7 @@
 		options: options,
 		core:    placer.New(placer.Options{Self: self.ID, Region: self.Region, Budget: options.Budget}),
 	}
-	options.Link.Handle(redwingshunt.KindLoad, a.receive)
+	options.Link.Handle(redwingshunt.KindLoadSum, a.receive)
 	return a
 }
 
@@ -83,10 +76,8 @@
 
 // Run works until ctx ends.
 func (a *Allocator) Run(ctx context.Context) {
-	near, far := time.NewTicker(nearPeriod), time.NewTicker(farPeriod)
-	forget := time.NewTicker(forgetPeriod)
-	defer near.Stop()
-	defer far.Stop()
+	tell, forget := time.NewTicker(gatherer.Period), time.NewTicker(forgetPeriod)
+	defer tell.Stop()
 	defer forget.Stop()
 	for {
 		changed := a.options.Configuration.Watch()
@@ -97,10 +88,8 @@
 				return
 			case <-changed:
 				waiting = false
-			case <-near.C:
-				a.tell(true)
-			case <-far.C:
-				a.tell(false)
+			case <-tell.C:
+				a.tell()
 			case <-forget.C:
 				a.forget()
 			}
@@ -131,21 +120,19 @@
 	a.core.Forget(a.options.Clock.Now())
 }
 
-// tell tells the routers of the own region, or those of all others.
-func (a *Allocator) tell(near bool) {
-	self := a.options.Members.Self()
+// tell tells the gatherer of this router what it has.
+func (a *Allocator) tell() {
 	now := a.options.Clock.Now()
 	a.mu.Lock()
 	loads := a.core.Loads(now)
 	empty := len(loads.GetUpstreams()) == 0 && len(loads.GetAccounts()) == 0
 	skip := empty && a.idle
-	if !near {
-		a.idle = empty
-	}
+	a.idle = empty
 	a.sequence = max(a.sequence+1, uint64(now.UnixNano()))
 	loads.Sequence = a.sequence
 	a.mu.Unlock()
-	if skip {
+	to := gatherer.Of(a.options.Members.Self(), a.options.Members.Live())
+	if skip || to == "" {
 		return
 	}
 	payload, err := proto.Marshal(loads)
@@ -153,17 +140,13 @@
 		a.options.Logger.Error("the loads could not be encoded", "error", err.Error())
 		return
 	}
-	for _, member := range a.options.Members.Live() {
-		if member.ID != self.ID && !member.Voter && (member.Region == self.Region) == near {
-			a.options.Link.Send(member.ID, redwingshunt.Message{Kind: redwingshunt.KindLoad, Payload: payload})
-		}
-	}
+	a.options.Link.Send(to, redwingshunt.Message{Kind: redwingshunt.KindLoad, Payload: payload})
 }
 
 func (a *Allocator) receive(from redwingshunt.InstanceID, payload []byte) {
 	loads := new(wire.Loads)
 	if err := proto.Unmarshal(payload, loads); err != nil {
-		a.options.Logger.Warn("the loads of a router cannot be read", "from", string(from), "error", err.Error())
+		a.options.Logger.Warn("the loads of other routers cannot be read", "from", string(from), "error", err.Error())
 		return
 	}
 	a.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/redwingshunt/redwingshunt/coordinator"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
 	"github.com/redwingshunt/redwingshunt/enroller"
+	"github.com/redwingshunt/redwingshunt/gatherer"
 	"github.com/redwingshunt/redwingshunt/linker"
 	"github.com/redwingshunt/redwingshunt/listener"
 	"github.com/redwingshunt/redwingshunt/parser"
@@ -84,6 +85,7 @@
 	metrics    *metrics
 	sockets    sockets
 	enroller   *enroller.Enroller
+	gatherer   *gatherer.Relay
 	front      *front        // nil unless the settings name an address for routes
 	failed     error         // why the log has ended, when that ends the daemon
 	drain      chan struct{} // closed when an operator asks for a graceful shutdown
@@ -186,6 +188,9 @@
 	d.enroller = enroller.New(enroller.Options{
 		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
 	})
+	d.gatherer = gatherer.NewRelay(gatherer.Options{
+		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
+	})
 	if d.settings.Routes.IsValid() {
 		d.front = newFront(d)
 	}
@@ -229,6 +234,7 @@
 	group.Go(func() error { return d.guarantees.run(background) })
 	group.Go(func() error { d.members.run(background.Done()); return nil })
 	group.Go(func() error { d.enroller.Run(background); return nil })
+	group.Go(func() error { d.gatherer.Run(background); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	if d.settings.Wanted > 0 && d.settings.Data != "" {
 		group.Go(func() error { newSteward(d).run(background); return nil })
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -50,6 +50,7 @@
 			"log":        d.control.recorder,
 			"document":   d.control.subscribe,
 			"roll":       d.enroller,
+			"gatherer":   d.gatherer,
 		},
 		Drainer: d,
 	}
--- a/interfaces.go
+++ b/interfaces.go
@@ -40,6 +40,7 @@
 	KindSurvey                            // questions for the revision in force
 	KindRoll                              // upstreams that announced themselves, to all instances
 	KindLoad                              // work that routers have with upstreams
+	KindLoadSum                           // the same of all other routers together
 	KindEnd                               // one past the last kind
 )
 
@@ -48,7 +49,7 @@
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
 		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
-		"roll", "load",
+		"roll", "load", "load-sum",
 	}
 	if int(k) >= len(names) {
 		return names[0]
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -9,62 +9,54 @@
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// peer is what another router told last.
-type peer struct {
+// others is what is known of all other routers together.
+type others struct {
+	from  redwingshunt.InstanceID // who summed it up
 	loads *wire.Loads
 	at    time.Time
 }
 
-// Heard takes what another router tells of its work. Messages may come late or
-// twice; the newest counts.
+// Heard takes what all other routers have, as a gatherer summed it up. Messages
+// may come late or twice; the newest counts. Another gatherer has the word at
+// once, since a router changes it only when the last one is gone.
 func (c *Core) Heard(now time.Time, from redwingshunt.InstanceID, loads *wire.Loads) {
-	if known := c.peers[from]; known != nil && known.loads.GetSequence() >= loads.GetSequence() {
+	if c.others.from == from && c.others.loads.GetSequence() >= loads.GetSequence() {
 		return
 	}
-	c.peers[from] = &peer{loads: loads, at: now}
-	c.Forget(now)
+	c.others = others{from: from, loads: loads, at: now}
+	c.weighOthers()
 }
 
-// Forget drops routers that have told nothing for a while and sums up the rest.
+// Forget drops what others had when nothing was heard of them for a while.
 func (c *Core) Forget(now time.Time) {
-	for id, p := range c.peers {
-		if now.Sub(p.at) > lookback {
-			delete(c.peers, id)
-		}
+	if c.others.loads != nil && now.Sub(c.others.at) > lookback {
+		c.others = others{}
+		c.weighOthers()
 	}
-	c.weighPeers()
 }
 
-// weighPeers sums up what other routers have with each upstream.
-func (c *Core) weighPeers() {
+// weighOthers notes what other routers have with each upstream.
+func (c *Core) weighOthers() {
 	for _, u := range c.upstreams {
-		u.remote, u.told = work{}, time.Time{}
+		u.remote, u.told = work{}, c.others.at
 	}
 	for _, a := range c.shares.accounts {
 		a.remoteAsked, a.remoteAdmitted = 0, 0
 	}
-	for _, p := range c.peers {
-		for _, load := range p.loads.GetUpstreams() {
-			key := redwingshunt.UpstreamKey{
-				Service: redwingshunt.ServiceID(load.GetService()), ID: redwingshunt.UpstreamID(load.GetId()),
-			}
-			u := c.upstreams[key]
-			if u == nil {
-				continue
-			}
-			u.remote.unread += int64(load.GetUnread())
-			u.remote.running += int64(load.GetRunning())
-			u.remote.memory += int64(load.GetMemory())
-			if p.at.After(u.told) {
-				u.told = p.at
-			}
+	for _, load := range c.others.loads.GetUpstreams() {
+		key := redwingshunt.UpstreamKey{
+			Service: redwingshunt.ServiceID(load.GetService()), ID: redwingshunt.UpstreamID(load.GetId()),
 		}
-		for _, load := range p.loads.GetAccounts() {
-			a := c.shares.of(redwingshunt.AccountID(load.GetAccount()))
-			a.remoteAsked += float64(load.GetAsked())
-			a.remoteAdmitted += float64(load.GetAdmitted())
+		if u := c.upstreams[key]; u != nil {
+			u.remote = work{
+				unread: int64(load.GetUnread()), running: int64(load.GetRunning()), memory: int64(load.GetMemory()),
+			}
 		}
 	}
+	for _, load := range c.others.loads.GetAccounts() {
+		a := c.shares.of(redwingshunt.AccountID(load.GetAccount()))
+		a.remoteAsked, a.remoteAdmitted = float64(load.GetAsked()), float64(load.GetAdmitted())
+	}
 }
 
 // Loads returns what this router has with upstreams, for other routers.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -47,7 +47,7 @@
 	defaultAim = time.Second
 	// DefaultAway is one round trip between regions.
 	DefaultAway = 60 * time.Millisecond
-	// lookback is how old the news of another router may be to count.
+	// lookback is how old the news of other routers may be to count.
 	lookback = 1500 * time.Millisecond
 	// maxDown bounds how long an upstream is spared after failures.
 	maxDown = 4 * time.Second
@@ -93,7 +93,7 @@
 	upstreams map[redwingshunt.UpstreamKey]*upstream
 	services  map[redwingshunt.ServiceID]*service
 	tickets   map[uint64]*ticket
-	peers     map[redwingshunt.InstanceID]*peer
+	others    others
 	shares    *shares
 	repeats   map[redwingshunt.ServiceID]*repeats
 	routers   int
@@ -128,7 +128,6 @@
 		upstreams: make(map[redwingshunt.UpstreamKey]*upstream),
 		services:  make(map[redwingshunt.ServiceID]*service),
 		tickets:   make(map[uint64]*ticket),
-		peers:     make(map[redwingshunt.InstanceID]*peer),
 		shares:    newShares(),
 		repeats:   make(map[redwingshunt.ServiceID]*repeats),
 		routers:   1,
@@ -184,7 +183,7 @@
 			s.upstreams = append(s.upstreams, u)
 		}
 	}
-	c.weighPeers()
+	c.weighOthers()
 }
 
 // Place chooses an upstream, or refuses.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -158,22 +158,26 @@
 	is.True(refusal != nil) // but it cannot be answered
 }
 
-// TestNews takes the newest of what a router tells and forgets silent ones.
+// TestNews takes the newest of what others have and forgets it in time.
 func TestNews(t *testing.T) {
 	is := is.New(t)
 	c := newCore(1)
 	id := string(engines(1, "north")[0].ID)
-	say := func(sequence uint64, running uint32) {
-		c.Heard(begin, "other", &wire.Loads{Sequence: sequence, Upstreams: []*wire.UpstreamLoad{{Id: id, Service: "s", Running: running}}})
+	say := func(from redwingshunt.InstanceID, sequence uint64, running uint32) {
+		c.Heard(begin, from, &wire.Loads{Sequence: sequence, Upstreams: []*wire.UpstreamLoad{{Id: id, Service: "s", Running: running}}})
 	}
 	running := func() int64 { return c.services["s"].upstreams[0].running() }
-	say(2, 5)
-	say(1, 9) // late
-	say(2, 7) // twice
+	say("g1", 2, 5)
+	say("g1", 1, 9) // late
+	say("g1", 2, 7) // twice
 	is.Equal(running(), int64(5))
+	say("g2", 1, 3) // another gatherer, in place of the first
+	is.Equal(running(), int64(3))
+	c.SetUpstreams(engines(1, "north"))
+	is.Equal(running(), int64(3))
 	c.Forget(begin.Add(lookback + time.Millisecond))
 	is.Equal(running(), int64(0))
-	say(3, 4)
+	say("g2", 3, 4)
 	is.Equal(running(), int64(4))
 }
 
