--- a/gatherer/relay.go
+++ b/gatherer/relay.go
@@ -15,10 +15,10 @@
 const (
 	// Period is how often routers tell their gatherer, and it them; engines read
 	// some thousand tokens meanwhile, little against what waits under load.
-	Period = 200 * time.Millisecond
+	Period = 100 * time.Millisecond
 	// farPeriods is how many periods pass between two messages to other
 	// gatherers, which are billed between regions.
-	farPeriods = 2
+	farPeriods = 3
 )
 
 // Options configure a Relay.
