--- a/daemon/main.go
+++ b/daemon/main.go
@@ -87,7 +87,7 @@
 		<-signals
 		close(abort)
 	}()
-	reserve := newReserve()
+	reserve := newReserve(settings)
 	defer runtime.KeepAlive(reserve)
 	options.Logger, options.Abort = log, abort
 	err := runOnce(ctx, settings, options, attach)
--- a/daemon/reserve.go
+++ b/daemon/reserve.go
@@ -1,5 +1,7 @@
 package daemon
 
+import "github.com/redwingshunt/redwingshunt"
+
 // reserveSize is how much garbage an instance may gather beyond what the
 // collector allows by its own rule.
 const reserveSize = 32 << 20 // bytes
@@ -18,4 +20,15 @@
 // The reserve counts as kept, but since nothing is ever written to it, it takes
 // address space and no memory; the garbage between two collections does, up to
 // its size.
-func newReserve() []byte { return make([]byte, reserveSize) }
+//
+// An instance without the address for models and services holds no prompts and
+// answers of its own making; it gets by with leanReserve.
+func newReserve(settings redwingshunt.Settings) []byte {
+	if !settings.Listen.IsValid() {
+		return make([]byte, leanReserve)
+	}
+	return make([]byte, reserveSize)
+}
+
+// leanReserve is the reserve of a router of routes or a keeper.
+const leanReserve = 8 << 20 // bytes
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -26,10 +26,10 @@
 // wait and adds the reading.
 const (
 	leastRead = 1.5
-	mostRead  = 6
+	mostRead  = 9
 	// secondRead is the part of the weight at the second home: requests that
 	// leave their home meet there, and the part is soon kept at both.
-	secondRead = 0.5
+	secondRead = 0.4
 )
 
 // best returns the option with the least cost among those that are up.
