--- a/daemon/paced_bench_test.go
+++ b/daemon/paced_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
--- a/daemon/relay_bench_test.go
+++ b/daemon/relay_bench_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
