--- a/document.go
+++ b/document.go
@@ -13,6 +13,8 @@
 	SectionAccounts Section = "accounts"
 	SectionOnce     Section = "once"
 	SectionFleet    Section = "fleet"
+	SectionRoutes   Section = "routes"
+	SectionLimits   Section = "limits"
 )
 
 // SectionWhole stands for a document that is kept as one text and changed as a
@@ -23,6 +25,7 @@
 func Sections() []Section {
 	return []Section{
 		SectionTeams, SectionRegions, SectionServices, SectionAccounts, SectionOnce, SectionFleet,
+		SectionRoutes, SectionLimits,
 	}
 }
 
@@ -38,9 +41,9 @@
 
 	// Version orders whole documents: the highest one is in force. It is zero
 	// in a document of sections.
-	Version uint64        `yaml:"-"`
-	Routes  []Route       `yaml:"-"`
-	Limits  RequestLimits `yaml:"-"`
+	Version uint64        `yaml:"version,omitempty"`
+	Routes  []Route       `yaml:"routes"`
+	Limits  RequestLimits `yaml:"limits"`
 }
 
 // Team may edit the named sections with the key of which the hash is given.
@@ -91,8 +94,8 @@
 	Stall   time.Duration `yaml:"stall"`           // longest silence of an upstream within an answer
 	Retries int           `yaml:"retries"`         // attempts after the first for an idempotent request
 
-	Connections int    `yaml:"-"` // that one upstream accepts from all callers; zero is unlimited
-	Engine      Engine `yaml:"-"`
+	Connections int    `yaml:"connections"` // that one upstream accepts from all callers; zero is unlimited
+	Engine      Engine `yaml:"engine"`
 }
 
 // Account is a client account and its share of every service.
@@ -105,8 +108,8 @@
 	Bytes    int64     `yaml:"bytes"`    // bytes of bodies that may wait on one instance
 	Parallel int       `yaml:"parallel"` // requests that may run at once on the fleet; zero is unlimited
 
-	Keys []KeyHash   `yaml:"-"` // further keys
-	Rank Option[int] `yaml:"-"` // urgency instead of that of the route
+	Keys []KeyHash   `yaml:"keys,omitempty"` // further keys
+	Rank Option[int] `yaml:"-"`              // urgency instead of that of the route
 }
 
 // OnceRule marks requests that run at most once (non-idempotent requests).
--- a/parser/check.go
+++ b/parser/check.go
@@ -18,6 +18,7 @@
 	checkAccounts(document, report)
 	checkTeams(document, report)
 	checkOnce(document, report)
+	checkRoutes(document, report)
 }
 
 // unique reports values that stand more than once. Empty values are skipped:
@@ -155,3 +156,25 @@
 		unique(rule.Methods, func(j int) string { return fmt.Sprintf("%s.methods[%d]", path, j) }, same, report)
 	}
 }
+
+// checkRoutes reports routes that share a place or lead nowhere.
+func checkRoutes(document *redwingshunt.Document, report reporter) {
+	services := collect(document.Services, serviceName)
+	place := func(r redwingshunt.Route) string { return r.Host + r.Prefix }
+	unique(document.Routes, at("routes[%d].name"), func(r redwingshunt.Route) redwingshunt.RouteID { return r.Name }, report)
+	unique(document.Routes, at("routes[%d].prefix"), place, report)
+	for i, route := range document.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		total := 0
+		for j, target := range route.Targets {
+			known(fmt.Sprintf("%s.targets[%d].service", path, j), target.Service, services, "service", report)
+			total += target.Weight
+		}
+		if total == 0 && len(route.Targets) > 0 {
+			report(path+".targets", "have weights that add up to 0")
+		}
+		if route.Resumable && route.Kind != redwingshunt.RouteStream {
+			report(path+".resumable", "belongs to a stream; this route is %s", route.Kind)
+		}
+	}
+}
--- a/parser/document.go
+++ b/parser/document.go
@@ -4,6 +4,8 @@
 
 import (
 	"path"
+	"regexp"
+	"strings"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -25,6 +27,8 @@
 	defaultSpace   = 64 << 20
 	defaultBudget  = 10 // percent
 	defaultLosses  = 2
+	defaultLimit   = 30 * time.Second
+	defaultAim     = time.Second
 )
 
 const day = 24 * time.Hour
@@ -36,6 +40,7 @@
 	service := redwingshunt.Service{
 		Body: defaultBody, Wait: defaultWait, Stall: defaultStall, Retries: defaultRetries,
 	}
+	route := redwingshunt.Route{Limit: defaultLimit, Aim: defaultAim, Attempts: 1}
 	account := redwingshunt.Account{Share: 1, Queue: defaultQueue, Bytes: defaultBytes}
 	return []field[document]{
 		optional("teams", func(d *document) *[]redwingshunt.Team { return &d.Teams }, list(redwingshunt.Team{}, teamObject)),
@@ -44,6 +49,8 @@
 		required("accounts", func(d *document) *[]redwingshunt.Account { return &d.Accounts }, list(account, accountObject)),
 		optional("once", func(d *document) *[]redwingshunt.OnceRule { return &d.Once }, list(redwingshunt.OnceRule{}, onceObject)),
 		optional("fleet", func(d *document) *redwingshunt.FleetConfiguration { return &d.Fleet }, fleetObject),
+		optional("routes", func(d *document) *[]redwingshunt.Route { return &d.Routes }, list(route, routeObject)),
+		optional("limits", func(d *document) *redwingshunt.RequestLimits { return &d.Limits }, limitsObject),
 	}
 }
 
@@ -73,8 +80,55 @@
 	optional("wait", func(s *redwingshunt.Service) *time.Duration { return &s.Wait }, duration(time.Second, time.Hour)),
 	optional("stall", func(s *redwingshunt.Service) *time.Duration { return &s.Stall }, duration(time.Second, time.Hour)),
 	optional("retries", func(s *redwingshunt.Service) *int { return &s.Retries }, integer[int](0, 10)),
+	optional("connections", func(s *redwingshunt.Service) *int { return &s.Connections }, integer[int](0, 1_000_000)),
+	optional("engine", func(s *redwingshunt.Service) *redwingshunt.Engine { return &s.Engine }, engineObject),
 )
 
+var engineObject = object(
+	optional("slots", func(e *redwingshunt.Engine) *int { return &e.Slots }, integer[int](0, 100_000)),
+	optional("memory", func(e *redwingshunt.Engine) *int64 { return &e.Memory }, integer[int64](0, 1<<50)),
+)
+
+var routeObject = object(
+	required("name", func(r *redwingshunt.Route) *redwingshunt.RouteID { return &r.Name }, name[redwingshunt.RouteID]()),
+	required("host", func(r *redwingshunt.Route) *string { return &r.Host },
+		text[string]("a host in lower case without a port, as shop.example", hostPattern.MatchString)),
+	required("prefix", func(r *redwingshunt.Route) *string { return &r.Prefix },
+		text[string]("a path that begins and ends with a slash, as /bookings/", acceptPrefix)),
+	required("kind", func(r *redwingshunt.Route) *redwingshunt.RouteKind { return &r.Kind },
+		oneOf(redwingshunt.RouteSafe, redwingshunt.RouteOnce, redwingshunt.RouteStream)),
+	optional("limit", func(r *redwingshunt.Route) *time.Duration { return &r.Limit }, duration(time.Millisecond, time.Hour)),
+	optional("aim", func(r *redwingshunt.Route) *time.Duration { return &r.Aim }, duration(time.Millisecond, time.Hour)),
+	optional("pause", func(r *redwingshunt.Route) *time.Duration { return &r.Pause }, duration(0, time.Hour)),
+	optional("rank", func(r *redwingshunt.Route) *int { return &r.Rank }, integer[int](0, 1000)),
+	required("targets", func(r *redwingshunt.Route) *[]redwingshunt.Target { return &r.Targets }, filled(list(redwingshunt.Target{Weight: 1}, targetObject))),
+	optional("attempts", func(r *redwingshunt.Route) *int { return &r.Attempts }, integer[int](1, 10)),
+	optional("public", func(r *redwingshunt.Route) *bool { return &r.Public }, boolean()),
+	optional("prompt", func(r *redwingshunt.Route) *bool { return &r.Prompt }, boolean()),
+	optional("resumable", func(r *redwingshunt.Route) *bool { return &r.Resumable }, boolean()),
+)
+
+var targetObject = object(
+	required("service", func(t *redwingshunt.Target) *redwingshunt.ServiceID { return &t.Service }, name[redwingshunt.ServiceID]()),
+	optional("weight", func(t *redwingshunt.Target) *int { return &t.Weight }, integer[int](0, 1_000_000)),
+)
+
+var limitsObject = object(
+	optional("header", func(l *redwingshunt.RequestLimits) *int64 { return &l.Header }, size(0, 1<<20)),
+	optional("body", func(l *redwingshunt.RequestLimits) *int64 { return &l.Body }, size(0, 1<<30)),
+	optional("headertime", func(l *redwingshunt.RequestLimits) *time.Duration { return &l.HeaderTime }, duration(0, time.Hour)),
+	optional("idle", func(l *redwingshunt.RequestLimits) *time.Duration { return &l.Idle }, duration(0, time.Hour)),
+	optional("tokens", func(l *redwingshunt.RequestLimits) *int64 { return &l.Tokens }, integer[int64](0, 1<<50)),
+)
+
+// hostPattern matches host names as routes spell them.
+var hostPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// acceptPrefix reports whether a path may be the prefix of a route.
+func acceptPrefix(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/")
+}
+
 // readService decodes a service and fills in the defaults that depend on its kind.
 func readService(r *reader, path string, node *yaml.Node, into *redwingshunt.Service) {
 	serviceObject(r, path, node, into)
@@ -147,6 +201,10 @@
 		document.Once = empty.Once
 	case redwingshunt.SectionFleet:
 		document.Fleet = empty.Fleet
+	case redwingshunt.SectionRoutes:
+		document.Routes = empty.Routes
+	case redwingshunt.SectionLimits:
+		document.Limits = empty.Limits
 	}
 }
 
--- a/parser/scalar.go
+++ b/parser/scalar.go
@@ -83,7 +83,7 @@
 }
 
 // integer decodes a whole number within bounds.
-func integer[V ~int | ~uint32](least, most int64) decoder[V] {
+func integer[V ~int | ~int64 | ~uint32](least, most int64) decoder[V] {
 	wanted := "a whole number from " + strconv.FormatInt(least, 10) + " to " + strconv.FormatInt(most, 10)
 	return scalar(wanted, func(node *yaml.Node) (V, bool) {
 		value, err := strconv.ParseInt(node.Value, 10, 64)
