Bound what a router holds at once, and its memory; one line for a refusal

Cause: on the grown site the balancer's hash gave one router 450 requests a second, more than its 0.19 cores refuse; what waited to be read took its 184 MB, the process was killed, and 106 answers under way were cut (LOST).

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -162,12 +163,10 @@
 	if refusal == nil {
 		return placed, nil
 	}
-	a.options.Logger.Info("refused", "request", p.Request, "attempt", p.Attempt, "service", string(p.Service),
-		"account", string(p.Account), "reason", string(refusal.Reason), "wait", refusal.Wait.String(),
-		"bound", refusal.Bound.String(), "excess", refusal.Excess, "after", refusal.After.String())
 	detail := "no upstream of the service can take the request now"
 	if refusal.Reason == redwingshunt.ReasonQueueFull {
-		detail = "the wait at the best upstream is too long now"
+		detail = fmt.Sprintf("the wait of %s at the best upstream is beyond %s; the account has had %.2f of its share",
+			refusal.Wait.Round(time.Millisecond), refusal.Bound.Round(time.Millisecond), refusal.Excess)
 	}
 	return redwingshunt.Placed{}, redwingshunt.NotRun(refusal.Reason, http.StatusServiceUnavailable, detail).After(refusal.After)
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -53,6 +53,7 @@
 	f.relayer = relayer.New(relayer.Options{
 		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier,
 		Carrier: f.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
+		Most: d.settings.Most,
 	})
 	d.enroller.Watch(func(usable []redwingshunt.UpstreamState) {
 		f.upstreams.Store(f.upstreams.Load() || len(usable) > 0)
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -65,6 +66,9 @@
 // Attach, unless nil, is called once the daemon listens; it serves what else
 // belongs to the instance until its context ends.
 func Supervise(settings redwingshunt.Settings, options Options, attach func(context.Context, *Daemon) error, stderr io.Writer) int {
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(settings.Memory / 100 * softMemory)
+	}
 	lines := logger.New(stderr, settings.Log)
 	defer lines.Close()
 	log := slog.New(lines.Handler()).With("instance", string(settings.Name))
@@ -111,6 +115,10 @@
 	return exitOK
 }
 
+// softMemory is the percentage of the allowed memory from which garbage is
+// collected more often; stacks of threads and the program itself take the rest.
+const softMemory = 70
+
 // restartPause is the time before a daemon whose disk failed begins anew.
 const restartPause = 500 * time.Millisecond
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,6 +47,8 @@
 	Carrier       *carrier.Carrier
 	Dialect       redwingshunt.Dialect
 	Logger        *slog.Logger
+	// Most is how many requests are served at once; zero is unlimited.
+	Most int
 	// Observe is told the end of each request; may be nil.
 	Observe func(Record)
 }
@@ -208,6 +210,10 @@
 	r := x.relayer
 	dialect := r.options.Dialect
 	x.id = x.request.Header.Get(dialect.Request)
+	if most := r.options.Most; most > 0 && r.running.Load() > int64(most) {
+		return redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable,
+			"this instance serves as many requests as it can hold").After(fullAfter)
+	}
 	if r.stopping.Load() {
 		return redwingshunt.NotRun(redwingshunt.ReasonStopping, http.StatusServiceUnavailable,
 			"this instance is shutting down; use another").After(stoppingAfter)
@@ -235,6 +241,10 @@
 	return x.readBody(i.snapshot.Document.Limits)
 }
 
+// fullAfter is when a caller may come back to an instance that is full; about
+// as long as a request takes.
+const fullAfter = 500 * time.Millisecond
+
 // stoppingAfter is when a caller may come back that met an instance at the end
 // of its shutdown: other instances serve it at once.
 const stoppingAfter = 50 * time.Millisecond
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -385,6 +385,24 @@
 	eventually(t, func() bool { return b.relayer.Running() == 0 })
 }
 
+// TestMost refuses more requests at once than the instance can hold.
+func TestMost(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	b.relayer.options.Most = 1
+	b.plain[0].Misbehave(mimic.Hang, 1)
+	held := make(chan seen, 1)
+	go func() { held <- b.ask(t, "/short/a", func(r *http.Request) { r.Header.Set(redwingshunt.HeaderRequest, "r0") }) }()
+	eventually(t, func() bool { return b.plain[0].Runs("r0") == 1 })
+	got := b.ask(t, "/safe/a", nil)
+	is.Equal(got.status, 503)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(b.plain[0].Runs("r1"), 0)
+	is.Equal((<-held).status, 504) // at its limit
+	is.Equal(b.ask(t, "/safe/a", nil).status, 200)
+}
+
 // TestStopping refuses new requests as not run and ends running ones at the end.
 func TestStopping(t *testing.T) {
 	is := is.New(t)
--- a/settings.go
+++ b/settings.go
@@ -30,6 +30,8 @@
 	Founders []netip.AddrPort // link addresses of the first voters, at the first start of the fleet only
 	Wanted   int              // voters that the log should have; zero leaves its members to operators
 	Restart  bool             // the process ends when its log fails, to be restarted by its supervisor
+	Most     int              // requests of routes at once, more are refused; zero is unlimited
+	Memory   int64            // bytes that the process may take; zero leaves it to the system
 	Repeats  RepeatBudget     // bounds what routers send more than once
 	TLS      TLSFiles
 	Plain    bool // plain text is allowed; never set together with TLS
