--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -393,7 +393,9 @@
 	b.relayer.options.Most = 1
 	b.plain[0].Misbehave(mimic.Hang, 1)
 	held := make(chan seen, 1)
-	go func() { held <- b.ask(t, "/short/a", func(r *http.Request) { r.Header.Set(redwingshunt.HeaderRequest, "r0") }) }()
+	go func() {
+		held <- b.ask(t, "/short/a", func(r *http.Request) { r.Header.Set(redwingshunt.HeaderRequest, "r0") })
+	}()
 	eventually(t, func() bool { return b.plain[0].Runs("r0") == 1 })
 	got := b.ask(t, "/safe/a", nil)
 	is.Equal(got.status, 503)
