--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -388,30 +388,47 @@
 	eventually(t, func() bool { return b.relayer.Running() == 0 })
 }
 
-// TestGoneBefore sends nothing on for a caller that closed its connection right
-// after its request, as a busy instance finds many.
+// TestGoneBefore sends nothing on for a caller that has closed its connection,
+// although the server has not noticed yet, as on a busy instance.
 func TestGoneBefore(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t)
-	b.use(b.plain)
-	gate := make(chan struct{})
-	served := make(chan struct{})
-	handler := b.server.Config.Handler
-	b.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer close(served)
-		<-gate // until the caller is gone
-		handler.ServeHTTP(w, r)
-	})
-	var dialer net.Dialer
-	connection, err := dialer.DialContext(t.Context(), "tcp", b.server.Listener.Addr().String())
-	is.NoErr(err)
-	fmt.Fprintf(connection, "POST /once/a HTTP/1.1\r\nHost: h\r\n%s: r1\r\nRedwingshunt-Key: %s\r\nContent-Length: 4\r\n\r\nbody",
-		redwingshunt.HeaderRequest, key)
-	is.NoErr(connection.Close())
-	time.Sleep(50 * time.Millisecond) // the end of the connection arrives
-	close(gate)
-	<-served
-	is.Equal(b.plain[0].Total()+b.plain[1].Total(), 0)
+	tests := map[string]struct {
+		gone bool
+		runs int
+	}{
+		"still there": {false, 1},
+		"gone":        {true, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.plain)
+			var config net.ListenConfig
+			socket, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer socket.Close()
+			var dialer net.Dialer
+			caller, err := dialer.DialContext(t.Context(), "tcp", socket.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			connection, err := socket.Accept()
+			is.NoErr(err)
+			defer connection.Close()
+			if test.gone {
+				is.NoErr(caller.Close())
+				eventually(t, func() bool { return carrier.Ended(connection) })
+			}
+			request := httptest.NewRequestWithContext(WithConnection(context.Background(), connection), http.MethodPost, "/once/a", strings.NewReader("x"))
+			request.Host = "h"
+			request.Header.Set(redwingshunt.HeaderRequest, "r1")
+			request.Header.Set("Redwingshunt-Key", key)
+			func() {
+				defer func() { _ = recover() }() // the server cuts the connection so
+				b.relayer.ServeHTTP(httptest.NewRecorder(), request)
+			}()
+			is.Equal(b.plain[0].Total()+b.plain[1].Total(), test.runs)
+		})
+	}
 }
 
 // TestMost refuses more requests at once than the instance can hold.
