--- a/placer/placer.go
+++ b/placer/placer.go
@@ -66,6 +66,9 @@
 	// told to return.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 3 * time.Second
+	// mostTickets is how many attempts one router has at once at most, else some
+	// of their ends were never told.
+	mostTickets = 10_000
 	// ticketLife is how long a ticket without an end is believed in.
 	ticketLife = time.Minute
 )
@@ -252,10 +255,13 @@
 	t.upstream.end(t, now, end)
 }
 
-// expire drops tickets of which the end was never told.
+// expire drops tickets of which the end was never told, once there are many.
 func (c *Core) expire(now time.Time) {
+	if len(c.tickets) < mostTickets {
+		return
+	}
 	for number, t := range c.tickets {
-		if len(c.tickets) > 10_000 && now.Sub(t.placed) > ticketLife {
+		if now.Sub(t.placed) > ticketLife {
 			delete(c.tickets, number)
 			t.upstream.end(t, now, redwingshunt.EndLeft)
 		}
