--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -59,3 +60,23 @@
 	is.True(!strings.Contains(out.String(), "quiet"))
 	is.True(strings.Contains(out.String(), "loud"))
 }
+
+// BenchmarkLine writes lines of ended requests, and none, to see what the log
+// costs a request.
+func BenchmarkLine(b *testing.B) {
+	for name, level := range map[string]slog.Level{"with": slog.LevelInfo, "without": slog.LevelError} {
+		b.Run(name, func(b *testing.B) {
+			l := New(io.Discard, level)
+			defer l.Close()
+			log := slog.New(l.Handler()).With("instance", "front-north-a-1")
+			for b.Loop() {
+				log.LogAttrs(b.Context(), slog.LevelInfo, "request ended",
+					slog.String("request", "9c41d07be2a35f68"), slog.String("outcome", "answered"), slog.Int("status", 200),
+					slog.String("service", "titi12a"), slog.String("account", "balo570"), slog.String("upstream", "i-92055c4ea7"),
+					slog.Int("tries", 1), slog.Int("sent", 0), slog.Duration("predicted", 81_250_000),
+					slog.Duration("first", 333_318_538), slog.Duration("total", 4_548_222_211),
+					slog.String("route", "r-yme82fi"), slog.Uint64("event", 44), slog.Uint64("version", 2))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/relayer/story_test.go
@@ -0,0 +1,118 @@
+package relayer
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/allocator"
+	"github.com/redwingshunt/redwingshunt/mimic"
+	"github.com/redwingshunt/redwingshunt/narrator"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+// lines is a log in memory.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// alone is a fleet of one router whose gatherer is told by the test.
+type alone struct {
+	receive func(redwingshunt.InstanceID, []byte)
+}
+
+func (a *alone) Self() redwingshunt.Instance                        { return redwingshunt.Instance{ID: "r"} }
+func (a *alone) Live() []redwingshunt.Instance                      { return []redwingshunt.Instance{a.Self()} }
+func (a *alone) Now() time.Time                                     { return time.Now() }
+func (a *alone) Send(redwingshunt.InstanceID, redwingshunt.Message) {}
+func (a *alone) Handle(_ redwingshunt.MessageKind, receive func(redwingshunt.InstanceID, []byte)) {
+	a.receive = receive
+}
+
+// TestStory causes failures and finds their causes from the logs and the
+// metrics alone.
+func TestStory(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		cause  func(t *testing.T, b *bench)
+		story  []string // found in its lines, in this order
+		metric string   // outcome that is counted
+	}{
+		"refused under load": {"/stream/a", refuseUnderLoad,
+			[]string{"outcome=queue-full", "sent=0", "promise=not-run", "s at the best upstream is beyond"}, "queue-full"},
+		"broken off in mid-stream": {"/stream/a", func(_ *testing.T, b *bench) { b.streaming[0].Misbehave(mimic.CutStream, -1) },
+			[]string{"attempt failed", "upstream=w0", "event=1", "it may have run and is not idempotent", "outcome=broken", "event=1"}, "broken"},
+		"lost around a planned stop": {"/stream/a", func(_ *testing.T, b *bench) { b.relayer.Stop() },
+			[]string{"outcome=stopping", "promise=not-run", "shutting down"}, "stopping"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.streaming)
+			log, counted := &lines{}, make(chan Record, 10)
+			b.relayer.options.Logger = slog.New(slog.NewJSONHandler(log, nil)).With("instance", "r")
+			b.relayer.options.Observe = func(r Record) { counted <- r }
+			test.cause(t, b)
+			b.ask(t, test.path, func(r *http.Request) { r.Header.Set("Redwingshunt-Tokens", "1000,100") })
+			is.Equal((<-counted).Outcome, test.metric)
+			story := narrator.New("r1")
+			is.NoErr(story.Read("log", strings.NewReader(log.text.String())))
+			var told strings.Builder
+			for _, line := range story.Lines() {
+				told.WriteString(line.String() + "\n")
+			}
+			rest := told.String()
+			for _, wanted := range test.story {
+				_, after, found := strings.Cut(rest, wanted)
+				if !found {
+					t.Fatalf("%q is not told, or not in its place, in\n%s", wanted, told.String())
+				}
+				rest = after
+			}
+		})
+	}
+}
+
+// refuseUnderLoad lets other routers have five seconds of reading at the only
+// upstream.
+func refuseUnderLoad(t *testing.T, b *bench) {
+	t.Helper()
+	fleet := &alone{}
+	document := &redwingshunt.Document{
+		Services: []redwingshunt.Service{{Name: "s", Kind: redwingshunt.ServiceEngine, Engine: redwingshunt.Engine{Slots: 64, Memory: 1_000_000}}},
+	}
+	a := allocator.New(allocator.Options{
+		Members: fleet, Link: fleet, Clock: fleet, Logger: b.relayer.options.Logger,
+		Configuration: fixed{&redwingshunt.Snapshot{Revision: 1, Document: document}},
+	})
+	go func() { a.Run(t.Context()) }()
+	a.SetUpstreams([]redwingshunt.UpstreamState{b.streaming[0].State("s", 1)})
+	payload, err := proto.Marshal(&wire.Loads{Sequence: 1, Upstreams: []*wire.UpstreamLoad{{Id: "w0", Service: "s", Unread: 300_000, Running: 20}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet.receive("g", payload)
+	b.relayer.options.Placer = a
+	// Until the allocator has read the document, it knows no upstream.
+	eventually(t, func() bool {
+		fleet.receive("g", payload)
+		_, err := a.Place(&redwingshunt.Placement{Service: "s", Route: &routes()[2], Prompt: []redwingshunt.Part{{ID: "x", Tokens: 1}}, Attempt: 1})
+		return err != nil && redwingshunt.OutcomeOf(err).Reason == redwingshunt.ReasonQueueFull
+	})
+}
