--- a/enroller/table.go
+++ b/enroller/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -164,36 +163,14 @@
 	Age   time.Duration
 }
 
-// All returns every entry.
+// All returns every entry, ordered by name.
 func (t *Table) All(now time.Time) []Announced {
-	return t.since(now, time.Time{}, time.Time{})
-}
-
-// Since returns the entries that were announced after one time or have changed
-// after another.
-func (t *Table) Since(now, announced, changed time.Time) []Announced {
-	return t.since(now, announced, changed)
-}
-
-func (t *Table) since(now, announced, changed time.Time) []Announced {
-	var found []Announced
-	for _, e := range t.entries {
-		if e.heard.After(announced) || e.changed.After(changed) {
-			found = append(found, Announced{State: e.state, Age: max(now.Sub(e.heard), 0)})
-		}
-	}
-	slices.SortFunc(found, func(a, b Announced) int { return cmp.Compare(a.State.ID, b.State.ID) })
-	return found
-}
-
-// At returns who announced an address last.
-func (t *Table) At(address netip.AddrPort) (redwingshunt.UpstreamState, bool) {
+	all := make([]Announced, 0, len(t.entries))
 	for _, e := range t.entries {
-		if e.state.Address == address && !e.gone {
-			return e.state, true
-		}
+		all = append(all, Announced{State: e.state, Age: max(now.Sub(e.heard), 0)})
 	}
-	return redwingshunt.UpstreamState{}, false
+	slices.SortFunc(all, func(a, b Announced) int { return cmp.Compare(a.State.ID, b.State.ID) })
+	return all
 }
 
 // forget drops what was heard of long ago.
--- a/route.go
+++ b/route.go
@@ -1,7 +1,6 @@
 package redwingshunt
 
 import (
-	"net/netip"
 	"time"
 )
 
@@ -145,10 +144,3 @@
 	Findings Findings // the document is invalid, and not accepted
 	Version  uint64   // in force after the change
 }
-
-// FrontAddresses are the addresses of an instance that routes by the routes of
-// the document.
-type FrontAddresses struct {
-	Callers netip.AddrPort
-	Ready   netip.AddrPort // tells a balancer whether to send connections
-}
