--- a/mimic/worker.go
+++ b/mimic/upstream.go
@@ -15,8 +15,8 @@
 	"github.com/redwingshunt/redwingshunt"
 )
 
-// WorkerOptions configure a Worker.
-type WorkerOptions struct {
+// UpstreamOptions configure an Upstream.
+type UpstreamOptions struct {
 	ID      redwingshunt.UpstreamID
 	Dialect redwingshunt.Dialect
 	Address string        // to listen on; "127.0.0.1:0" when empty
@@ -25,7 +25,7 @@
 	Slots   int           // requests at once; more are refused as not run
 }
 
-// Misbehaviour is what a Worker does to its next requests.
+// Misbehaviour is what an Upstream does to its next requests.
 type Misbehaviour uint8
 
 // The misbehaviours.
@@ -41,11 +41,11 @@
 	Wander                  // skips an event of a stream
 )
 
-// Worker is a stand-in for an upstream of routes. It speaks a dialect, signs
+// Upstream is a stand-in for an upstream of routes. It speaks a dialect, signs
 // its answers, numbers the events of streams and resumes them, and counts the
 // runs of each request. It is safe for concurrent use.
-type Worker struct {
-	options WorkerOptions
+type Upstream struct {
+	options UpstreamOptions
 	server  *http.Server
 	socket  net.Listener
 
@@ -59,12 +59,12 @@
 	bodies  map[string]int         // bytes of the body of the last run
 }
 
-// NewWorker returns a worker that does not listen yet.
-func NewWorker(options WorkerOptions) *Worker {
+// NewUpstream returns an upstream that does not listen yet.
+func NewUpstream(options UpstreamOptions) *Upstream {
 	if options.Address == "" {
 		options.Address = "127.0.0.1:0"
 	}
-	w := &Worker{
+	w := &Upstream{
 		options: options, runs: make(map[string]int), headers: make(map[string]http.Header),
 		left: make(map[string]bool), bodies: make(map[string]int),
 	}
@@ -72,11 +72,11 @@
 	return w
 }
 
-// headerTimeout bounds the header of a request to a worker.
+// headerTimeout bounds the header of a request to an upstream.
 const headerTimeout = 5 * time.Second
 
 // Start listens and serves.
-func (w *Worker) Start() error {
+func (w *Upstream) Start() error {
 	var config net.ListenConfig
 	socket, err := config.Listen(context.Background(), "tcp", w.options.Address)
 	if err != nil {
@@ -88,15 +88,15 @@
 }
 
 // Stop cuts all connections, as a crash does.
-func (w *Worker) Stop() { _ = w.server.Close() }
+func (w *Upstream) Stop() { _ = w.server.Close() }
 
-// Address returns where the worker listens.
-func (w *Worker) Address() netip.AddrPort {
+// Address returns where the upstream listens.
+func (w *Upstream) Address() netip.AddrPort {
 	return w.socket.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// State returns what the worker announces.
-func (w *Worker) State(service redwingshunt.ServiceID, sequence uint64) redwingshunt.UpstreamState {
+// State returns what the upstream announces.
+func (w *Upstream) State(service redwingshunt.ServiceID, sequence uint64) redwingshunt.UpstreamState {
 	return redwingshunt.UpstreamState{
 		Upstream: redwingshunt.Upstream{ID: w.options.ID, Service: service, Address: w.Address(), Slots: w.options.Slots},
 		Born:     time.UnixMilli(1), Sequence: sequence,
@@ -104,21 +104,21 @@
 }
 
 // Misbehave sets what the next requests meet; a negative number means all.
-func (w *Worker) Misbehave(m Misbehaviour, times int) {
+func (w *Upstream) Misbehave(m Misbehaviour, times int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.mood, w.times = m, times
 }
 
 // Runs returns how often a request has begun to run.
-func (w *Worker) Runs(request string) int {
+func (w *Upstream) Runs(request string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.runs[request]
 }
 
 // Total returns the runs of all requests.
-func (w *Worker) Total() int {
+func (w *Upstream) Total() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	total := 0
@@ -129,28 +129,28 @@
 }
 
 // Header returns the header with which a request came last.
-func (w *Worker) Header(request string) http.Header {
+func (w *Upstream) Header(request string) http.Header {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.headers[request]
 }
 
 // Body returns the bytes of the body with which a request came last.
-func (w *Worker) Body(request string) int {
+func (w *Upstream) Body(request string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.bodies[request]
 }
 
 // Left reports whether the caller of a request went away while it ran.
-func (w *Worker) Left(request string) bool {
+func (w *Upstream) Left(request string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.left[request]
 }
 
 // begin books a request and returns what it meets.
-func (w *Worker) begin(r *http.Request, id string, body int) (Misbehaviour, bool) {
+func (w *Upstream) begin(r *http.Request, id string, body int) (Misbehaviour, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	mood := Behave
@@ -168,14 +168,14 @@
 	return mood, true
 }
 
-func (w *Worker) end(id string, left bool) {
+func (w *Upstream) end(id string, left bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running--
 	w.left[id] = w.left[id] || left
 }
 
-func (w *Worker) serve(to http.ResponseWriter, r *http.Request) {
+func (w *Upstream) serve(to http.ResponseWriter, r *http.Request) {
 	dialect := w.options.Dialect
 	id := r.Header.Get(dialect.Request)
 	body := 0
@@ -205,7 +205,7 @@
 }
 
 // run answers a request that has begun.
-func (w *Worker) run(to http.ResponseWriter, r *http.Request, id string, mood Misbehaviour) {
+func (w *Upstream) run(to http.ResponseWriter, r *http.Request, id string, mood Misbehaviour) {
 	if mood != Unsigned {
 		to.Header().Set(w.options.Dialect.Signature, string(w.options.ID)+"."+id)
 	}
@@ -231,7 +231,7 @@
 }
 
 // answerLate writes the answer to some earlier request and then the right one.
-func (w *Worker) answerLate(to http.ResponseWriter, id string) {
+func (w *Upstream) answerLate(to http.ResponseWriter, id string) {
 	hijacker, ok := to.(http.Hijacker)
 	if !ok {
 		return
@@ -251,7 +251,7 @@
 }
 
 // stream writes numbered events, after the last one that the caller has.
-func (w *Worker) stream(to http.ResponseWriter, r *http.Request, mood Misbehaviour) {
+func (w *Upstream) stream(to http.ResponseWriter, r *http.Request, mood Misbehaviour) {
 	last, err := strconv.Atoi(r.Header.Get(redwingshunt.HeaderLastEvent))
 	if err != nil {
 		last = 0 // from the beginning
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -95,14 +95,14 @@
 	}
 }
 
-// bench is a relayer in front of two workers.
+// bench is a relayer in front of two upstreams.
 type bench struct {
 	server    *httptest.Server
 	relayer   *Relayer
 	placer    *list
 	suspects  *suspicions
-	plain     [2]*mimic.Worker
-	streaming [2]*mimic.Worker
+	plain     [2]*mimic.Upstream
+	streaming [2]*mimic.Upstream
 }
 
 // key is the key of the only client account.
@@ -119,9 +119,9 @@
 	b := &bench{placer: &list{budget: 10}, suspects: &suspicions{}}
 	for i := range 2 {
 		id := redwingshunt.UpstreamID(fmt.Sprint("w", i))
-		b.plain[i] = mimic.NewWorker(mimic.WorkerOptions{ID: id, Dialect: dialect, Slots: 8})
-		b.streaming[i] = mimic.NewWorker(mimic.WorkerOptions{ID: id, Dialect: dialect, Slots: 8, Events: 5, Pause: time.Millisecond})
-		for _, w := range []*mimic.Worker{b.plain[i], b.streaming[i]} {
+		b.plain[i] = mimic.NewUpstream(mimic.UpstreamOptions{ID: id, Dialect: dialect, Slots: 8})
+		b.streaming[i] = mimic.NewUpstream(mimic.UpstreamOptions{ID: id, Dialect: dialect, Slots: 8, Events: 5, Pause: time.Millisecond})
+		for _, w := range []*mimic.Upstream{b.plain[i], b.streaming[i]} {
 			if err := w.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -141,10 +141,10 @@
 	return b
 }
 
-// use lets the relayer choose among one of the two pairs of workers.
-func (b *bench) use(workers [2]*mimic.Worker) {
+// use lets the relayer choose among one of the two pairs of upstreams.
+func (b *bench) use(upstreams [2]*mimic.Upstream) {
 	b.placer.upstreams = nil
-	for _, w := range workers {
+	for _, w := range upstreams {
 		b.placer.upstreams = append(b.placer.upstreams, w.State("s", 1).Upstream)
 	}
 }
@@ -225,12 +225,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBench(t)
-			workers := b.plain
+			upstreams := b.plain
 			if test.streaming {
-				workers = b.streaming
+				upstreams = b.streaming
 			}
-			b.use(workers)
-			workers[0].Misbehave(test.mood, -1)
+			b.use(upstreams)
+			upstreams[0].Misbehave(test.mood, -1)
 			got := b.ask(t, test.path, nil)
 			is.Equal(got.status, test.status)
 			is.Equal(got.err != nil, test.broken)
@@ -248,7 +248,7 @@
 				is.True(got.header.Get("Retry-After") != "")
 				is.Equal(got.header.Get(redwingshunt.HeaderOutcome), string(redwingshunt.OutcomeNotRun))
 			}
-			is.Equal([2]int{workers[0].Runs("r1"), workers[1].Runs("r1")}, test.runs)
+			is.Equal([2]int{upstreams[0].Runs("r1"), upstreams[1].Runs("r1")}, test.runs)
 		})
 	}
 }
