--- a/dispatcher/resume.go
+++ b/dispatcher/resume.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -10,6 +9,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/retrier"
+	"github.com/redwingshunt/redwingshunt/splitter"
 )
 
 // errUnnumbered ends a stream that said it could be resumed.
@@ -27,18 +27,11 @@
 	if !a.resumable {
 		return true, nil
 	}
-	for line := range bytes.Lines(event) {
-		text, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		offset, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
-		if err != nil {
-			return false, errUnnumbered
-		}
-		return a.position.Accept(offset)
+	offset, ok := splitter.Number(event)
+	if !ok {
+		return false, errUnnumbered
 	}
-	return false, errUnnumbered
+	return a.position.Accept(offset)
 }
 
 // mayResume reports whether the stream broke off and somebody still wants it.
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/connector"
+	"github.com/redwingshunt/redwingshunt/splitter"
 )
 
 // copyStream passes server-sent events on, and resumes the stream when it ends
@@ -32,7 +32,7 @@
 func (a *attempt) passEvents(ctx context.Context, response *http.Response) error {
 	scanner := bufio.NewScanner(&progressReader{attempt: a, reader: response.Body})
 	scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
-	scanner.Split(splitEvents)
+	scanner.Split(splitter.Events)
 	for scanner.Scan() {
 		event := scanner.Bytes()
 		pass, err := a.accept(event)
@@ -42,7 +42,7 @@
 		if !pass {
 			continue
 		}
-		data, ok := eventData(event)
+		data, ok := splitter.Field(event, "data")
 		if ok {
 			a.meter.Event(data)
 		}
@@ -105,37 +105,3 @@
 	}
 	return http.NewResponseController(a.exchange.Writer).Flush()
 }
-
-// splitEvents is a bufio.SplitFunc for server-sent events; each ends with an
-// empty line, which is kept. An event cut off by the end of the stream is
-// dropped.
-func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
-	first := -1
-	ahead := data // where an earlier end may be
-	for _, empty := range emptyLines {
-		if i := bytes.Index(ahead, empty); i >= 0 {
-			first = i + len(empty)
-			ahead = data[:first]
-		}
-	}
-	switch {
-	case first >= 0:
-		return first, data[:first], nil
-	case atEOF:
-		return len(data), nil, nil
-	}
-	return 0, nil, nil
-}
-
-// emptyLines are the ends of a line and of the empty line that follows it.
-var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
-
-// eventData returns the data of a server-sent event.
-func eventData(event []byte) ([]byte, bool) {
-	for line := range bytes.Lines(event) {
-		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			return bytes.TrimSpace(data), true
-		}
-	}
-	return nil, false
-}
--- a/dispatcher/stream_bench_test.go
+++ b/dispatcher/stream_bench_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"strings"
 	"testing"
+
+	"github.com/redwingshunt/redwingshunt/splitter"
 )
 
 // BenchmarkSplit splits a stream of which many events come at once.
@@ -13,7 +15,7 @@
 	for range b.N {
 		scanner := bufio.NewScanner(strings.NewReader(stream))
 		scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
-		scanner.Split(splitEvents)
+		scanner.Split(splitter.Events)
 		n := 0
 		for scanner.Scan() {
 			n++
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"github.com/redwingshunt/redwingshunt/splitter"
 )
 
 // FuzzStream parses streams as upstreams send them. The events are what was
@@ -31,7 +33,7 @@
 			t.Fatalf("kept back the event %q", rest)
 		}
 		for _, event := range whole {
-			data, ok := eventData([]byte(event))
+			data, ok := splitter.Field([]byte(event), "data")
 			if ok && !bytes.Contains([]byte(event), data) {
 				t.Fatalf("read %q from %q", data, event)
 			}
@@ -41,7 +43,7 @@
 
 func events(scanner *bufio.Scanner) []string {
 	scanner.Buffer(nil, largestEvent)
-	scanner.Split(splitEvents)
+	scanner.Split(splitter.Events)
 	var all []string
 	for scanner.Scan() {
 		all = append(all, scanner.Text())
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/splitter"
 )
 
 const (
@@ -38,11 +39,11 @@
 	s.pending = append(s.pending, p...)
 	end := 0
 	for {
-		size := eventEnd(s.pending[end:])
+		size := splitter.End(s.pending[end:])
 		if size == 0 {
 			break
 		}
-		if number, ok := eventNumber(s.pending[end : end+size]); ok {
+		if number, ok := splitter.Number(s.pending[end : end+size]); ok {
 			if s.last != 0 && number != s.last+1 {
 				return s.pending[:end], errEventOrder
 			}
@@ -58,35 +59,6 @@
 	return whole, nil
 }
 
-// eventEnd returns the size of the event at the beginning of p, its empty line
-// included, or zero when it has not ended.
-func eventEnd(p []byte) int {
-	for offset := 0; ; {
-		i := bytes.IndexByte(p[offset:], '\n')
-		if i < 0 {
-			return 0
-		}
-		line := bytes.TrimSuffix(p[offset:offset+i], []byte{'\r'})
-		offset += i + 1
-		if len(line) == 0 {
-			return offset
-		}
-	}
-}
-
-// eventNumber returns the number that an event carries.
-func eventNumber(event []byte) (uint64, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		number, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		return number, err == nil
-	}
-	return 0, false
-}
-
 // relayStream passes a stream on, event by event. The header of the first
 // upstream stays when a later one goes on.
 func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, progress func()) verdict {
--- /dev/null
+++ b/splitter/splitter_test.go
@@ -0,0 +1,41 @@
+package splitter
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEnd(t *testing.T) {
+	tests := map[string]struct {
+		data string
+		want int
+	}{
+		"nothing":          {"", 0},
+		"not ended":        {"id: 1\ndata: a\n", 0},
+		"ended":            {"id: 1\n\nid: 2", 7},
+		"carriage returns": {"id: 1\r\n\r\nid", 9},
+		"both":             {"id: 1\r\n\r\nid: 2\n\n", 9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(End([]byte(test.data)), test.want)
+		})
+	}
+}
+
+func TestFields(t *testing.T) {
+	is := is.New(t)
+	event := []byte("id: 12\nidle: x\ndata: a b \n\n")
+	data, ok := Field(event, "data")
+	is.True(ok)
+	is.Equal(string(data), "a b")
+	number, ok := Number(event)
+	is.True(ok)
+	is.Equal(number, uint64(12))
+	_, ok = Number([]byte("idle: 3\nid: x\n\n"))
+	is.True(!ok)
+	_, ok = Field(event, "retry")
+	is.True(!ok)
+}
