--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -262,28 +262,14 @@
 	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// hopHeaders belong to one connection and are not passed on (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 // ownPrefix begins the headers that only the fleet itself sends.
 const ownPrefix = "Redwingshunt-"
 
+// copyHeader passes a header on, but for what only the fleet itself sends.
 func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if strings.HasPrefix(name, ownPrefix) {
-			continue
+	for name, values := range redwingshunt.EndToEnd(from) {
+		if !strings.HasPrefix(name, ownPrefix) {
+			to[name] = append([]string(nil), values...)
 		}
-		to[name] = append([]string(nil), values...)
-	}
-	for _, connection := range from["Connection"] {
-		for name := range strings.SplitSeq(connection, ",") {
-			to.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
 	}
 }
--- a/relayer/headers.go
+++ b/relayer/headers.go
@@ -3,23 +3,16 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/carrier"
 )
 
-// perConnection are the headers that concern one connection only.
-var perConnection = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
 // call returns the request as the upstream gets it.
 func (x *exchange) call(placed redwingshunt.Placed) carrier.Call {
 	dialect := x.relayer.options.Dialect
-	header := passed(x.request.Header)
+	header := redwingshunt.EndToEnd(x.request.Header)
 	for _, name := range append([]string{dialect.Key, dialect.Account, dialect.Expect}, dialect.Internal...) {
 		header.Del(name)
 	}
@@ -41,27 +34,10 @@
 	}
 }
 
-// passed returns a copy of a header without what concerns one connection.
-func passed(header http.Header) http.Header {
-	next := make(http.Header, len(header))
-	for name, values := range header {
-		next[name] = values
-	}
-	for _, list := range header["Connection"] {
-		for _, name := range strings.Split(list, ",") {
-			next.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range perConnection {
-		next.Del(name)
-	}
-	return next
-}
-
 // answerHeader copies the header of an upstream's answer to the caller.
 func (x *exchange) answerHeader(header http.Header) {
 	to := x.writer.Header()
-	for name, values := range passed(header) {
+	for name, values := range redwingshunt.EndToEnd(header) {
 		to[name] = values
 	}
 	if _, ok := header["Content-Type"]; !ok {
