--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -80,7 +80,7 @@
 	if e.HTTP.Method != http.MethodPost {
 		return invalid("a chat completion is a POST")
 	}
-	body, err := readBody(e, largestBody(e.Snapshot.Document))
+	body, err := ReadBody(e.Writer, e.HTTP, largestBody(e.Snapshot.Document))
 	if err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 		return redwingshunt.NotRun(redwingshunt.ReasonUnknownService, http.StatusNotFound,
 			"no plain service has the name "+quote(name))
 	}
-	body, err := readBody(e, service.Body)
+	body, err := ReadBody(e.Writer, e.HTTP, service.Body)
 	if err != nil {
 		return err
 	}
@@ -206,15 +206,16 @@
 	return redwingshunt.Fingerprint(hash.Sum(nil)[:len(redwingshunt.Fingerprint{})])
 }
 
-// readBody reads at most limit bytes.
-func readBody(e *redwingshunt.Exchange, limit int64) ([]byte, error) {
+// ReadBody reads the whole body of a request, at most limit bytes. An error is
+// an OutcomeError that says not run.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	var body bytes.Buffer
-	body.Grow(int(min(max(e.HTTP.ContentLength, 0), trustedLength)) + bytes.MinRead)
-	_, err := body.ReadFrom(http.MaxBytesReader(e.Writer, e.HTTP.Body, limit))
+	body.Grow(int(min(max(r.ContentLength, 0), trustedLength)) + bytes.MinRead)
+	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	// The limit on the time that the body takes would otherwise end a request
 	// that runs for longer, as the server goes on reading to notice a caller
 	// that leaves.
-	_ = http.NewResponseController(e.Writer).SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/classifier/classifier_bench_test.go
+++ b/classifier/classifier_bench_test.go
@@ -19,7 +19,7 @@
 			for range b.N {
 				request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
 				e := &redwingshunt.Exchange{Writer: httptest.NewRecorder(), HTTP: request}
-				if read, err := readBody(e, 1<<20); err != nil || len(read) != size {
+				if read, err := ReadBody(e.Writer, e.HTTP, 1<<20); err != nil || len(read) != size {
 					b.Fatal(len(read), err)
 				}
 			}
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -1,9 +1,7 @@
 package relayer
 
 import (
-	"bytes"
 	"crypto/sha256"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +9,7 @@
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/classifier"
 )
 
 const (
@@ -21,9 +20,6 @@
 	defaultBody = 4 << 20
 	// bodyTimeout is how long a caller may take to send a body.
 	bodyTimeout = 10 * time.Second
-	// trustedLength bounds in bytes the memory that is taken for a body before
-	// it arrives.
-	trustedLength = 64 << 10
 	// maxParts bounds the parts of a prompt.
 	maxParts = 64
 )
@@ -112,23 +108,11 @@
 	if limit == 0 {
 		limit = defaultBody
 	}
-	controller := http.NewResponseController(x.writer)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // not on a recorded response
-	var body bytes.Buffer
-	body.Grow(int(min(max(x.request.ContentLength, 0), trustedLength)) + bytes.MinRead)
-	_, err := body.ReadFrom(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{}) // the server goes on reading to notice a caller that leaves
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return redwingshunt.NotRun(redwingshunt.ReasonTooLarge, http.StatusRequestEntityTooLarge,
-			"the body has more than "+strconv.FormatInt(limit, 10)+" bytes")
-	case err != nil:
-		return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
-			"the body could not be read: "+err.Error())
-	}
-	x.body = body.Bytes()
-	return nil
+	// A recorded response, as in tests, knows no deadline.
+	_ = http.NewResponseController(x.writer).SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := classifier.ReadBody(x.writer, x.request, limit)
+	x.body = body
+	return err
 }
 
 // fingerprint names the content of a request, whatever its identifier.
