--- a/classifier/classifier.go
+++ b/classifier/classifier.go
@@ -18,9 +18,7 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"path"
@@ -143,7 +141,7 @@
 // finish decides whether the request runs at most once, and names its content.
 func (c *Classifier) finish(e *redwingshunt.Exchange) error {
 	r := e.Request
-	r.Fingerprint = fingerprint(r)
+	r.Fingerprint = redwingshunt.NewFingerprint(r.Body, string(r.Account), string(r.Service), r.Method, r.Path)
 	r.Deadline = e.Arrived.Add(e.Service.Wait)
 	r.Once = slices.ContainsFunc(e.Snapshot.Document.Once, func(rule redwingshunt.OnceRule) bool {
 		return matches(rule, r)
@@ -196,16 +194,6 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
-func fingerprint(r *redwingshunt.Request) redwingshunt.Fingerprint {
-	hash := sha256.New()
-	for _, part := range []string{string(r.Account), string(r.Service), r.Method, r.Path} {
-		_, _ = io.WriteString(hash, part)
-		_, _ = hash.Write([]byte{0})
-	}
-	_, _ = hash.Write(r.Body)
-	return redwingshunt.Fingerprint(hash.Sum(nil)[:len(redwingshunt.Fingerprint{})])
-}
-
 // ReadBody reads the whole body of a request, at most limit bytes. An error is
 // an OutcomeError that says not run.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/interfaces.go
+++ b/interfaces.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"io"
 	"net/http"
 	"time"
 )
@@ -112,6 +114,18 @@
 // path and body.
 type Fingerprint [16]byte
 
+// NewFingerprint returns the fingerprint of a body and of what names the request
+// besides it.
+func NewFingerprint(body []byte, names ...string) Fingerprint {
+	hash := sha256.New()
+	for _, name := range names {
+		_, _ = io.WriteString(hash, name) // never fails
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(body)
+	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
+}
+
 // Request is a classified request on its way to an upstream.
 type Request struct {
 	ID          string // unique in the fleet; checked at both ends
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -1,8 +1,6 @@
 package relayer
 
 import (
-	"crypto/sha256"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -114,14 +112,3 @@
 	x.body = body
 	return err
 }
-
-// fingerprint names the content of a request, whatever its identifier.
-func fingerprint(x *exchange) redwingshunt.Fingerprint {
-	hash := sha256.New()
-	for _, part := range []string{string(x.account), x.request.Host, x.request.Method, targetOf(x.request)} {
-		_, _ = io.WriteString(hash, part) // never fails
-		_, _ = hash.Write([]byte{0})
-	}
-	_, _ = hash.Write(x.body)
-	return redwingshunt.Fingerprint(hash.Sum(nil)[:len(redwingshunt.Fingerprint{})])
-}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -291,7 +291,7 @@
 		return nil
 	}
 	if x.suspicion == (redwingshunt.Fingerprint{}) {
-		x.suspicion = fingerprint(x)
+		x.suspicion = redwingshunt.NewFingerprint(x.body, string(x.account), x.request.Host, x.request.Method, targetOf(x.request))
 	}
 	if err := suspects.Admit(ctx, x.suspicion); err != nil {
 		outcome := *redwingshunt.OutcomeOf(err)
