Find client accounts in one place, and ask for a key when none is left

Routes had an index of keys of their own. It took a document whose accounts have all lost their keys for one without accounts, and let everybody in (TestNoKeyLeft, which failed).

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -25,7 +25,7 @@
 	index atomic.Pointer[keyIndex]
 }
 
-// keyIndex holds the accounts of one snapshot by the hash of their key.
+// keyIndex holds the accounts of one snapshot by the hashes of their keys.
 type keyIndex struct {
 	snapshot *redwingshunt.Snapshot
 	accounts map[redwingshunt.KeyHash]*redwingshunt.Account
@@ -57,8 +57,8 @@
 				"this instance has no configuration yet").After(redwingshunt.RetrySoon)
 		}
 		key := BearerKey(e.HTTP)
-		account, ok := a.accounts(e.Snapshot)[HashKey(key)]
-		if key == "" || !ok {
+		account := a.Find(e.Snapshot, key)
+		if account == nil {
 			return redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, http.StatusUnauthorized,
 				"send the key of a client account as Authorization: Bearer KEY")
 		}
@@ -67,6 +67,14 @@
 	})
 }
 
+// Find returns the account that a key belongs to, or nil.
+func (a *Authenticator) Find(s *redwingshunt.Snapshot, key string) *redwingshunt.Account {
+	if key == "" {
+		return nil
+	}
+	return a.accounts(s)[HashKey(key)]
+}
+
 func (a *Authenticator) accounts(s *redwingshunt.Snapshot) map[redwingshunt.KeyHash]*redwingshunt.Account {
 	if index := a.index.Load(); index != nil && index.snapshot == s {
 		return index.accounts
@@ -74,7 +82,12 @@
 	accounts := make(map[redwingshunt.KeyHash]*redwingshunt.Account, len(s.Document.Accounts))
 	for i := range s.Document.Accounts {
 		account := &s.Document.Accounts[i]
-		accounts[account.Key] = account
+		if account.Key != "" {
+			accounts[account.Key] = account
+		}
+		for _, key := range account.Keys {
+			accounts[key] = account
+		}
 	}
 	a.index.Store(&keyIndex{snapshot: s, accounts: accounts})
 	return accounts
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -67,6 +67,7 @@
 // Relayer is an http.Handler. It is safe for concurrent use.
 type Relayer struct {
 	options  Options
+	accounts *authenticator.Authenticator
 	index    atomic.Pointer[index]
 	running  atomic.Int64
 	leaving  atomic.Bool
@@ -96,12 +97,11 @@
 type index struct {
 	snapshot *redwingshunt.Snapshot
 	routes   *matcher.Table
-	accounts map[redwingshunt.KeyHash]redwingshunt.AccountID
 }
 
 // New returns a relayer.
 func New(options Options) *Relayer {
-	r := &Relayer{options: options}
+	r := &Relayer{options: options, accounts: authenticator.New()}
 	r.base, r.abort = context.WithCancelCause(context.Background())
 	return r
 }
@@ -131,28 +131,11 @@
 	if i := r.index.Load(); i != nil && i.snapshot == snapshot {
 		return i
 	}
-	i := newIndex(snapshot)
+	i := &index{snapshot: snapshot, routes: matcher.New(snapshot.Document)}
 	r.index.Store(i)
 	return i
 }
 
-func newIndex(snapshot *redwingshunt.Snapshot) *index {
-	i := &index{
-		snapshot: snapshot,
-		routes:   matcher.New(snapshot.Document),
-		accounts: make(map[redwingshunt.KeyHash]redwingshunt.AccountID),
-	}
-	for _, account := range snapshot.Document.Accounts {
-		if account.Key != "" {
-			i.accounts[account.Key] = account.Name
-		}
-		for _, key := range account.Keys {
-			i.accounts[key] = account.Name
-		}
-	}
-	return i
-}
-
 // ServeHTTP serves one request.
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.running.Add(1)
@@ -271,17 +254,16 @@
 // the document, and public ones, ask for none.
 func (x *exchange) authenticate(i *index) error {
 	dialect := x.relayer.options.Dialect
-	key := x.request.Header.Get(dialect.Key)
-	account, known := redwingshunt.AccountID(""), false
-	if key != "" && len(i.accounts) > 0 {
-		account, known = i.accounts[authenticator.HashKey(key)]
+	account := x.relayer.accounts.Find(i.snapshot, x.request.Header.Get(dialect.Key))
+	if account != nil {
+		x.account = account.Name
+		return nil
 	}
-	if !known && len(i.accounts) > 0 && !x.route.Public {
-		return redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, http.StatusUnauthorized,
-			"send the key of a client account in "+dialect.Key)
+	if x.route.Public || len(i.snapshot.Document.Accounts) == 0 {
+		return nil
 	}
-	x.account = account
-	return nil
+	return redwingshunt.NotRun(redwingshunt.ReasonUnauthorized, http.StatusUnauthorized,
+		"send the key of a client account in "+dialect.Key)
 }
 
 // admitSuspect waits until a request may run during which upstreams have died.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -330,6 +330,17 @@
 	is.Equal(b.plain[0].Body("r1"), len("a body"))
 }
 
+// TestNoKeyLeft asks for a key although every account has lost its own.
+func TestNoKeyLeft(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	b.relayer.options.Configuration.Current().Document.Accounts[0].Keys = nil
+	is.Equal(b.ask(t, "/safe/a", nil).status, 401)
+	is.Equal(b.ask(t, "/safe/a", func(r *http.Request) { r.Header.Del("Redwingshunt-Key") }).status, 401)
+	is.Equal(b.plain[0].Total(), 0)
+}
+
 // TestPublic asks for no key on a public route.
 func TestPublic(t *testing.T) {
 	is := is.New(t)
