Decide on repeats of routes in the retrier, and tell truly why a request ended

The decision stood in the shell that carries it out; it is a core of its own now. What the caller of an aborted request was told came from a second reading of the context: a deadline instead of a stop (TestAbort, which failed), and "may have run" to one that left before anything was sent.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -10,18 +10,14 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/retrier"
 )
 
 const (
-	// maxTries bounds the upstreams that one request is tried at, those
-	// included that could not be reached.
-	maxTries = 4
 	// againAfter is when a caller may come back whose request no upstream took.
 	againAfter = 200 * time.Millisecond
 	// wholeAnswer bounds in bytes an answer that is held until it is complete.
 	wholeAnswer = 8 << 20
-	// leastLeft is the time below which an attempt is not worth making.
-	leastLeft = 20 * time.Millisecond
 )
 
 // errDeadline is the cause of a context whose request has taken too long.
@@ -52,7 +48,7 @@
 	var last verdict
 	for {
 		if callerGone(ctx) {
-			return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, "the caller went away")
+			return x.giveUp(ctx, last, nil)
 		}
 		err := x.admitSuspect(ctx)
 		var placed redwingshunt.Placed
@@ -72,7 +68,7 @@
 		if last.sent {
 			x.sent++
 		}
-		if reason := x.mayRepeat(ctx, last); reason != "" {
+		if reason := x.mayRepeat(ctx); reason != "" {
 			x.logAttempt(placed, last, "not sent again: "+reason)
 			return x.giveUp(ctx, last, nil)
 		}
@@ -100,50 +96,44 @@
 
 // mayRepeat returns why the request must not be sent to another upstream, or
 // nothing.
-func (x *exchange) mayRepeat(ctx context.Context, v verdict) string {
-	switch {
-	case ctx.Err() != nil:
+func (x *exchange) mayRepeat(ctx context.Context) string {
+	if ctx.Err() != nil {
 		return "the caller left or the deadline passed"
-	case v.ran && !x.route.Idempotent():
-		return "it may have run and is not idempotent"
-	case x.started && !x.route.Resumable:
-		return "a part of the answer is with the caller"
-	case x.tries >= maxTries:
-		return "too many upstreams were tried"
-	case x.sent >= max(x.route.Attempts, 1):
-		return "the route allows no further attempt"
-	case time.Until(x.deadline) < leastLeft:
-		return "no time is left"
-	case x.sent > 0 && !x.relayer.options.Placer.Repeat(x.service):
+	}
+	obstacle := retrier.Course{
+		Idempotent: x.route.Idempotent(), Resumable: x.route.Resumable, Ran: x.run, Started: x.started,
+		Tries: x.tries, Sent: x.sent, Attempts: x.route.Attempts, Left: time.Until(x.deadline),
+	}.Obstacle()
+	if obstacle == "" && x.sent > 0 && !x.relayer.options.Placer.Repeat(x.service) {
 		return "the budget for repeats is used up"
 	}
-	return ""
+	return obstacle
 }
 
 // giveUp returns what the caller is told when no further attempt is made.
 func (x *exchange) giveUp(ctx context.Context, v verdict, refusal error) error {
-	cause := context.Cause(ctx)
-	left := ctx.Err() != nil && !errors.Is(cause, errDeadline) && !errors.Is(cause, redwingshunt.ErrStopping)
+	late := errors.Is(context.Cause(ctx), errDeadline)
+	ending := redwingshunt.EndingOf(ctx)
+	left := callerGone(ctx) || ctx.Err() != nil && !late && ending.Reason == redwingshunt.ReasonCancelled
 	switch {
 	case x.started && left:
 		return errLeft
 	case x.started:
 		return errBroken
 	case left:
-		return redwingshunt.MayHaveRun(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, "the caller went away")
+		return x.outcome(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, redwingshunt.StatusClientClosed, "the caller went away")
 	case v.reply != nil:
 		return x.write(v.reply)
 	case !x.run && refusal != nil:
 		return refusal
-	case !x.run && ctx.Err() != nil:
-		return redwingshunt.NotRun(redwingshunt.ReasonDeadline, http.StatusServiceUnavailable,
-			"the deadline passed before an upstream took the request").After(againAfter)
+	case late:
+		return x.outcome(redwingshunt.ReasonDeadline, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
+			"the deadline passed before the upstream answered")
+	case ctx.Err() != nil:
+		return x.outcome(ending.Reason, http.StatusServiceUnavailable, http.StatusBadGateway, ending.Detail)
 	case !x.run:
 		return redwingshunt.NotRun(redwingshunt.ReasonUpstreamRefused, http.StatusServiceUnavailable,
 			"no upstream took the request").After(againAfter)
-	case ctx.Err() != nil:
-		return redwingshunt.MayHaveRun(redwingshunt.ReasonDeadline, http.StatusGatewayTimeout,
-			"the deadline passed before the upstream answered")
 	}
 	detail := "the upstream failed after it had taken the request"
 	if v.err != nil {
@@ -152,6 +142,16 @@
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway, detail)
 }
 
+// outcome returns an error with one of two statuses: when no attempt can have
+// begun, and when one may have. Only the first may be a status that promises
+// "not run".
+func (x *exchange) outcome(reason redwingshunt.Reason, notRun, mayHaveRun int, detail string) error {
+	if x.run {
+		return redwingshunt.MayHaveRun(reason, mayHaveRun, detail)
+	}
+	return redwingshunt.NotRun(reason, notRun, detail).After(againAfter)
+}
+
 // attempt sends the request to one upstream and passes its answer on.
 func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) verdict {
 	watched, progress, stop := x.watch(ctx, placed)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -476,6 +476,23 @@
 	is.Equal(got.header.Get(redwingshunt.HeaderReason), string(redwingshunt.ReasonStopping))
 }
 
+// TestAbort tells the callers of running requests that the instance stops, and
+// that their requests may have run.
+func TestAbort(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	b.plain[0].Misbehave(mimic.Hang, -1)
+	running := make(chan seen, 1)
+	go func() { running <- b.ask(t, "/once/a", nil) }()
+	eventually(t, func() bool { return b.plain[0].Runs("r1") == 1 })
+	b.relayer.Abort()
+	got := <-running
+	is.Equal(got.status, 502)
+	is.Equal(got.header.Get(redwingshunt.HeaderReason), string(redwingshunt.ReasonStopping))
+	is.Equal(got.header.Get(redwingshunt.HeaderOutcome), string(redwingshunt.OutcomeMayHaveRun))
+}
+
 // eventually waits for a condition; the test times out when it never holds.
 func eventually(t *testing.T, holds func() bool) {
 	t.Helper()
