--- a/relayer/headers.go
+++ b/relayer/headers.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/responder"
 )
 
 // call returns the request as the upstream gets it.
@@ -66,12 +67,10 @@
 	x.writer.WriteHeader(status)
 }
 
-// refuse answers with an error of this instance.
+// refuse answers with an error of this instance. Callers of routes understand
+// fractions of a second.
 func (x *exchange) refuse(err *redwingshunt.OutcomeError) {
 	header := x.writer.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set(redwingshunt.HeaderOutcome, string(err.Outcome))
-	header.Set(redwingshunt.HeaderReason, string(err.Reason))
 	if x.id != "" {
 		header.Set(x.relayer.options.Dialect.Request, x.id)
 	}
@@ -79,8 +78,5 @@
 		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	x.status = err.Status
-	body := err.Detail + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(err.Status)
-	_, _ = x.writer.Write([]byte(body)) // a caller that left needs no answer
+	responder.Write(x.writer, err, x.id)
 }
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -82,13 +82,14 @@
 	return e.Request.ID
 }
 
-// Write sends an outcome as the whole answer.
+// Write sends an outcome as the whole answer. Callers are told to come back after
+// whole seconds, unless the header says it more exactly already.
 func Write(w http.ResponseWriter, outcome *redwingshunt.OutcomeError, request string) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(redwingshunt.HeaderOutcome, string(outcome.Outcome))
 	header.Set(redwingshunt.HeaderReason, string(outcome.Reason))
-	if outcome.RetryAfter > 0 {
+	if outcome.RetryAfter > 0 && header.Get("Retry-After") == "" {
 		seconds := int64((outcome.RetryAfter + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
