--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -24,12 +24,9 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/gatherer"
 	"github.com/redwingshunt/redwingshunt/placer"
-	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // forgetPeriod is how often it is looked whether news of others have ceased.
@@ -136,17 +133,17 @@
 	if skip || to == "" {
 		return
 	}
-	payload, err := proto.Marshal(loads)
+	message, err := gatherer.Encode(redwingshunt.KindLoad, loads)
 	if err != nil {
 		a.options.Logger.Error("the loads could not be encoded", "error", err.Error())
 		return
 	}
-	a.options.Link.Send(to, redwingshunt.Message{Kind: redwingshunt.KindLoad, Payload: payload})
+	a.options.Link.Send(to, message)
 }
 
 func (a *Allocator) receive(from redwingshunt.InstanceID, payload []byte) {
-	loads := new(wire.Loads)
-	if err := proto.Unmarshal(payload, loads); err != nil {
+	loads, err := gatherer.Decode(payload)
+	if err != nil {
 		a.options.Logger.Warn("the loads of other routers cannot be read", "from", string(from), "error", err.Error())
 		return
 	}
--- a/gatherer/relay.go
+++ b/gatherer/relay.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
@@ -60,8 +58,8 @@
 }
 
 func (r *Relay) receive(from redwingshunt.InstanceID, payload []byte) {
-	loads := new(wire.Loads)
-	if err := proto.Unmarshal(payload, loads); err != nil {
+	loads, err := Decode(payload)
+	if err != nil {
 		r.options.Logger.Warn("the loads of a router cannot be read", "from", string(from), "error", err.Error())
 		return
 	}
@@ -101,12 +99,12 @@
 }
 
 func (r *Relay) send(to redwingshunt.InstanceID, kind redwingshunt.MessageKind, loads *wire.Loads) {
-	payload, err := proto.Marshal(loads)
+	message, err := Encode(kind, loads)
 	if err != nil {
 		r.options.Logger.Error("the loads could not be encoded", "error", err.Error())
 		return
 	}
-	r.options.Link.Send(to, redwingshunt.Message{Kind: kind, Payload: payload})
+	r.options.Link.Send(to, message)
 }
 
 // Dump returns the routers that this gatherer hears of.
