--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -11,9 +11,9 @@
 // # Usage
 //
 //	e := enroller.New(enroller.Options{Members: members, Link: link, Clock: clock, Logger: logger})
+//	e.Watch(allocator.SetUpstreams)
 //	go e.Run(ctx)
-//	e.Enroll(state)        // an announcement came
-//	usable, turn := e.Usable()
+//	e.Enroll(state) // an announcement came
 package enroller
 
 import (
@@ -152,7 +152,7 @@
 		due = e.due(now)
 		e.told = now
 	}
-	empty := len(e.table.entries) == 0 && now.Sub(e.asked) >= askPeriod
+	empty := e.table.Empty() && now.Sub(e.asked) >= askPeriod
 	if empty {
 		e.asked = now
 	}
@@ -177,13 +177,13 @@
 func (e *Enroller) due(now time.Time) []Announced {
 	var due []Announced
 	for id, at := range e.own {
-		entry := e.table.entries[id]
-		if entry == nil || now.Sub(at) > forgetAfter {
+		announced, changed, known := e.table.Told(id, now)
+		if !known || now.Sub(at) > forgetAfter {
 			delete(e.own, id)
 			continue
 		}
-		if at.After(e.told) || now.Sub(entry.changed) < repeatChanges {
-			due = append(due, Announced{State: entry.state, Age: max(now.Sub(entry.heard), 0)})
+		if at.After(e.told) || changed < repeatChanges {
+			due = append(due, announced)
 		}
 	}
 	return due
@@ -200,7 +200,7 @@
 	}
 }
 
-// ask asks one instance that takes announcements for the whole roll.
+// ask asks one instance of the own region and one elsewhere for the whole roll.
 func (e *Enroller) ask() {
 	self := e.options.Members.Self()
 	var near, far redwingshunt.InstanceID
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -163,11 +163,29 @@
 	Age   time.Duration
 }
 
+// announced returns an entry as it is told to other instances.
+func (e *entry) announced(now time.Time) Announced {
+	return Announced{State: e.state, Age: max(now.Sub(e.heard), 0)}
+}
+
+// Told returns the announcement of an identity, and how long ago more than its
+// sequence changed.
+func (t *Table) Told(id redwingshunt.UpstreamID, now time.Time) (a Announced, changed time.Duration, known bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Announced{}, 0, false
+	}
+	return e.announced(now), now.Sub(e.changed), true
+}
+
+// Empty reports whether nobody has been announced.
+func (t *Table) Empty() bool { return len(t.entries) == 0 }
+
 // All returns every entry, ordered by name.
 func (t *Table) All(now time.Time) []Announced {
 	all := make([]Announced, 0, len(t.entries))
 	for _, e := range t.entries {
-		all = append(all, Announced{State: e.state, Age: max(now.Sub(e.heard), 0)})
+		all = append(all, e.announced(now))
 	}
 	slices.SortFunc(all, func(a, b Announced) int { return cmp.Compare(a.State.ID, b.State.ID) })
 	return all
