--- a/publisher/digest.go
+++ b/publisher/digest.go
@@ -117,9 +117,7 @@
 	if len(voters) == 0 {
 		return
 	}
-	c.send(voters[c.random.IntN(len(voters))], encode(redwingshunt.KindDigest, &wire.Digest{
-		Revision: uint64(c.state.Revision), Age: milliseconds(c.Age(now)), Ask: true,
-	}))
+	c.send(voters[c.random.IntN(len(voters))], c.question(now, c.state.Revision))
 }
 
 // nextPeer returns some peer of the own region, and elsewhere every time that
@@ -142,9 +140,14 @@
 	}
 	c.nextAsk = now.Add(askTimeout)
 	c.tries++
-	c.send(to, encode(redwingshunt.KindDigest, &wire.Digest{
+	c.send(to, c.question(now, than))
+}
+
+// question returns the message that asks for what is newer than a revision.
+func (c *Core) question(now time.Time, than redwingshunt.Revision) redwingshunt.Message {
+	return encode(redwingshunt.KindDigest, &wire.Digest{
 		Revision: uint64(than), Age: milliseconds(c.Age(now)), Ask: true,
-	}))
+	})
 }
 
 // tell tells the revision in force.
