--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -56,10 +56,9 @@
 
 // New returns an allocator without upstreams and registers it with the link.
 func New(options Options) *Allocator {
-	self := options.Members.Self()
 	a := &Allocator{
 		options: options,
-		core:    placer.New(placer.Options{Self: self.ID, Region: self.Region, Budget: options.Budget}),
+		core:    placer.New(placer.Options{Region: options.Members.Self().Region, Budget: options.Budget}),
 	}
 	options.Link.Handle(redwingshunt.KindLoadSum, a.receive)
 	return a
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -14,7 +14,7 @@
 	upstream *upstream
 	wait     time.Duration // until the engine begins to read
 	read     time.Duration // of what it does not keep
-	way      time.Duration // there and back
+	trip     time.Duration // there and back
 	unread   int64         // tokens to read
 	cost     time.Duration // by which options are compared
 }
@@ -34,14 +34,15 @@
 
 // best returns the option with the least cost among those that are up.
 func (c *Core) best(now time.Time, s *service, p *redwingshunt.Placement) option {
-	home, second := c.homes(now, s, p)
-	weight := c.readWeight(now, s, p)
+	home, second := homes(now, s, p)
+	weight := readWeight(now, s, p)
+	tokens := p.Tokens()
 	var best option
 	for _, u := range s.upstreams {
 		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
 			continue
 		}
-		o := c.weigh(now, s, p, u, u == home)
+		o := c.weigh(now, s, p, tokens, u, u == home)
 		if u == second {
 			o.cost += time.Duration(secondRead * weight * float64(o.read))
 		} else {
@@ -58,7 +59,7 @@
 // the one that comes next, or nil when it shares nothing. An upstream that is
 // spared for a moment stays a home: its things would else be read again
 // elsewhere and then there.
-func (c *Core) homes(now time.Time, s *service, p *redwingshunt.Placement) (home, second *upstream) {
+func homes(now time.Time, s *service, p *redwingshunt.Placement) (home, second *upstream) {
 	key := affinity(p.Prompt)
 	if key == "" {
 		return nil, nil
@@ -79,7 +80,7 @@
 }
 
 // readWeight returns how many times reading counts under the present load.
-func (c *Core) readWeight(now time.Time, s *service, p *redwingshunt.Placement) float64 {
+func readWeight(now time.Time, s *service, p *redwingshunt.Placement) float64 {
 	if !s.model || len(s.upstreams) == 0 {
 		return 1
 	}
@@ -122,13 +123,13 @@
 }
 
 // weigh predicts an attempt at an upstream.
-func (c *Core) weigh(now time.Time, s *service, p *redwingshunt.Placement, u *upstream, home bool) option {
+func (c *Core) weigh(now time.Time, s *service, p *redwingshunt.Placement, tokens int64, u *upstream, home bool) option {
 	o := option{upstream: u}
 	if u.Region != c.options.Region {
-		o.way = c.options.Away
+		o.trip = c.options.Away
 	}
 	if s.model && len(p.Prompt) > 0 {
-		c.weighEngine(now, s, p, &o, home)
+		weighEngine(now, s, p, tokens, &o, home)
 	} else {
 		weighPlain(&o)
 	}
@@ -137,24 +138,24 @@
 	}
 	// An upstream that fails a share of its requests costs the time that those
 	// have spent in vain.
-	o.cost = o.wait + o.way + time.Duration(u.failing*float64(aimOf(p.Route))*2)
+	o.cost = o.wait + o.trip + time.Duration(u.failing*float64(aimOf(p.Route))*2)
 	return o
 }
 
-func (c *Core) weighEngine(now time.Time, s *service, p *redwingshunt.Placement, o *option, home bool) {
+func weighEngine(now time.Time, s *service, p *redwingshunt.Placement, tokens int64, o *option, home bool) {
 	u := o.upstream
 	found := u.parts.found(p.Prompt)
 	if home {
-		found = max(found, p.Tokens()-p.Prompt[len(p.Prompt)-1].Tokens)
+		found = max(found, tokens-p.Prompt[len(p.Prompt)-1].Tokens)
 	}
-	o.unread = p.Tokens() - found
+	o.unread = tokens - found
 	o.wait = time.Duration(float64(u.unread(now)) / u.speed() * float64(time.Second))
 	o.read = time.Duration(float64(o.unread) / u.speed() * float64(time.Second))
 	if slots := int64(s.engine.Slots); slots > 0 && u.running() >= slots {
 		// A request waits for the end of another one; how long is not known.
 		o.wait += time.Duration(float64(u.running()-slots+1) / float64(slots) * float64(time.Second))
 	}
-	if room := int64(float64(s.engine.Memory) * memoryShare); room > 0 && u.memory()+p.Tokens()+p.Output > room {
+	if room := int64(float64(s.engine.Memory) * memoryShare); room > 0 && u.memory()+tokens+p.Output > room {
 		o.wait += time.Second
 	}
 }
@@ -173,7 +174,7 @@
 // bound. A repeat has been admitted before and is bound by its deadline alone.
 func (c *Core) admit(now time.Time, s *service, p *redwingshunt.Placement, o option) *Refusal {
 	left := p.Deadline.Sub(now)
-	predicted := o.wait + o.read + o.way
+	predicted := o.wait + o.read + o.trip
 	if !p.Deadline.IsZero() && predicted >= left {
 		return refuse(o.wait, left, 0)
 	}
@@ -182,7 +183,7 @@
 	}
 	aim := aimOf(p.Route)
 	excess := c.shares.excess(now, p.Account)
-	bound := admission(aim, o.read+o.way, excess)
+	bound := admission(aim, o.read+o.trip, excess)
 	if o.wait > bound {
 		return refuse(o.wait, bound, excess)
 	}
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -76,8 +76,8 @@
 	for _, s := range states {
 		f.engines[s.ID] = &simEngine{parts: newPartCache()}
 	}
-	for i := range simRouters {
-		c := New(Options{Self: redwingshunt.InstanceID(fmt.Sprint("r", i)), Region: "north"})
+	for range simRouters {
+		c := New(Options{Region: "north"})
 		c.Configure(document(simEngines * simSpeed))
 		c.SetUpstreams(states)
 		f.cores = append(f.cores, c)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,7 +8,7 @@
 // requests about one thing to one engine, without a word between routers, and
 // when an engine goes only its own things move. A request leaves its home when
 // another upstream would answer clearly sooner: the wait there, reading the
-// whole prompt anew, and the way included.
+// whole prompt anew, and the round trip included.
 //
 // The wait at an engine is predicted from the prompt tokens that it has not
 // read yet: what this router has sent and what other routers tell of theirs,
@@ -24,8 +24,9 @@
 //
 // # Usage
 //
-//	core := placer.New(placer.Options{Self: self, Region: region})
-//	core.SetUpstreams(now, usable)
+//	core := placer.New(placer.Options{Region: region})
+//	core.Configure(document)
+//	core.SetUpstreams(usable)
 //	placed, refusal := core.Place(now, placement)
 //	core.First(now, placed.Ticket)
 //	core.End(now, placed.Ticket, redwingshunt.EndComplete)
@@ -75,7 +76,6 @@
 
 // Options configure a Core.
 type Options struct {
-	Self   redwingshunt.InstanceID
 	Region redwingshunt.RegionID
 	Away   time.Duration // round trip between regions; zero is DefaultAway
 	Budget redwingshunt.RepeatBudget
@@ -113,7 +113,6 @@
 // ticket is one attempt that is with an upstream.
 type ticket struct {
 	upstream  *upstream
-	account   redwingshunt.AccountID
 	unread    int64 // prompt tokens until the first event
 	memory    int64
 	placed    time.Time
@@ -222,7 +221,7 @@
 func (c *Core) take(now time.Time, s *service, p *redwingshunt.Placement, o option) redwingshunt.Placed {
 	c.next++
 	t := &ticket{
-		upstream: o.upstream, account: p.Account, placed: now, predicted: o.wait + o.read + o.way,
+		upstream: o.upstream, placed: now, predicted: o.wait + o.read + o.trip,
 	}
 	if s.model {
 		t.unread, t.memory = o.unread, p.Tokens()+p.Output
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -40,7 +40,7 @@
 }
 
 func newCore(n int) *Core {
-	c := New(Options{Self: "r", Region: "north", Budget: redwingshunt.RepeatBudget{Ratio: 20, Extra: 8, Window: 10 * time.Second}})
+	c := New(Options{Region: "north", Budget: redwingshunt.RepeatBudget{Ratio: 20, Extra: 8, Window: 10 * time.Second}})
 	c.Configure(document(0))
 	c.SetUpstreams(engines(n, "north"))
 	return c
@@ -293,7 +293,7 @@
 // TestPlain spreads plain requests over the slots near by before it goes far.
 func TestPlain(t *testing.T) {
 	is := is.New(t)
-	c := New(Options{Self: "r", Region: "north"})
+	c := New(Options{Region: "north"})
 	c.Configure(document(0))
 	states := append(engines(1, "north"), engines(1, "south")...)
 	for i := range states {
