--- a/daemon/front.go
+++ b/daemon/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -78,18 +77,12 @@
 func (f *front) start(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return ignoreClosed(f.server.Serve(f.daemon.secure(f.daemon.sockets.routes))) })
 	if socket := f.daemon.sockets.ready; socket != nil {
-		group.Go(func() error { return f.serveUntil(ctx, socket) })
+		group.Go(func() error { return serveUntil(ctx, f.ready, socket) })
 	}
 	group.Go(func() error { f.allocator.Run(ctx); return nil })
 	group.Go(func() error { f.sweep(ctx); return nil })
 }
 
-func (f *front) serveUntil(ctx context.Context, socket net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = f.ready.Close() })
-	defer stop()
-	return ignoreClosed(f.ready.Serve(socket))
-}
-
 func (f *front) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -140,9 +140,7 @@
 	router := http.NewServeMux()
 	router.Handle("/metrics", m.handler)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: adminTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	return ignoreClosed(server.Serve(socket))
+	return serveUntil(ctx, server, socket)
 }
 
 // run looks at the parts until the context ends.
--- a/daemon/sockets.go
+++ b/daemon/sockets.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -96,3 +97,10 @@
 	}
 	return d.certificates.Links()
 }
+
+// serveUntil serves a socket until ctx ends; what runs then is cut.
+func serveUntil(ctx context.Context, server *http.Server, socket net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return ignoreClosed(server.Serve(socket))
+}
--- a/dialect.go
+++ b/dialect.go
@@ -26,7 +26,6 @@
 		Expect:    "Redwingshunt-Upstream",
 		NotRun:    HeaderBegun,
 		Signature: "Redwingshunt-Signature",
-		Load:      "Redwingshunt-Load",
 		Prompt:    "Redwingshunt-Prompt",
 		Count:     "Redwingshunt-Tokens",
 	}
