--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -237,7 +237,7 @@
 	group.Go(func() error { d.gatherer.Run(background); return nil })
 	group.Go(func() error { d.metrics.run(background); return nil })
 	if d.settings.Wanted > 0 && d.settings.Data != "" {
-		group.Go(func() error { newSteward(d).run(background); return nil })
+		group.Go(func() error { newJoiner(d).run(background); return nil })
 	}
 	if d.sockets.metrics != nil {
 		group.Go(func() error { return d.metrics.serve(background, d.secure(d.sockets.metrics)) })
--- a/daemon/steward.go
+++ b/daemon/joiner.go
@@ -8,30 +8,30 @@
 )
 
 const (
-	// stewardPeriod is how often an instance with a folder looks whether it
+	// joinerPeriod is how often an instance with a folder looks whether it
 	// should take part in the log.
-	stewardPeriod = 500 * time.Millisecond
-	// stewardTimeout bounds a look at the membership.
-	stewardTimeout = time.Second
+	joinerPeriod = 500 * time.Millisecond
+	// joinerTimeout bounds a look at the membership.
+	joinerTimeout = time.Second
 	// changeTimeout bounds one change of the membership; it is begun again when
 	// it is still wanted.
 	changeTimeout = 10 * time.Second
 )
 
-// steward carries out what package founder decides.
-type steward struct {
+// joiner carries out what package founder decides.
+type joiner struct {
 	daemon *Daemon
 	core   *founder.Core
 }
 
-func newSteward(d *Daemon) *steward {
-	return &steward{daemon: d, core: founder.New(founder.Options{
+func newJoiner(d *Daemon) *joiner {
+	return &joiner{daemon: d, core: founder.New(founder.Options{
 		Self: d.settings.Name, Founders: d.settings.Founders, Wanted: d.settings.Wanted,
 	})}
 }
 
-func (s *steward) run(ctx context.Context) {
-	ticker := time.NewTicker(stewardPeriod)
+func (s *joiner) run(ctx context.Context) {
+	ticker := time.NewTicker(joinerPeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -44,13 +44,13 @@
 }
 
 // turn looks once and does what is to be done.
-func (s *steward) turn(ctx context.Context) {
+func (s *joiner) turn(ctx context.Context) {
 	log := s.daemon.control.recorder
 	if s.daemon.control.votes() {
 		return
 	}
 	view := founder.View{Live: s.daemon.members.Live()}
-	look, cancel := context.WithTimeout(ctx, stewardTimeout)
+	look, cancel := context.WithTimeout(ctx, joinerTimeout)
 	defer cancel()
 	seeded, err := log.Seeded(look)
 	if err != nil {
