--- a/mimic/upstream.go
+++ b/mimic/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -56,7 +57,7 @@
 	runs    map[string]int         // by request
 	headers map[string]http.Header // of the last run
 	left    map[string]bool        // requests whose caller went away
-	bodies  map[string]int         // bytes of the body of the last run
+	bodies  map[string]int64       // bytes of the body of the last run
 }
 
 // NewUpstream returns an upstream that does not listen yet.
@@ -66,7 +67,7 @@
 	}
 	w := &Upstream{
 		options: options, runs: make(map[string]int), headers: make(map[string]http.Header),
-		left: make(map[string]bool), bodies: make(map[string]int),
+		left: make(map[string]bool), bodies: make(map[string]int64),
 	}
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve), ReadHeaderTimeout: headerTimeout}
 	return w
@@ -136,7 +137,7 @@
 }
 
 // Body returns the bytes of the body with which a request came last.
-func (w *Upstream) Body(request string) int {
+func (w *Upstream) Body(request string) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.bodies[request]
@@ -150,7 +151,7 @@
 }
 
 // begin books a request and returns what it meets.
-func (w *Upstream) begin(r *http.Request, id string, body int) (Misbehaviour, bool) {
+func (w *Upstream) begin(r *http.Request, id string, body int64) (Misbehaviour, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	mood := Behave
@@ -178,16 +179,9 @@
 func (w *Upstream) serve(to http.ResponseWriter, r *http.Request) {
 	dialect := w.options.Dialect
 	id := r.Header.Get(dialect.Request)
-	body := 0
-	if r.Body != nil {
-		chunk := make([]byte, 4096)
-		for {
-			n, err := r.Body.Read(chunk)
-			body += n
-			if err != nil {
-				break
-			}
-		}
+	body, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // the caller broke off
 	}
 	to.Header().Set(dialect.Request, id)
 	if expected := r.Header.Get(dialect.Expect); expected != "" && expected != string(w.options.ID) {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -327,7 +327,7 @@
 	left, err := time.ParseDuration(header.Get("Redwingshunt-Deadline") + "ms")
 	is.NoErr(err)
 	is.True(left > 0 && left <= 1500*time.Millisecond)
-	is.Equal(b.plain[0].Body("r1"), len("a body"))
+	is.Equal(b.plain[0].Body("r1"), int64(len("a body")))
 }
 
 // TestNoKeyLeft asks for a key although every account has lost its own.
