--- a/daemon/front.go
+++ b/daemon/front.go
@@ -52,7 +52,7 @@
 	f.relayer = relayer.New(relayer.Options{
 		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier,
 		Carrier: f.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
-		Most: d.settings.Most,
+		Most: mostOf(d.settings),
 	})
 	d.enroller.Watch(func(usable []redwingshunt.UpstreamState) {
 		f.upstreams.Store(f.upstreams.Load() || len(usable) > 0)
@@ -70,6 +70,18 @@
 	return f
 }
 
+// requestMemory is what a request and its connections take of an instance at
+// most times, in bytes; a part of the memory is left for everything else.
+const requestMemory = 256 << 10
+
+// mostOf returns how many requests an instance holds at once.
+func mostOf(settings redwingshunt.Settings) int {
+	if settings.Most > 0 || settings.Memory == 0 {
+		return settings.Most
+	}
+	return int(settings.Memory / requestMemory)
+}
+
 // equipped reports whether upstreams have been heard of.
 func (f *front) equipped() bool { return f.upstreams.Load() }
 
--- a/parser/document.go
+++ b/parser/document.go
@@ -177,8 +177,8 @@
 	optional("losses", func(f *redwingshunt.FleetConfiguration) *int { return &f.Losses }, integer[int](1, 10)),
 )
 
-// emptyDocument is a document with the defaults of the fleet.
-func emptyDocument() redwingshunt.Document {
+// Empty returns a document that holds the defaults of the fleet and nothing else.
+func Empty() redwingshunt.Document {
 	return redwingshunt.Document{Fleet: redwingshunt.FleetConfiguration{
 		Gap: defaultGap, Groups: defaultGroups, Keep: defaultKeep,
 		Space: defaultSpace, Budget: defaultBudget, Losses: defaultLosses,
@@ -187,7 +187,7 @@
 
 // resetSection gives a section the value that it has when it is left out.
 func resetSection(document *redwingshunt.Document, section redwingshunt.Section) {
-	empty := emptyDocument()
+	empty := Empty()
 	switch section {
 	case redwingshunt.SectionTeams:
 		document.Teams = empty.Teams
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -43,7 +43,7 @@
 // Document reads a whole document. The document is nil when there are findings.
 func Document(name string, text []byte) (*redwingshunt.Document, redwingshunt.Findings) {
 	r := newReader(name)
-	document := emptyDocument()
+	document := Empty()
 	if node := r.root(text); node != nil {
 		documentObject(r, "", node, &document)
 		check(&document, r.report)
@@ -56,7 +56,7 @@
 // section has no line. The document is nil when there are findings.
 func Section(name string, section redwingshunt.Section, text []byte, whole *redwingshunt.Document) (*redwingshunt.Document, redwingshunt.Findings) {
 	r := newReader(name)
-	document := emptyDocument()
+	document := Empty()
 	if whole != nil {
 		document = *whole
 	}
