--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -154,8 +154,8 @@
 
 // attempt sends the request to one upstream and passes its answer on.
 func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) verdict {
-	watched, progress, stop := x.watch(ctx, placed)
-	defer stop()
+	watched, dog := x.watch(ctx, placed)
+	defer dog.stop()
 	reply, err := x.relayer.options.Carrier.Send(watched, x.call(placed))
 	if err != nil {
 		var failure *carrier.Failure
@@ -175,7 +175,7 @@
 	case reply.Status >= 200 && reply.Status < 300 && (reply.Header.Get(dialect.Signature) == "" || reply.Header.Get("Content-Encoding") != ""):
 		return verdict{end: redwingshunt.EndFailed, sent: true, ran: true, err: errors.New("the answer is not of the upstream")}
 	case x.route.Kind == redwingshunt.RouteStream && reply.Status >= 200 && reply.Status < 300:
-		return x.relayStream(ctx, placed, reply, progress)
+		return x.relayStream(ctx, placed, reply, dog)
 	}
 	return x.relayWhole(ctx, placed, reply)
 }
@@ -196,20 +196,40 @@
 // errSilent is the cause of an attempt that ended for want of progress.
 var errSilent = errors.New("the upstream made no progress")
 
+// watchdog ends an attempt that makes no progress. A nil one never does.
+type watchdog struct {
+	timer  *time.Timer
+	pause  time.Duration // without progress, once there has been some
+	cancel context.CancelCauseFunc
+}
+
 // watch returns a context that ends when an attempt makes no progress for too
-// long and the request may be sent again, and the function that notes progress.
-func (x *exchange) watch(ctx context.Context, placed redwingshunt.Placed) (context.Context, func(), func()) {
+// long, if the request may be sent again then, and what to tell of progress.
+func (x *exchange) watch(ctx context.Context, placed redwingshunt.Placed) (context.Context, *watchdog) {
 	if !x.route.Idempotent() || x.sent+1 >= x.route.Attempts {
-		return ctx, func() {}, func() {}
+		return ctx, nil
 	}
 	watched, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(placed.Predicted+x.route.Aim+firstPatience, func() { cancel(errSilent) })
-	pause := max(eventPatience*x.route.Pause, leastPatience)
-	stop := func() {
-		timer.Stop()
-		cancel(nil)
+	return watched, &watchdog{
+		timer:  time.AfterFunc(placed.Predicted+x.route.Aim+firstPatience, func() { cancel(errSilent) }),
+		pause:  max(eventPatience*x.route.Pause, leastPatience),
+		cancel: cancel,
+	}
+}
+
+// progress notes that something came.
+func (w *watchdog) progress() {
+	if w != nil {
+		w.timer.Reset(w.pause)
+	}
+}
+
+// stop ends the watch at the end of an attempt.
+func (w *watchdog) stop() {
+	if w != nil {
+		w.timer.Stop()
+		w.cancel(nil)
 	}
-	return watched, func() { timer.Reset(pause) }, stop
 }
 
 // lostUnless returns that the upstream was lost, unless the request ended for
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -61,7 +61,7 @@
 
 // relayStream passes a stream on, event by event. The header of the first
 // upstream stays when a later one goes on.
-func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, progress func()) verdict {
+func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, dog *watchdog) verdict {
 	x.events.pending = nil
 	if x.events.last == 0 {
 		x.events.last = x.resumedAfter()
@@ -71,7 +71,7 @@
 	for {
 		n, err := reply.Read(chunk)
 		if n > 0 {
-			progress()
+			dog.progress()
 		}
 		whole, broken := x.events.take(chunk[:n])
 		if len(whole) > 0 {
