Keep no more open connections of callers than memory carries

Cause: on the grown deployment one router held 4,000 idle connections of callers, 18 KiB each. Its heap stood at the soft limit, garbage was collected up to six times a second and took 60% of the processor; requests waited seconds in the accept queue, and callers had left before they were read. Ruled out by a line of state each second: timers that are late, the number of requests (they fell while the load stayed). Now an answer closes its connection when more are open than the setting kept (by memory unless given), and connections idle for longer than the document allows are closed; that limit of the document was read and not used.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -14,6 +14,7 @@
 	"github.com/redwingshunt/redwingshunt/allocator"
 	"github.com/redwingshunt/redwingshunt/carrier"
 	"github.com/redwingshunt/redwingshunt/relayer"
+	"github.com/redwingshunt/redwingshunt/usher"
 )
 
 const (
@@ -35,6 +36,7 @@
 	allocator *allocator.Allocator
 	carrier   *carrier.Carrier
 	relayer   *relayer.Relayer
+	usher     *usher.Usher
 	server    *http.Server
 	ready     *http.Server
 	upstreams atomic.Bool // some were heard of
@@ -43,6 +45,7 @@
 func newFront(d *Daemon) *front {
 	f := &front{
 		daemon:  d,
+		usher:   usher.New(keptOf(d.settings)),
 		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request}),
 		allocator: allocator.New(allocator.Options{
 			Members: d.members, Link: d.linker, Configuration: d.configured, Clock: wallClock{},
@@ -59,11 +62,12 @@
 		f.allocator.SetUpstreams(usable)
 	})
 	f.server = &http.Server{
-		Handler:           f.relayer,
+		Handler:           http.HandlerFunc(f.serve),
 		ReadHeaderTimeout: routesHeaderTimeout,
 		IdleTimeout:       routesIdleTimeout,
 		MaxHeaderBytes:    routesHeaderLimit,
 		ConnContext:       relayer.WithConnection,
+		ConnState:         f.usher.Note,
 		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: adminTimeout}
@@ -82,9 +86,31 @@
 	return int(settings.Memory / requestMemory)
 }
 
+// connectionMemory is what an open connection of a caller takes at most times,
+// in bytes, with what collecting garbage needs beside it. Connections are kept
+// as long as they fill no more than the memory that requests leave.
+const connectionMemory = 128 << 10
+
+// keptOf returns how many open connections an instance has before it closes
+// them after their answers.
+func keptOf(settings redwingshunt.Settings) int {
+	if settings.Kept > 0 || settings.Memory == 0 {
+		return settings.Kept
+	}
+	return int(settings.Memory / connectionMemory)
+}
+
 // equipped reports whether upstreams have been heard of.
 func (f *front) equipped() bool { return f.upstreams.Load() }
 
+// serve serves one request of a caller.
+func (f *front) serve(w http.ResponseWriter, r *http.Request) {
+	if f.usher.Crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	f.relayer.ServeHTTP(w, r)
+}
+
 // start serves until the context ends.
 func (f *front) start(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return ignoreClosed(f.server.Serve(f.daemon.secure(f.daemon.sockets.routes))) })
@@ -105,10 +131,24 @@
 			return
 		case <-ticker.C:
 			f.carrier.Sweep()
+			f.sweepCallers()
 		}
 	}
 }
 
+// sweepCallers closes the connections on which callers have sent no request for
+// longer than the document allows.
+func (f *front) sweepCallers() {
+	snapshot := f.daemon.configured.Current()
+	if snapshot == nil {
+		return
+	}
+	limit := snapshot.Document.Limits.Idle
+	if closed := f.usher.Sweep(time.Now(), limit); closed > 0 {
+		f.daemon.logger.Debug("idle connections of callers closed", "closed", closed, "limit", limit.String(), "open", f.usher.Open())
+	}
+}
+
 // serveReady tells a balancer whether to send connections here.
 func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if reason := f.daemon.Ready(); reason != "" {
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -49,6 +49,7 @@
 	optional("founders", func(s *settings) *[]netip.AddrPort { return &s.Founders }, list(netip.AddrPort{}, address())),
 	optional("wanted", func(s *settings) *int { return &s.Wanted }, integer[int](0, maxVoters)),
 	optional("most", func(s *settings) *int { return &s.Most }, integer[int](0, 1_000_000)),
+	optional("kept", func(s *settings) *int { return &s.Kept }, integer[int](0, 1_000_000)),
 	optional("memory", func(s *settings) *int64 { return &s.Memory }, size(0, 1<<40)),
 	optional("restart", func(s *settings) *bool { return &s.Restart }, boolean()),
 	optional("repeats", func(s *settings) *redwingshunt.RepeatBudget { return &s.Repeats }, repeatsObject),
--- a/settings.go
+++ b/settings.go
@@ -31,6 +31,7 @@
 	Wanted   int              // voters that the log should have; zero leaves its members to operators
 	Restart  bool             // the process ends when its log fails, to be restarted by its supervisor
 	Most     int              // requests of routes at once, more are refused; zero is unlimited
+	Kept     int              // open connections of callers of routes, beyond which an answer closes its own; zero is unlimited
 	Memory   int64            // bytes that the process may take; zero leaves it to the system
 	Repeats  RepeatBudget     // bounds what routers send more than once
 	TLS      TLSFiles
--- /dev/null
+++ b/usher/usher_test.go
@@ -0,0 +1,114 @@
+package usher
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// caller is a connection of a caller that keeps it.
+type caller struct {
+	socket net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, server *httptest.Server) *caller {
+	t.Helper()
+	socket, err := new(net.Dialer).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return &caller{socket, bufio.NewReader(socket)}
+}
+
+// ask sends a request and reports whether its answer closes the connection.
+func (c *caller) ask(t *testing.T) bool {
+	t.Helper()
+	if _, err := c.socket.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.Close
+}
+
+func startServer(t *testing.T, u *Usher) *httptest.Server {
+	t.Helper()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if u.Crowded() {
+			w.Header().Set("Connection", "close")
+		}
+	}))
+	server.Config.ConnState = u.Note
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// eventually waits until something holds that is bound to come.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+func TestCrowded(t *testing.T) {
+	is := is.New(t)
+	u := New(3)
+	server := startServer(t, u)
+	for range 3 {
+		is.True(!dial(t, server).ask(t)) // there is room to keep it
+	}
+	fourth := dial(t, server)
+	is.True(fourth.ask(t)) // one too many
+	eventually(t, "the connection is not closed", func() bool { return u.Open() == 3 })
+	is.True(!u.Crowded())
+}
+
+func TestUnlimited(t *testing.T) {
+	is := is.New(t)
+	u := New(0)
+	server := startServer(t, u)
+	for range 20 {
+		is.True(!dial(t, server).ask(t))
+	}
+}
+
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	u := New(0)
+	server := startServer(t, u)
+	const limit = time.Minute
+	first, second := dial(t, server), dial(t, server)
+	first.ask(t)
+	second.ask(t)
+	idle := func(n int) func() bool {
+		return func() bool {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return u.idle.Len() == n
+		}
+	}
+	eventually(t, "the connections are not idle", idle(2))
+	now := time.Now()
+	is.Equal(u.Sweep(now, 0), 0)     // no limit
+	is.Equal(u.Sweep(now, limit), 0) // not yet
+	is.Equal(u.Sweep(now.Add(2*limit), limit), 2)
+	_, err := first.reader.ReadByte()
+	is.True(err != nil) // the caller sees its end
+	eventually(t, "the connections are still counted", func() bool { return u.Open() == 0 })
+}
