--- a/daemon/front.go
+++ b/daemon/front.go
@@ -13,6 +13,7 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/allocator"
 	"github.com/redwingshunt/redwingshunt/carrier"
+	"github.com/redwingshunt/redwingshunt/governor"
 	"github.com/redwingshunt/redwingshunt/relayer"
 	"github.com/redwingshunt/redwingshunt/usher"
 )
@@ -39,7 +40,8 @@
 	usher     *usher.Usher
 	server    *http.Server
 	ready     *http.Server
-	upstreams atomic.Bool // some were heard of
+	upstreams atomic.Bool  // some were heard of
+	limit     atomic.Int64 // of requests at once, zero without
 }
 
 func newFront(d *Daemon) *front {
@@ -55,7 +57,7 @@
 	f.relayer = relayer.New(relayer.Options{
 		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier,
 		Carrier: f.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
-		Most: mostOf(d.settings),
+		Limit: func() int { return int(f.limit.Load()) },
 	})
 	d.enroller.Watch(func(usable []redwingshunt.UpstreamState) {
 		f.upstreams.Store(f.upstreams.Load() || len(usable) > 0)
@@ -119,6 +121,7 @@
 	}
 	group.Go(func() error { f.allocator.Run(ctx); return nil })
 	group.Go(func() error { f.sweep(ctx); return nil })
+	group.Go(func() error { f.govern(ctx); return nil })
 }
 
 func (f *front) sweep(ctx context.Context) {
@@ -136,6 +139,29 @@
 	}
 }
 
+// govern bounds the requests at once by how late a timer is.
+func (f *front) govern(ctx context.Context) {
+	core := governor.New(mostOf(f.daemon.settings))
+	for {
+		f.limit.Store(int64(core.Limit()))
+		due := time.Now().Add(governor.Period)
+		redwingshunt.Pause(ctx, governor.Period)
+		if ctx.Err() != nil {
+			return
+		}
+		running := int(f.relayer.Running())
+		switch core.Observe(time.Since(due), running) {
+		case governor.Lowered:
+			f.daemon.logger.Warn("the processor does not carry the requests; fewer are served at once",
+				"late", core.Late().String(), "running", running, "limit", core.Limit())
+		case governor.Restored:
+			f.daemon.logger.Info("the processor carries the requests again",
+				"late", core.Late().String(), "running", running, "limit", core.Limit())
+		case governor.None:
+		}
+	}
+}
+
 // sweepCallers closes the connections on which callers have sent no request for
 // longer than the document allows.
 func (f *front) sweepCallers() {
--- /dev/null
+++ b/governor/governor.go
@@ -0,0 +1,131 @@
+// Package governor decides how many requests an instance serves at once. It
+// answers the load of an instance to which a balancer sends more than its
+// processor carries: without a bound everything there is late, the end of a
+// caller's connection and changes of the configuration included, while other
+// instances have room.
+//
+// The measure is how late the timers of the instance fire, since everything
+// else that it does waits just as long. While they are late the bound falls by
+// a part of the requests that run; while they are on time and the bound is
+// reached it rises slowly. Without trouble the bound is that of memory, and the
+// governor does nothing.
+//
+// The core reads no clock; the shell tells it how late its timer was.
+//
+// # Usage
+//
+//	core := governor.New(most)
+//	timer.Reset(governor.Period) // again and again
+//	change := core.Observe(late, running)
+//	if running >= core.Limit() { /* refuse: other instances have room */ }
+package governor
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Period is how often the shell's timer is due. A few periods have to fit in
+	// the time within which a caller's end is passed on.
+	Period = 50 * time.Millisecond
+	// lateHigh is the smoothed lateness above which the bound falls. Ten times
+	// that is the half second within which a caller's end is passed on.
+	lateHigh = 50 * time.Millisecond
+	// lateLow is the smoothed lateness below which the bound may rise.
+	lateLow = 15 * time.Millisecond
+	// lateMost bounds one observation: an instance that was stopped for seconds
+	// and goes on is not in trouble for that.
+	lateMost = 500 * time.Millisecond
+	// smoothing is the time over which lateness is averaged: one late timer, as
+	// by the collection of garbage, is no trouble.
+	smoothing = 250 * time.Millisecond
+	// fall is the part of the bound that one reduction leaves. Requests that run
+	// go on, so a reduction shows only when some of them have ended.
+	fall = 0.85
+	// fallPause is the least time between two reductions.
+	fallPause = 4 * Period
+	// rise is the part of the bound that is added in a second on time.
+	rise = 0.1
+	// least requests are served in any case.
+	least = 8
+)
+
+// Change tells what an observation has changed.
+type Change uint8
+
+// The changes of the bound that are worth telling.
+const (
+	None     Change = iota
+	Lowered         // the processor does not carry the requests; the bound is below that of memory
+	Restored        // the bound is that of memory again
+)
+
+// Core is the state of one instance. It is used by one goroutine at a time.
+type Core struct {
+	most    float64 // by memory
+	limit   float64
+	late    float64 // seconds, smoothed
+	fellAgo time.Duration
+}
+
+// New returns a core with the bound of memory; zero is unlimited.
+func New(most int) *Core {
+	c := &Core{most: float64(most)}
+	if most == 0 {
+		c.most = unlimited
+	}
+	c.limit = c.most
+	return c
+}
+
+// unlimited stands for no bound; it is far beyond what an instance can hold.
+const unlimited = 1 << 30
+
+// Limit returns the bound.
+func (c *Core) Limit() int { return int(c.limit) }
+
+// Late returns the smoothed lateness.
+func (c *Core) Late() time.Duration { return time.Duration(c.late * float64(time.Second)) }
+
+// Observe takes how late the timer was at its last time, with the number of
+// requests that run.
+func (c *Core) Observe(late time.Duration, running int) Change {
+	late = min(late, lateMost)
+	elapsed := Period + late
+	c.late += (late.Seconds() - c.late) * -math.Expm1(-elapsed.Seconds()/smoothing.Seconds())
+	c.fellAgo += elapsed
+	switch {
+	case c.late > lateHigh.Seconds() && c.fellAgo >= fallPause:
+		return c.lower(running)
+	case c.late < lateLow.Seconds() && c.limit < c.most:
+		return c.raise(running)
+	}
+	return None
+}
+
+func (c *Core) lower(running int) Change {
+	if running < least {
+		return None // something else keeps the processor busy
+	}
+	c.fellAgo = 0
+	before := c.limit
+	c.limit = max(min(c.limit, float64(running))*fall, least)
+	if before == c.most && c.limit < c.most {
+		return Lowered
+	}
+	return None
+}
+
+func (c *Core) raise(running int) Change {
+	if float64(running) < c.limit/2 && c.late < lateLow.Seconds()/2 {
+		// The load is gone; the bound is not what keeps it away.
+		c.limit = min(c.limit*2, c.most)
+	} else {
+		c.limit = min(c.limit+c.limit*rise*Period.Seconds()+rise, c.most)
+	}
+	if c.limit == c.most {
+		return Restored
+	}
+	return None
+}
--- /dev/null
+++ b/governor/governor_test.go
@@ -0,0 +1,153 @@
+package governor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// router is a model of an instance: work waits for one processor in the order
+// in which it comes. A request is a stream of some events; a refusal costs
+// work too.
+type router struct {
+	core    *Core         // nil serves everything
+	refusal time.Duration // of processor time
+	event   time.Duration
+	backlog time.Duration // work that waits
+	running []int         // events left of each stream
+	refused int
+	served  int
+	worst   time.Duration // backlog after the first seconds
+}
+
+const (
+	step   = 10 * time.Millisecond
+	events = 25 // of a stream
+	pause  = 60 * time.Millisecond
+)
+
+// play lets requests come at a rate for a time.
+func (r *router) play(rate float64, whole time.Duration) {
+	due, owed := Period, 0.0
+	since := 0
+	for at := time.Duration(0); at < whole; at += step {
+		for owed += rate * step.Seconds(); owed >= 1; owed-- {
+			if r.core != nil && len(r.running) >= r.core.Limit() {
+				r.backlog += r.refusal
+				r.refused++
+				continue
+			}
+			r.backlog += 2 * r.refusal // to read it, place it and send it
+			r.running = append(r.running, events)
+		}
+		if since++; since == int(pause/step) {
+			since = 0
+			left := r.running[:0]
+			for _, n := range r.running {
+				r.backlog += r.event
+				if n > 1 {
+					left = append(left, n-1)
+				} else {
+					r.served++
+				}
+			}
+			r.running = left
+		}
+		r.backlog = max(r.backlog-step, 0)
+		if at >= due {
+			if r.core != nil {
+				r.core.Observe(r.backlog, len(r.running))
+			}
+			due = at + r.backlog + Period
+		}
+		if at > 5*time.Second {
+			r.worst = max(r.worst, r.backlog)
+		}
+	}
+}
+
+// TestMoreThanTheProcessorCarries sends an instance several times what it can
+// serve. A caller's end is to be passed on within half a second, and the
+// processor is to be used for requests.
+func TestMoreThanTheProcessorCarries(t *testing.T) {
+	const passedOn = 500 * time.Millisecond
+	tests := map[string]struct {
+		rate           float64
+		refusal, event time.Duration
+	}{
+		"twice, streams dear":         {250, 400 * time.Microsecond, 280 * time.Microsecond},
+		"four times, refusals dear":   {450, time.Millisecond, 280 * time.Microsecond},
+		"three times, refusals cheap": {400, 100 * time.Microsecond, 280 * time.Microsecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			without := &router{refusal: test.refusal, event: test.event}
+			without.play(test.rate, 20*time.Second)
+			is.True(without.worst > 2*passedOn) // the load is one that the bound is for
+			with := &router{core: New(736), refusal: test.refusal, event: test.event}
+			const whole = 30 * time.Second
+			with.play(test.rate, whole)
+			is.True(with.worst < passedOn)
+			// What refusals leave of the processor serves requests; 0.7 of it is
+			// the least that a governed instance is to reach.
+			left := 1 - test.rate*test.refusal.Seconds()
+			each := 2*test.refusal.Seconds() + events*test.event.Seconds()
+			could := left / (each - test.refusal.Seconds()) * whole.Seconds()
+			t.Logf("worst %s, served %d of %.0f, refused %d, bound %d", with.worst, with.served, could, with.refused, with.core.Limit())
+			is.True(float64(with.served) > 0.7*could)
+		})
+	}
+}
+
+// TestWithinTheProcessor serves everything that fits.
+func TestWithinTheProcessor(t *testing.T) {
+	is := is.New(t)
+	r := &router{core: New(736), refusal: 400 * time.Microsecond, event: 280 * time.Microsecond}
+	r.play(90, 30*time.Second) // two thirds of the processor
+	is.Equal(r.refused, 0)
+	is.Equal(r.core.Limit(), 736)
+}
+
+// TestRestored has the bound of memory back soon after the load is gone.
+func TestRestored(t *testing.T) {
+	is := is.New(t)
+	r := &router{core: New(736), refusal: 400 * time.Microsecond, event: 280 * time.Microsecond}
+	r.play(300, 10*time.Second)
+	is.True(r.core.Limit() < 736)
+	r.play(20, 5*time.Second)
+	is.Equal(r.core.Limit(), 736)
+}
+
+// TestBusyWithSomethingElse keeps the bound when there are hardly any requests.
+func TestBusyWithSomethingElse(t *testing.T) {
+	is := is.New(t)
+	c := New(736)
+	for range 100 {
+		is.Equal(c.Observe(time.Second, 3), None)
+	}
+	is.Equal(c.Limit(), 736)
+	for range 100 {
+		c.Observe(time.Second, 500)
+	}
+	is.Equal(c.Limit(), least) // something is always served
+}
+
+// TestTold tells the first reduction and the end of the trouble, once each.
+func TestTold(t *testing.T) {
+	is := is.New(t)
+	c := New(100)
+	told := map[Change]int{}
+	for range 50 {
+		told[c.Observe(300*time.Millisecond, 90)]++
+	}
+	is.Equal(told[Lowered], 1)
+	is.Equal(told[Restored], 0)
+	for range 200 {
+		told[c.Observe(0, 5)]++
+	}
+	is.Equal(told[Lowered], 1)
+	is.Equal(told[Restored], 1)
+	is.True(New(0).Limit() > 1<<20) // no bound of memory
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -48,8 +48,9 @@
 	Carrier       *carrier.Carrier
 	Dialect       redwingshunt.Dialect
 	Logger        *slog.Logger
-	// Most is how many requests are served at once; zero is unlimited.
-	Most int
+	// Limit returns how many requests are served at once, zero without a limit;
+	// may be nil.
+	Limit func() int
 	// Observe is told the end of each request; may be nil.
 	Observe func(Record)
 }
@@ -116,6 +117,13 @@
 // Stop refuses new requests as not run.
 func (r *Relayer) Stop() { r.leaving.Store(true); r.stopping.Store(true) }
 
+func (r *Relayer) limit() int {
+	if r.options.Limit == nil {
+		return 0
+	}
+	return r.options.Limit()
+}
+
 // Leaving reports whether Leave or Stop was called.
 func (r *Relayer) Leaving() bool { return r.leaving.Load() }
 
@@ -211,9 +219,9 @@
 	r := x.relayer
 	dialect := r.options.Dialect
 	x.id = x.request.Header.Get(dialect.Request)
-	if most := r.options.Most; most > 0 && r.running.Load() > int64(most) {
+	if limit := r.limit(); limit > 0 && r.running.Load() > int64(limit) {
 		return redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable,
-			"this instance serves as many requests as it can hold").After(fullAfter)
+			"this instance serves as many requests as it carries; use another").After(fullAfter)
 	}
 	if r.stopping.Load() {
 		return redwingshunt.NotRun(redwingshunt.ReasonStopping, http.StatusServiceUnavailable,
@@ -242,9 +250,9 @@
 	return x.readBody(i.snapshot.Document.Limits)
 }
 
-// fullAfter is when a caller may come back to an instance that is full; about
-// as long as a request takes.
-const fullAfter = 500 * time.Millisecond
+// fullAfter is when a caller may come back that met an instance that is full;
+// other instances may serve it at once.
+const fullAfter = 100 * time.Millisecond
 
 // stoppingAfter is when a caller may come back that met an instance at the end
 // of its shutdown: other instances serve it at once.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -447,7 +447,7 @@
 	is := is.New(t)
 	b := newBench(t)
 	b.use(b.plain)
-	b.relayer.options.Most = 1
+	b.relayer.options.Limit = func() int { return 1 }
 	b.plain[0].Misbehave(mimic.Hang, 1)
 	held := make(chan seen, 1)
 	go func() {
