--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -49,7 +49,8 @@
 	mu       sync.Mutex
 	core     *placer.Core
 	sequence uint64
-	idle     bool // the last message said that there is nothing
+	gatherer redwingshunt.InstanceID // as seen last
+	idle     bool                    // the last message said that there is nothing
 }
 
 var _ redwingshunt.Placer = (*Allocator)(nil)
@@ -120,7 +121,11 @@
 // tell tells the gatherer of this router what it has.
 func (a *Allocator) tell() {
 	now := a.options.Clock.Now()
+	live := a.options.Members.Live()
+	to := gatherer.Of(a.options.Members.Self(), live)
 	a.mu.Lock()
+	before := a.gatherer
+	a.gatherer = to
 	loads := a.core.Loads(now)
 	empty := len(loads.GetUpstreams()) == 0 && len(loads.GetAccounts()) == 0
 	skip := empty && a.idle
@@ -128,7 +133,9 @@
 	a.sequence = max(a.sequence+1, uint64(now.UnixNano()))
 	loads.Sequence = a.sequence
 	a.mu.Unlock()
-	to := gatherer.Of(a.options.Members.Self(), a.options.Members.Live())
+	if before != to {
+		a.options.Logger.Info("gatherer of loads changed", "before", string(before), "gatherer", string(to), "live", len(live))
+	}
 	if skip || to == "" {
 		return
 	}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,6 +24,25 @@
 	handlers  map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)
 	pending   chan func()
 	all       map[redwingshunt.InstanceID]*Coordinator
+	log       lines
+}
+
+// lines keeps what was logged.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) has(part string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Contains(l.text.Bytes(), []byte(part))
 }
 
 // member is one instance of a fleet. It implements Link, Members,
@@ -104,7 +125,7 @@
 	})
 	for _, name := range names {
 		m := member{f, name}
-		c := New(Options{Members: m, Link: m, Configuration: m, Clock: m})
+		c := New(Options{Members: m, Link: m, Configuration: m, Clock: m, Logger: slog.New(slog.NewTextHandler(&f.log, nil))})
 		f.all[name] = c
 		group.Go(func() { _ = c.Run(ctx) })
 	}
@@ -169,7 +190,9 @@
 			if test.change == nil {
 				return
 			}
+			owner := f.all["a1"].lookup("s").dump().Owner
 			left := test.change(f)
+			is.New(t).True(f.log.has(`msg="owner of a service changed" service=s before=` + string(owner) + " owner="))
 			f.announce(left[0], "u", test.region, 1)
 			f.run(t, left...)
 		})
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -31,7 +31,13 @@
 	}
 	d.members = members
 	d.queue.SetPeriod(d.ownerSet.Period())
-	d.feed(scheduler.Owned{ID: d.ownerSet.Home()})
+	home := d.ownerSet.Home()
+	if home != d.home {
+		d.coordinator.options.Logger.Info("owner of a service changed", "service", string(d.service),
+			"before", string(d.home), "owner", string(home), "live", len(members))
+		d.home = home
+	}
+	d.feed(scheduler.Owned{ID: home})
 }
 
 // handOver announces the upstreams of a cell to instances that did not keep it
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -49,6 +49,7 @@
 	waiters  map[uint64]waiter
 	inbox    []scheduler.Event       // messages from this instance to itself
 	members  []redwingshunt.Instance // as seen last
+	home     redwingshunt.InstanceID // owner of the service for this instance, as seen last
 }
 
 func newServiceState(c *Coordinator, service redwingshunt.ServiceID) *serviceState {
