Put the limits of the document on headers and idle connections to use

They were read and checked, and fixed ones were in force. The size of a header is checked with the request (431), the time for the first header and between requests by the usher, for connections that are open already too.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -19,14 +20,18 @@
 )
 
 const (
-	// routesHeaderTimeout is how long a caller may take to send a header until
-	// the document names a limit.
-	routesHeaderTimeout = 5 * time.Second
-	// routesIdleTimeout is longer than callers keep connections, so that a
-	// request does not cross the end of its connection.
-	routesIdleTimeout = 2 * time.Minute
-	// routesHeaderLimit bounds a header in bytes until the document does.
-	routesHeaderLimit = 32 << 10
+	// headerTime is how long a new connection may take to bring a header where
+	// the document names no limit.
+	headerTime = 5 * time.Second
+	// longestHeaderTime bounds the time for a later header, from its first
+	// bytes; a connection that brings none is bounded as an idle one.
+	longestHeaderTime = 10 * time.Second
+	// idleTime is how long a connection may carry no request where the document
+	// names no limit; longer than callers keep connections, so that a request
+	// does not cross the end of its connection.
+	idleTime = 2 * time.Minute
+	// longestHeader bounds a header in bytes whatever the document says.
+	longestHeader = 256 << 10
 	// sweepPeriod is how often connections to upstreams are looked through.
 	sweepPeriod = time.Second
 )
@@ -65,11 +70,10 @@
 	})
 	f.server = &http.Server{
 		Handler:           http.HandlerFunc(f.serve),
-		ReadHeaderTimeout: routesHeaderTimeout,
-		IdleTimeout:       routesIdleTimeout,
-		MaxHeaderBytes:    routesHeaderLimit,
+		ReadHeaderTimeout: longestHeaderTime,
+		MaxHeaderBytes:    longestHeader,
 		ConnContext:       relayer.WithConnection,
-		ConnState:         f.usher.Note,
+		ConnState:         f.usher.Note, // which bounds the time between requests
 		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: adminTimeout}
@@ -162,16 +166,17 @@
 	}
 }
 
-// sweepCallers closes the connections on which callers have sent no request for
-// longer than the document allows.
+// sweepCallers closes the connections of callers that are beyond the limits of
+// the document.
 func (f *front) sweepCallers() {
-	snapshot := f.daemon.configured.Current()
-	if snapshot == nil {
-		return
+	limits := usher.Limits{Idle: idleTime, First: headerTime}
+	if snapshot := f.daemon.configured.Current(); snapshot != nil {
+		limits.Idle = cmp.Or(snapshot.Document.Limits.Idle, limits.Idle)
+		limits.First = cmp.Or(snapshot.Document.Limits.HeaderTime, limits.First)
 	}
-	limit := snapshot.Document.Limits.Idle
-	if closed := f.usher.Sweep(time.Now(), limit); closed > 0 {
-		f.daemon.logger.Debug("idle connections of callers closed", "closed", closed, "limit", limit.String(), "open", f.usher.Open())
+	if closed := f.usher.Sweep(time.Now(), limits); closed > 0 {
+		f.daemon.logger.Debug("connections of callers without a request closed", "closed", closed,
+			"idle", limits.Idle.String(), "first", limits.First.String(), "open", f.usher.Open())
 	}
 }
 
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -36,6 +36,18 @@
 	return r.URL.RequestURI()
 }
 
+// headerSize returns the bytes of a request line and header as they came, but
+// for spaces that the caller may have added.
+func headerSize(r *http.Request) int64 {
+	size := len(r.Method) + len(targetOf(r)) + len(" HTTP/1.1\r\nHost: \r\n\r\n") + 1 + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return int64(size)
+}
+
 // readHeader reads what the caller tells of its request.
 func (x *exchange) readHeader() error {
 	dialect, header := x.relayer.options.Dialect, x.request.Header
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,6 +31,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -232,6 +233,10 @@
 		return redwingshunt.NotRun(redwingshunt.ReasonNoConfiguration, http.StatusServiceUnavailable,
 			"this instance has no configuration yet").After(redwingshunt.RetrySoon)
 	}
+	if limit := i.snapshot.Document.Limits.Header; limit > 0 && headerSize(x.request) > limit {
+		return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusRequestHeaderFieldsTooLarge,
+			"the header is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+	}
 	if x.id == "" {
 		return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
 			"the header "+dialect.Request+" is missing")
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -503,3 +503,28 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLongHeader refuses a header that is longer than the document allows.
+func TestLongHeader(t *testing.T) {
+	tests := map[string]struct {
+		value  int // bytes of one header
+		status int
+		runs   int
+	}{
+		"within the limit": {1 << 10, 200, 1},
+		"beyond it":        {5 << 10, 431, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.plain)
+			b.relayer.options.Configuration.Current().Document.Limits.Header = 4 << 10
+			got := b.ask(t, "/safe/a", func(r *http.Request) {
+				r.Header.Set("Long", strings.Repeat("x", test.value))
+			})
+			is.Equal(got.status, test.status)
+			is.Equal(b.plain[0].Total(), test.runs)
+		})
+	}
+}
--- a/usher/usher.go
+++ b/usher/usher.go
@@ -1,19 +1,21 @@
-// Package usher looks after the connections that callers keep open to one
-// address between their requests.
+// Package usher looks after the connections of callers to one address that
+// carry no request: those kept open between requests, and those opened for a
+// first one.
 //
 // A kept connection holds buffers and a goroutine. A few callers may open
 // thousands of them at one instance within seconds; their memory then leaves
 // garbage collection no room, and the instance spends its processor time on
 // that instead of on requests. The usher counts connections, says when there
 // are so many that an answer should close its own, and ends those that have
-// carried no request for longer than the document allows.
+// carried no request for longer than the document allows. Limits hold from the
+// next sweep on, for open connections too, which those of a server do not.
 //
 // # Usage
 //
 //	u := usher.New(most)
 //	server := &http.Server{ConnState: u.Note, ...}
 //	if u.Crowded() { header.Set("Connection", "close") }
-//	u.Sweep(time.Now(), limits.Idle) // from time to time
+//	u.Sweep(time.Now(), usher.Limits{Idle: limits.Idle, First: limits.HeaderTime}) // from time to time
 package usher
 
 import (
@@ -25,45 +27,41 @@
 	"time"
 )
 
+// Limits bound the time between two requests of a connection, and that until
+// the header of its first one has come; zero is unlimited.
+type Limits struct{ Idle, First time.Duration }
+
 // Usher counts the connections of one server. It is safe for concurrent use.
 type Usher struct {
 	most int
 	open atomic.Int64
 
-	mu      sync.Mutex
-	idle    *list.List // of seat; longest idle in front
-	waiting map[net.Conn]*list.Element
-}
-
-// seat is one connection without a request.
-type seat struct {
-	connection net.Conn
-	since      time.Time
+	mu    sync.Mutex
+	idle  *queue // no further request has come
+	fresh *queue // no request has come yet
 }
 
 // New returns an usher that has connections kept up to a number of open ones;
 // zero is unlimited.
-func New(most int) *Usher {
-	return &Usher{most: most, idle: list.New(), waiting: make(map[net.Conn]*list.Element)}
-}
+func New(most int) *Usher { return &Usher{most: most, idle: newQueue(), fresh: newQueue()} }
 
 // Note is the ConnState of the server.
 func (u *Usher) Note(connection net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		u.open.Add(1)
-		return
 	case http.StateHijacked, http.StateClosed:
 		u.open.Add(-1)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if e := u.waiting[connection]; e != nil {
-		u.idle.Remove(e)
-		delete(u.waiting, connection)
-	}
-	if state == http.StateIdle {
-		u.waiting[connection] = u.idle.PushBack(seat{connection, time.Now()})
+	u.idle.remove(connection)
+	u.fresh.remove(connection)
+	switch state {
+	case http.StateIdle:
+		u.idle.add(connection)
+	case http.StateNew:
+		u.fresh.add(connection)
 	}
 }
 
@@ -73,22 +71,47 @@
 // Crowded reports whether connections should be closed after their answers.
 func (u *Usher) Crowded() bool { return u.most > 0 && u.Open() > u.most }
 
-// Sweep closes the connections that have been idle for longer than a limit and
-// returns how many; a limit of zero closes none.
-func (u *Usher) Sweep(now time.Time, limit time.Duration) int {
-	if limit == 0 {
-		return 0
-	}
+// Sweep closes the connections that are beyond a limit and returns how many.
+func (u *Usher) Sweep(now time.Time, limits Limits) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.idle.closeBefore(now, limits.Idle) + u.fresh.closeBefore(now, limits.First)
+}
+
+// queue keeps connections by the time for which they have waited.
+type queue struct {
+	order *list.List // of seat; longest in front
+	of    map[net.Conn]*list.Element
+}
+
+// seat is one connection that waits.
+type seat struct {
+	connection net.Conn
+	since      time.Time
+}
+
+func newQueue() *queue { return &queue{order: list.New(), of: make(map[net.Conn]*list.Element)} }
+
+func (q *queue) add(connection net.Conn) {
+	q.of[connection] = q.order.PushBack(seat{connection, time.Now()})
+}
+
+func (q *queue) remove(connection net.Conn) {
+	if e := q.of[connection]; e != nil {
+		q.order.Remove(e)
+		delete(q.of, connection)
+	}
+}
+
+// closeBefore closes the connections that have waited for longer than a limit.
+func (q *queue) closeBefore(now time.Time, limit time.Duration) int {
 	closed := 0
-	for e := u.idle.Front(); e != nil; e = u.idle.Front() {
+	for e := q.order.Front(); e != nil && limit > 0; e = q.order.Front() {
 		longest := e.Value.(seat)
 		if now.Sub(longest.since) <= limit {
 			break
 		}
-		u.idle.Remove(e)
-		delete(u.waiting, longest.connection)
+		q.remove(longest.connection)
 		_ = longest.connection.Close() // the server hears of it by its next read
 		closed++
 	}
--- a/usher/usher_test.go
+++ b/usher/usher_test.go
@@ -100,15 +100,48 @@
 		return func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			return u.idle.Len() == n
+			return u.idle.order.Len() == n
 		}
 	}
 	eventually(t, "the connections are not idle", idle(2))
 	now := time.Now()
-	is.Equal(u.Sweep(now, 0), 0)     // no limit
-	is.Equal(u.Sweep(now, limit), 0) // not yet
-	is.Equal(u.Sweep(now.Add(2*limit), limit), 2)
+	is.Equal(u.Sweep(now.Add(2*limit), Limits{}), 0)             // no limit
+	is.Equal(u.Sweep(now, Limits{Idle: limit}), 0)               // not yet
+	is.Equal(u.Sweep(now.Add(2*limit), Limits{First: limit}), 0) // of another kind
+	is.Equal(u.Sweep(now.Add(2*limit), Limits{Idle: limit}), 2)
 	_, err := first.reader.ReadByte()
 	is.True(err != nil) // the caller sees its end
 	eventually(t, "the connections are still counted", func() bool { return u.Open() == 0 })
 }
+
+// TestSlowHeader ends a connection on which the first header does not come to
+// its end, and leaves one alone whose request runs.
+func TestSlowHeader(t *testing.T) {
+	is := is.New(t)
+	u := New(0)
+	release := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	server.Config.ConnState = u.Note
+	server.Start()
+	t.Cleanup(server.Close)
+	slow, long := dial(t, server), dial(t, server)
+	_, err := slow.socket.Write([]byte("GET / HTTP/1.1\r\nHo"))
+	is.NoErr(err)
+	_, err = long.socket.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	is.NoErr(err)
+	eventually(t, "the request does not run", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.fresh.order.Len() == 1 && u.Open() == 2
+	})
+	const limit = time.Minute
+	is.Equal(u.Sweep(time.Now(), Limits{First: limit}), 0)
+	is.Equal(u.Sweep(time.Now().Add(2*limit), Limits{First: limit, Idle: limit}), 1)
+	_, err = slow.reader.ReadByte()
+	is.True(err != nil) // the caller sees its end
+	close(release)
+	response, err := http.ReadResponse(long.reader, nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, 200)
+}
