Place requests of routes on upstreams that announce themselves on the product's own interface

Only announcements through an adapter were enrolled for routes, so routes were of no use without one. An announcement without the start of its incarnation goes on with the known one until that leaves; it holds for its own time to live.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -6,7 +6,9 @@
 //	POST   /v1/upstreams                 announce, renew, report load
 //	DELETE /v1/upstreams/{service}/{id}  leave
 //
-// Nothing in the fleet lists upstreams by hand.
+// Nothing in the fleet lists upstreams by hand. An upstream serves requests by
+// model or service and those of routes alike; for routes its identifier has to
+// be its own in the whole fleet.
 //
 // # Usage
 //
@@ -65,6 +67,7 @@
 // Options configure the handler.
 type Options struct {
 	Directory     redwingshunt.Directory
+	Roll          redwingshunt.Roll // upstreams of routes; may be nil
 	Configuration redwingshunt.Configuration
 	Self          func() redwingshunt.Instance
 	Now           func() time.Time
@@ -100,12 +103,16 @@
 		return
 	}
 	ttl := time.Duration(a.TTL) * time.Millisecond
-	h.options.Directory.Announce(redwingshunt.Upstream{
+	upstream := redwingshunt.Upstream{
 		ID: a.ID, Service: a.Service, Region: a.Region, Zone: a.Zone,
 		Address: a.Address, Slots: a.Slots, Version: a.Version,
-	}, redwingshunt.LoadReport{
+	}
+	h.options.Directory.Announce(upstream, redwingshunt.LoadReport{
 		Running: a.Load.Running, Waiting: a.Load.Waiting, At: h.options.Now(),
 	}, ttl)
+	if h.options.Roll != nil {
+		h.options.Roll.Enroll(redwingshunt.UpstreamState{Upstream: upstream, TTL: ttl})
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Receipt{TTL: a.TTL, Renew: a.TTL / 3})
 }
@@ -116,9 +123,11 @@
 		refuse(w, status, problem)
 		return
 	}
-	h.options.Directory.Leave(redwingshunt.UpstreamKey{
-		Service: service, ID: redwingshunt.UpstreamID(mux.Vars(r)["id"]),
-	})
+	id := redwingshunt.UpstreamID(mux.Vars(r)["id"])
+	h.options.Directory.Leave(redwingshunt.UpstreamKey{Service: service, ID: id})
+	if h.options.Roll != nil {
+		h.options.Roll.Dismiss(id, time.Time{})
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -199,6 +199,7 @@
 		Configuration: d.configured,
 		Upstreams: announcer.New(announcer.Options{
 			Directory:     d.scheduling,
+			Roll:          d.enroller,
 			Configuration: d.configured,
 			Self:          d.members.Self,
 			Now:           time.Now,
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -3,15 +3,20 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
 // TestMostOf bounds the requests at once by the setting, or else by the memory.
@@ -76,3 +81,51 @@
 	is.True(err != nil)
 	is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the instance has closed it
 }
+
+// TestAnnouncedUpstreamServesRoutes has an upstream announce itself over the
+// product's own interface at one instance; the routes of another one reach it
+// until it leaves.
+func TestAnnouncedUpstreamServesRoutes(t *testing.T) {
+	is := is.New(t)
+	dialect := redwingshunt.DefaultDialect()
+	document := &redwingshunt.Document{
+		Services: []redwingshunt.Service{{Name: "desk"}},
+		Routes: []redwingshunt.Route{{
+			Name: "desk", Host: "h", Prefix: "/desk/", Kind: redwingshunt.RouteSafe, Limit: time.Second, Attempts: 1,
+			Targets: []redwingshunt.Target{{Service: "desk", Weight: 1}},
+		}},
+	}
+	options := func(o *Options) { o.Document, o.Dialect = document, dialect }
+	taking := runNode(t, testSettings(0, nil), options)
+	settings := testSettings(1, []netip.AddrPort{taking.Link()})
+	settings.Routes = settings.Listen
+	serving := runNode(t, settings, options)
+	upstream := mimic.NewUpstream(mimic.UpstreamOptions{ID: "d1", Dialect: dialect, Slots: 4})
+	is.NoErr(upstream.Start())
+	t.Cleanup(upstream.Stop)
+
+	call := func(method, url, body string, change func(*http.Request)) int {
+		request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+		is.NoErr(err)
+		change(request)
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		return response.StatusCode
+	}
+	plain := func(*http.Request) {}
+	announcements := "http://" + taking.Listen().String() + "/v1/upstreams"
+	is.Equal(call(http.MethodPost, announcements,
+		fmt.Sprintf(`{"id":"d1","service":"desk","address":%q,"slots":4,"ttl":60000}`, upstream.Address()), plain), 200)
+	ask := func() int {
+		return call(http.MethodGet, "http://"+serving.sockets.routes.Addr().String()+"/desk/1", "", func(r *http.Request) {
+			r.Host = "h"
+			r.Header.Set(dialect.Request, "r1")
+		})
+	}
+	eventually(t, func() bool { return ask() == 200 })
+	is.Equal(call(http.MethodDelete, announcements+"/desk/d1", "", plain), 204)
+	eventually(t, func() bool { return ask() == 503 })
+}
--- a/enroller/codec.go
+++ b/enroller/codec.go
@@ -23,7 +23,7 @@
 			Region: string(a.State.Region), Zone: string(a.State.Zone),
 			Address: address, Slots: uint32(a.State.Slots), Version: a.State.Version,
 			Born: a.State.Born.UnixMilli(), Sequence: a.State.Sequence, Leaving: a.State.Leaving,
-			Age: uint32(a.Age / time.Millisecond),
+			Age: uint32(a.Age / time.Millisecond), Ttl: uint32(a.State.TTL / time.Millisecond),
 		})
 	}
 	payload, err := proto.Marshal(roll)
@@ -47,6 +47,7 @@
 		},
 		Born:     time.UnixMilli(record.GetBorn()),
 		Sequence: record.GetSequence(),
+		TTL:      time.Duration(record.GetTtl()) * time.Millisecond,
 		Leaving:  record.GetLeaving(),
 	}
 	return state, time.Duration(record.GetAge()) * time.Millisecond, nil
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -59,8 +59,11 @@
 // Enroll takes an announcement that was made at a time. It reports whether it
 // was news, and whether it changed more than the time of the last news.
 func (t *Table) Enroll(s redwingshunt.UpstreamState, made time.Time) (news, changed bool) {
-	s.Born = time.UnixMilli(s.Born.UnixMilli()) // as it is told to other instances
 	known := t.entries[s.ID]
+	if s.Born.IsZero() {
+		s.Born, s.Sequence = incarnation(known, made)
+	}
+	s.Born = time.UnixMilli(s.Born.UnixMilli()) // as it is told to other instances
 	if at, ok := t.left[s.ID]; ok && s.Born.Before(at) {
 		s.Leaving = true
 	}
@@ -82,6 +85,15 @@
 	return true, changed
 }
 
+// incarnation numbers an announcement of an upstream that does not tell its
+// start: it goes on with the incarnation that is known, unless that has left.
+func incarnation(known *entry, made time.Time) (born time.Time, sequence uint64) {
+	if known == nil || known.state.Leaving {
+		return made, 1
+	}
+	return known.state.Born, known.state.Sequence + 1
+}
+
 // older reports whether a is no newer than b, of the same identity. A state
 // that says to leave counts once more under its number: it may have been told
 // in another way than by an announcement.
@@ -143,11 +155,11 @@
 	cutOff := now.Sub(t.heard) > feedSilence
 	var usable []redwingshunt.UpstreamState
 	for _, e := range t.entries {
-		silent := now.Sub(e.heard) > t.silence
+		unheard := now.Sub(e.heard)
 		if cutOff {
-			silent = t.heard.Sub(e.heard) > t.silence
+			unheard = t.heard.Sub(e.heard)
 		}
-		if !e.gone && !e.state.Leaving && !silent {
+		if !e.gone && !e.state.Leaving && unheard <= cmp.Or(e.state.TTL, t.silence) {
 			usable = append(usable, e.state)
 		}
 	}
--- a/enroller/table_test.go
+++ b/enroller/table_test.go
@@ -26,6 +26,8 @@
 	at       int // milliseconds
 	dismiss  bool
 	service  string
+	unborn   bool // it does not tell its start
+	ttl      time.Duration
 }
 
 func (s said) state() redwingshunt.UpstreamState {
@@ -33,12 +35,17 @@
 	if service == "" {
 		service = "s"
 	}
+	born := at(s.born)
+	if s.unborn {
+		born = time.Time{}
+	}
 	return redwingshunt.UpstreamState{
+		TTL: s.ttl,
 		Upstream: redwingshunt.Upstream{
 			ID: redwingshunt.UpstreamID(s.id), Service: redwingshunt.ServiceID(service), Slots: 1,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(s.host)}), 80),
 		},
-		Born: at(s.born), Sequence: s.sequence, Leaving: s.leaving,
+		Born: born, Sequence: s.sequence, Leaving: s.leaving,
 	}
 }
 
@@ -66,6 +73,13 @@
 		"address reused, told late": {
 			[]said{{id: "b", service: "t", born: 50, sequence: 1}, {id: "a", sequence: 7}}, 100, "[b]",
 		},
+		"start not told":         {[]said{{id: "a", unborn: true}, {id: "a", unborn: true, at: 4000}}, 8000, "[a]"},
+		"start not told, left":   {[]said{{id: "a", unborn: true}, {id: "a", dismiss: true, at: 10}}, 100, "[]"},
+		"start not told, return": {[]said{{id: "a", unborn: true}, {id: "a", dismiss: true, at: 10}, {id: "a", unborn: true, at: 20}}, 100, "[a]"},
+		"holds for longer": {
+			[]said{{id: "a", sequence: 1, ttl: 20 * time.Second}, {id: "b", host: 1, sequence: 1}, {id: "c", host: 2, sequence: 1, at: 9000}},
+			10_000, "[a c]",
+		},
 		"address changed": {[]said{{id: "a", sequence: 1}, {id: "b", host: 1, sequence: 1}, {id: "a", host: 2, sequence: 2}}, 100, "[a b]"},
 	}
 	for name, test := range tests {
@@ -107,7 +121,7 @@
 func TestCodec(t *testing.T) {
 	is := is.New(t)
 	s := said{id: "a", born: 5, sequence: 3, leaving: true}.state()
-	s.Region, s.Zone, s.Version = "north", "north-a", "v1"
+	s.Region, s.Zone, s.Version, s.TTL = "north", "north-a", "v1", 7*time.Second
 	table := NewTable(0)
 	table.Enroll(s, at(0))
 	is.Equal(len(table.All(at(70))), 1)
@@ -118,6 +132,7 @@
 	is.Equal(other.table.entries["a"].state.Address, s.Address)
 	is.True(other.table.entries["a"].state.Born.Equal(s.Born))
 	is.Equal(other.table.entries["a"].state.Leaving, true)
+	is.Equal(other.table.entries["a"].state.TTL, s.TTL)
 	other.receive("x", []byte("not a message")) // logged and dropped
 	is.Equal(len(other.table.entries), 1)
 }
--- a/route.go
+++ b/route.go
@@ -124,9 +124,10 @@
 // UpstreamState is what an upstream tells of itself.
 type UpstreamState struct {
 	Upstream
-	Born     time.Time // start of its incarnation
-	Sequence uint64    // grows with each announcement of an incarnation
-	Leaving  bool      // it takes no new work
+	Born     time.Time     // start of its incarnation; zero when it does not tell
+	Sequence uint64        // grows with each announcement of an incarnation; not used without Born
+	TTL      time.Duration // how long it holds without another announcement; zero is the fleet's own time
+	Leaving  bool          // it takes no new work
 }
 
 // Roll takes announcements of upstreams that number their incarnations.
