Send entries again whose message overtook the one before it

Cause: a voter refuses a message that comes before its predecessor; when the answer to the predecessor came first, the leader took the refusal for an old one and sent nothing until the next heartbeat. Ruled out by a trace of one failing run: a refused vote, a lost message, a proposal that was taken during the handover.

--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -268,7 +268,9 @@
 // handleAppendReply moves the progress of a member.
 func (c *Core) handleAppendReply(m Message, p *progress) {
 	if m.Reject {
-		if m.Index > p.match {
+		// A message that overtook the one before it is refused at an index that
+		// has been acknowledged meanwhile; its entries are missing all the same.
+		if m.Index >= p.match {
 			p.restart(min(m.Index, m.Commit+1))
 		}
 		return
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -215,10 +215,11 @@
 	}
 }
 
-// TestCommitNeedsOwnTerm acknowledges an entry of an earlier term alone: it may
-// still be replaced by a leader that lacks it, so it is not committed.
-func TestCommitNeedsOwnTerm(t *testing.T) {
-	is := is.New(t)
+// newLeader returns a core that leads term 3 of three voters and whose log has
+// an entry of an earlier term before its own first one, 3. Step works an event,
+// with a disk that is done at once, and returns what is sent.
+func newLeader(t *testing.T) (c *Core, step func(Event) []Message) {
+	t.Helper()
 	ids := []MemberID{{"a", 1}, {"b", 2}, {"c", 3}}
 	stored := Stored{
 		HardState: HardState{Term: 2},
@@ -226,13 +227,20 @@
 		Entries:   []Entry{{Index: 2, Term: 2, Kind: EntryCommand}},
 	}
 	now := time.Unix(1e9, 0)
-	c := New(Config{Self: ids[0], Start: NewStart(0, 1)}, stored, now)
-	step := func(e Event) {
-		for _, action := range c.Step(now, e) {
-			if p, ok := action.(Persist); ok {
-				c.Step(now, Persisted{p.Sequence})
+	c = New(Config{Self: ids[0], Start: NewStart(0, 1)}, stored, now)
+	step = func(e Event) []Message {
+		var sent []Message
+		queue := c.Step(now, e)
+		for len(queue) > 0 {
+			switch action := queue[0].(type) {
+			case Persist:
+				queue = append(queue, c.Step(now, Persisted{action.Sequence})...)
+			case Send:
+				sent = append(sent, action.Message)
 			}
+			queue = queue[1:]
 		}
+		return sent
 	}
 	for range 4 {
 		now = now.Add(MaxAdvance)
@@ -243,8 +251,18 @@
 	step(Received{reply})
 	reply.Kind = MessageVoteReply
 	step(Received{reply})
-	is.Equal(c.Status().Role, RoleLeader)
-	reply.Kind, reply.Index, reply.Last = MessageAppendReply, 2, 2
+	is.New(t).Equal(c.Status().Role, RoleLeader)
+	return c, step
+}
+
+// TestCommitNeedsOwnTerm acknowledges an entry of an earlier term alone: it may
+// still be replaced by a leader that lacks it, so it is not committed.
+func TestCommitNeedsOwnTerm(t *testing.T) {
+	is := is.New(t)
+	c, step := newLeader(t)
+	reply := Message{
+		Kind: MessageAppendReply, From: MemberID{"b", 2}, To: MemberID{"a", 1}, Term: 3, Start: NewStart(0, 2), Index: 2, Last: 2,
+	}
 	step(Received{reply})
 	is.Equal(c.Status().Commit, uint64(1))
 	reply.Index, reply.Last = 3, 3
@@ -252,6 +270,33 @@
 	is.Equal(c.Status().Commit, uint64(3))
 }
 
+// TestOvertakenAppend has two messages with entries overtake each other on the
+// way to a voter, which refuses the later one. Its entries are sent again when
+// that refusal comes, also after the answer to the earlier one.
+func TestOvertakenAppend(t *testing.T) {
+	is := is.New(t)
+	_, step := newLeader(t)
+	reply := Message{
+		Kind: MessageAppendReply, From: MemberID{"b", 2}, To: MemberID{"a", 1}, Term: 3, Start: NewStart(0, 2), Index: 3, Last: 3,
+	}
+	step(Received{reply})
+	for i := range 2 {
+		step(Proposed{ID: uint64(i + 1), Commands: [][]byte{{byte(i)}}}) // entries 4 and 5
+	}
+	reply.Index, reply.Last = 4, 4
+	step(Received{reply})
+	refusal := reply
+	refusal.Reject, refusal.Commit, refusal.Last = true, 3, 3 // when only entry 5 had come
+	var again []Entry
+	for _, m := range step(Received{refusal}) {
+		if m.Kind == MessageAppend && m.To == reply.From {
+			again = append(again, m.Entries...)
+		}
+	}
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Index, uint64(5))
+}
+
 // TestPreferredTransfer hands over to the named voter, and to none that is
 // silent: the leader then goes on to take proposals.
 func TestPreferredTransfer(t *testing.T) {
