Finish a first membership that was made halfway

The instance that makes it seeds itself and then tells the others. Stopped in between, it came back with state and told nobody; the others had none, and the fleet never had a log. Whoever holds the first membership of a log without a leader now tells the others again (TestFormInterrupted: no leader before).

--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -46,15 +46,16 @@
 // turn looks once and does what is to be done.
 func (s *joiner) turn(ctx context.Context) {
 	log := s.daemon.control.recorder
-	if s.daemon.control.votes() {
-		return
-	}
-	view := founder.View{Live: s.daemon.members.Live()}
 	look, cancel := context.WithTimeout(ctx, joinerTimeout)
 	defer cancel()
+	unfinished, err := log.Unfinished(look)
+	if err != nil || len(unfinished) == 0 && s.daemon.control.votes() {
+		return // a log that has ended is logged where it ends
+	}
+	view := founder.View{Live: s.daemon.members.Live(), Unfinished: unfinished}
 	seeded, err := log.Seeded(look)
 	if err != nil {
-		return // the log has ended, which is logged where it ends
+		return
 	}
 	view.Seeded = seeded
 	view.Membership, view.Own, err = log.Membership(look)
--- a/founder/founder.go
+++ b/founder/founder.go
@@ -4,7 +4,8 @@
 //
 // The first membership is made of the founders that the settings name by link
 // address, once all of them are alive, by the one with the smallest name, and
-// only at the first start of the fleet. From then on an instance that does not
+// only at the first start of the fleet. Should it stop halfway, whoever holds
+// that membership tells the others. From then on an instance that does not
 // vote joins when the log has fewer voters than wanted, when a voter of its own
 // name has another folder (its disk was lost), or when a voter has been gone
 // for a while. Each change is one step that the log itself carries through; a
@@ -41,8 +42,11 @@
 
 // View is what the instance knows.
 type View struct {
-	Live       []redwingshunt.Instance
-	Seeded     bool                  // the own folder has state
+	Live   []redwingshunt.Instance
+	Seeded bool // the own folder has state
+	// Unfinished are the instances of the first membership, when the own folder
+	// holds it and the log has never had a leader.
+	Unfinished []redwingshunt.InstanceID
 	Membership replicator.Membership // as the leader has it; nil when not known
 	Own        replicator.MemberID
 }
@@ -50,7 +54,8 @@
 // Action is what to do: Form, Join, or nil.
 type Action interface{ action() }
 
-// Form makes the first membership.
+// Form makes the first membership, or tells those of it who have not learnt of
+// it.
 type Form struct{ Voters []redwingshunt.InstanceID }
 
 // Join makes this instance a voter in place of a lost one, which may be its own
@@ -96,6 +101,9 @@
 
 // found returns Form when this instance is the one to make the first membership.
 func (c *Core) found(v View) Action {
+	if len(v.Unfinished) > 0 {
+		return Form{Voters: v.Unfinished} // the others may not have learnt of it
+	}
 	if len(c.options.Founders) == 0 || v.Seeded {
 		return nil
 	}
--- a/founder/founder_test.go
+++ b/founder/founder_test.go
@@ -40,6 +40,7 @@
 		"one is missing":         {"a", founders, View{Live: all[:2], Own: member("a", 1)}, false, nil},
 		"never a second time":    {"a", nil, View{Live: all, Own: member("a", 1)}, true, nil},
 		"own state":              {"a", founders, View{Live: all, Own: member("a", 1), Seeded: true}, false, nil},
+		"made and not led yet":   {"b", nil, View{Live: all, Own: member("b", 1), Seeded: true, Unfinished: []redwingshunt.InstanceID{"a", "b", "c"}}, false, Form{[]redwingshunt.InstanceID{"a", "b", "c"}}},
 		"a voter":                {"a", nil, View{Live: all, Own: member("a", 1), Membership: abc}, true, nil},
 		"lost its disk":          {"a", nil, View{Live: all, Own: member("a", 2), Membership: abc}, false, Join{Lost: "a"}},
 		"spare":                  {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc}, true, nil},
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -25,6 +25,7 @@
 	root    string
 	groups  int
 	compact int
+	founded bool                  // the first membership is made by Form
 	home    redwingshunt.RegionID // where group 1 is to be led; an instance is alone in the region of its name
 
 	mu       sync.Mutex
@@ -47,6 +48,16 @@
 }
 
 func newNetwork(t *testing.T, seed uint64, names ...redwingshunt.InstanceID) *network {
+	n := emptyNetwork(t, seed)
+	for _, name := range names {
+		n.start(name)
+	}
+	time.Sleep(10 * time.Second)
+	return n
+}
+
+// emptyNetwork returns a network without instances.
+func emptyNetwork(t *testing.T, seed uint64) *network {
 	n := &network{
 		t: t, root: t.TempDir(), groups: 2, random: rand.New(rand.NewPCG(seed, 2)),
 		cut:      make(map[redwingshunt.InstanceID]bool),
@@ -56,10 +67,6 @@
 		broken:   make(map[redwingshunt.InstanceID]*atomic.Bool),
 	}
 	t.Cleanup(n.haltAll)
-	for _, name := range names {
-		n.start(name)
-	}
-	time.Sleep(10 * time.Second)
 	return n
 }
 
@@ -82,7 +89,7 @@
 	r, err := New(Options{
 		Self: name, Members: members{n, name}, Link: link{n, name}, Clock: clock{},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Files:  n.files(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a",
+		Files:  n.files(name), Initial: []redwingshunt.InstanceID{"a", "b", "c"}, Bootstrap: name == "a" && !n.founded,
 		Groups: n.groups, Compact: n.compact, Prefer: n.prefer,
 		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
 			p.machines[g] = &register{}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -426,3 +426,48 @@
 	is.True(w.add(10*windowSize - 1))
 	is.True(!w.add(10 * windowSize))
 }
+
+// TestFormInterrupted has the instance that makes the first membership stop
+// after it has told only itself. Whoever holds that membership tells the others
+// when it runs again; another one must not be made.
+func TestFormInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := emptyNetwork(t, 1)
+		n.founded = true
+		names := []redwingshunt.InstanceID{"a", "b", "c"}
+		for _, name := range names {
+			n.start(name)
+		}
+		time.Sleep(time.Second)
+		forming, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { n.running["a"].Form(forming, names); close(ended) }()
+		for seeded := false; !seeded; time.Sleep(time.Millisecond) {
+			var err error
+			seeded, err = n.running["a"].Seeded(t.Context())
+			is.NoErr(err)
+		}
+		n.isolate("a", true)
+		time.Sleep(time.Second) // what is on its way is lost
+		stop()
+		<-ended
+		n.halt("a")
+		seeded, err := n.running["b"].Seeded(t.Context())
+		is.NoErr(err)
+		is.True(!seeded)
+
+		n.start("a")
+		time.Sleep(10 * time.Second)
+		is.Equal(n.leader(), redwingshunt.InstanceID("")) // alone it is no quorum
+		unfinished, err := n.running["a"].Unfinished(t.Context())
+		is.NoErr(err)
+		is.Equal(unfinished, names)
+		n.running["a"].Form(t.Context(), unfinished)
+		time.Sleep(10 * time.Second)
+		is.True(n.leader() != "")
+		unfinished, err = n.running["a"].Unfinished(t.Context())
+		is.NoErr(err)
+		is.Equal(len(unfinished), 0)
+	})
+}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -151,6 +151,21 @@
 	return own.states > 0, err
 }
 
+// Unfinished returns the instances of the first membership while the folder of
+// this instance holds it and the log has never had a leader; nothing afterwards.
+// Whoever made it may have stopped before all had learnt of it.
+func (r *Recorder) Unfinished(ctx context.Context) ([]redwingshunt.InstanceID, error) {
+	own, err := r.ownState(ctx)
+	if err != nil || own.led {
+		return nil, err
+	}
+	var instances []redwingshunt.InstanceID
+	for _, member := range own.first {
+		instances = append(instances, member.ID.Instance)
+	}
+	return instances, nil
+}
+
 // takeSeed gives the first membership to the groups that have no state, once.
 func (r *Recorder) takeSeed(seed *wire.LogSeed, reply func(*wire.LogReply)) {
 	membership := encoder.ParseMembers(seed.GetMembership())
