Let accounts that get far less than others leave their busy homes

A request that is refused goes to the engine that answers soonest when its account gets less than 0.7 of what it asks and of what the best served account gets. Ruled out: the bound of the account (it had the whole one).

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -55,6 +55,33 @@
 	return best
 }
 
+// forDeprived returns the option with the least time until the answer for a
+// request that is refused although its account gets far less than another, when
+// that option admits it. The homes of its prompts are too busy then, while those
+// of the other have room.
+func (c *Core) forDeprived(now time.Time, s *service, p *redwingshunt.Placement, refused *Refusal) option {
+	if refused.Reason != redwingshunt.ReasonQueueFull || !s.model || c.shares.capacity == 0 || !c.shares.deprived(now, p.Account) {
+		return option{}
+	}
+	tokens := p.Tokens()
+	home, _ := homes(now, s, p)
+	var soonest option
+	for _, u := range s.upstreams {
+		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
+			continue
+		}
+		o := c.weigh(now, s, p, tokens, u, u == home)
+		o.cost += o.read
+		if soonest.upstream == nil || o.cost < soonest.cost || o.cost == soonest.cost && u.ID < soonest.upstream.ID {
+			soonest = o
+		}
+	}
+	if soonest.upstream == nil || c.admit(now, s, p, soonest) != nil {
+		return option{}
+	}
+	return soonest
+}
+
 // homes returns the upstream that keeps what the request shares with others and
 // the one that comes next, or nil when it shares nothing. An upstream that is
 // spared for a moment stays a home: its things would else be read again
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -205,7 +205,9 @@
 		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
 	}
 	if refusal := c.admit(now, s, p, best); refusal != nil {
-		return redwingshunt.Placed{}, refusal
+		if best = c.forDeprived(now, s, p, refusal); best.upstream == nil {
+			return redwingshunt.Placed{}, refusal
+		}
 	}
 	if p.Attempt <= 1 {
 		c.shares.admit(now, p.Account, tokens)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -310,3 +310,45 @@
 	is.True(count["north"] >= 6)
 	is.True(count["south"] >= 6)
 }
+
+// TestDeprivedAccount has a request of an account that gets far less than the
+// best served one go to an engine that has room, when both of its homes are too
+// busy; other accounts come back when the homes have room.
+func TestDeprivedAccount(t *testing.T) {
+	tests := map[string]struct {
+		asked    uint32 // tokens a second
+		admitted uint32 // of them
+		best     uint32 // tokens a second of the account that gets most
+		others   uint32 // unread tokens at the engines that are not the home
+		placed   bool
+	}{
+		"far below the others":  {20_000, 3_000, 15_000, 18_000, true},
+		"near its share":        {20_000, 9_000, 11_000, 18_000, false},
+		"others far beyond":     {20_000, 9_000, 27_000, 18_000, true},
+		"gets what it asks":     {30_000, 28_000, 90_000, 18_000, false},
+		"deprived and all busy": {20_000, 3_000, 15_000, 60_000, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(6)
+			c.Configure(document(20_000))
+			home, second := homes(begin, c.services["s"], about("x"))
+			loads := &wire.Loads{Sequence: 1, Accounts: []*wire.AccountLoad{
+				{Account: "alpha", Asked: test.asked, Admitted: test.admitted},
+				{Account: "beta", Asked: 100_000, Admitted: test.best},
+			}}
+			for _, u := range engines(6, "north") {
+				unread := test.others
+				if u.ID == home.ID || u.ID == second.ID {
+					unread = 90_000
+				}
+				loads.Upstreams = append(loads.Upstreams, &wire.UpstreamLoad{Id: string(u.ID), Service: "s", Unread: unread, Running: 1})
+			}
+			c.Heard(begin, "other", loads)
+			placed, refusal := c.Place(begin, about("x"))
+			is.Equal(refusal == nil, test.placed)
+			is.True(refusal != nil || placed.Upstream.ID != home.ID && placed.Upstream.ID != second.ID)
+		})
+	}
+}
--- a/placer/shares.go
+++ b/placer/shares.go
@@ -47,6 +47,7 @@
 	capacity float64 // tokens a second; zero is unlimited
 	accounts map[redwingshunt.AccountID]*accountRates
 	share    float64
+	best     float64 // tokens a second of the account that gets most
 	computed time.Time
 }
 
@@ -84,11 +85,25 @@
 	return (a.admitted.get(now) + a.remoteAdmitted) / s.share
 }
 
+// deprivedShare is the part of what an account asks, or of what the best served
+// one gets, below which it is helped at the cost of reading prompts again. It is
+// above the half that an account may fall short of another.
+const deprivedShare = 0.7
+
+// deprived reports whether an account gets far less than it asks and than
+// another one.
+func (s *shares) deprived(now time.Time, account redwingshunt.AccountID) bool {
+	a := s.of(account)
+	asked := a.asked.get(now) + a.remoteAsked
+	return a.admitted.get(now)+a.remoteAdmitted < deprivedShare*min(asked, s.best)
+}
+
 // compute finds the share that all accounts get who ask for more than it.
 func (s *shares) compute(now time.Time) {
 	s.computed = now
 	var asked []float64
 	produced := 0.0
+	s.best = 0
 	for id, a := range s.accounts {
 		total := a.asked.get(now) + a.remoteAsked
 		if total < leastRate && a.admitted.get(now)+a.remoteAdmitted < leastRate {
@@ -96,7 +111,9 @@
 			continue
 		}
 		asked = append(asked, total)
-		produced += a.admitted.get(now) + a.remoteAdmitted
+		admitted := a.admitted.get(now) + a.remoteAdmitted
+		produced += admitted
+		s.best = max(s.best, admitted)
 	}
 	// Kept prompt parts let the engines produce more than the document says.
 	s.share = maxMin(max(s.capacity, produced), asked)
