Serve routes of the standalone daemon in the dialect of the project

It had none: each request was refused for want of an identifier in a header without a name. TestAnnouncedUpstreamServesRoutes failed before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,7 +51,8 @@
 	// Documents reads documents instead of the parser of this project, for a
 	// fleet whose document is kept in another format; may be nil.
 	Documents registrar.DocumentFunc
-	// Dialect names the headers of callers and upstreams of routes.
+	// Dialect names the headers of callers and upstreams of routes; without one
+	// it is that of this project.
 	Dialect redwingshunt.Dialect
 	// Abort ends a graceful shutdown early when it is closed; may be nil.
 	Abort <-chan struct{}
@@ -96,6 +97,9 @@
 
 // New returns a daemon that listens but does not serve yet.
 func New(settings redwingshunt.Settings, options Options) (*Daemon, error) {
+	if options.Dialect.Request == "" {
+		options.Dialect = redwingshunt.DefaultDialect()
+	}
 	d := &Daemon{settings: settings, options: options, logger: options.Logger, drain: make(chan struct{})}
 	if err := d.prepare(); err != nil {
 		d.sockets.close()
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -95,7 +95,7 @@
 			Targets: []redwingshunt.Target{{Service: "desk", Weight: 1}},
 		}},
 	}
-	options := func(o *Options) { o.Document, o.Dialect = document, dialect }
+	options := func(o *Options) { o.Document = document }
 	taking := runNode(t, testSettings(0, nil), options)
 	settings := testSettings(1, []netip.AddrPort{taking.Link()})
 	settings.Routes = settings.Listen
