--- a/placer/choose.go
+++ b/placer/choose.go
@@ -55,14 +55,26 @@
 	return best
 }
 
-// forDeprived returns the option with the least time until the answer for a
-// request that is refused although its account gets far less than another, when
-// that option admits it. The homes of its prompts are too busy then, while those
-// of the other have room.
-func (c *Core) forDeprived(now time.Time, s *service, p *redwingshunt.Placement, refused *Refusal) option {
-	if refused.Reason != redwingshunt.ReasonQueueFull || !s.model || c.shares.capacity == 0 || !c.shares.deprived(now, p.Account) {
+// forDeprived returns an option for a request that is refused although its
+// account gets far less than another: the best one or else that with the least
+// time until the answer, if the wait there is within the bound of an account
+// that has had nothing. The homes of its prompts are too busy then, while those
+// of the other account have room.
+func (c *Core) forDeprived(now time.Time, s *service, p *redwingshunt.Placement, best option) option {
+	if !s.model || c.shares.capacity == 0 || !c.shares.deprived(now, p.Account) {
 		return option{}
 	}
+	for _, o := range []option{best, c.soonest(now, s, p)} {
+		if o.upstream != nil && c.admit(now, s, p, o, 0) == nil {
+			return o
+		}
+	}
+	return option{}
+}
+
+// soonest returns the option with the least time until the answer among those
+// that are up.
+func (c *Core) soonest(now time.Time, s *service, p *redwingshunt.Placement) option {
 	tokens := p.Tokens()
 	home, _ := homes(now, s, p)
 	var soonest option
@@ -76,9 +88,6 @@
 			soonest = o
 		}
 	}
-	if soonest.upstream == nil || c.admit(now, s, p, soonest) != nil {
-		return option{}
-	}
 	return soonest
 }
 
@@ -197,9 +206,10 @@
 	}
 }
 
-// admit refuses a request for which the wait at the best upstream is beyond its
-// bound. A repeat has been admitted before and is bound by its deadline alone.
-func (c *Core) admit(now time.Time, s *service, p *redwingshunt.Placement, o option) *Refusal {
+// admit refuses a request for which the wait of an option is beyond the bound of
+// an account that has been given so much of its share. A repeat has been admitted
+// before and is bound by its deadline alone.
+func (c *Core) admit(now time.Time, s *service, p *redwingshunt.Placement, o option, excess float64) *Refusal {
 	left := p.Deadline.Sub(now)
 	predicted := o.wait + o.read + o.trip
 	if !p.Deadline.IsZero() && predicted >= left {
@@ -209,7 +219,6 @@
 		return nil
 	}
 	aim := aimOf(p.Route)
-	excess := c.shares.excess(now, p.Account)
 	bound := admission(aim, o.read+o.trip, excess)
 	if o.wait > bound {
 		return refuse(o.wait, bound, excess)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -204,8 +204,8 @@
 	if best.upstream == nil {
 		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
 	}
-	if refusal := c.admit(now, s, p, best); refusal != nil {
-		if best = c.forDeprived(now, s, p, refusal); best.upstream == nil {
+	if refusal := c.admit(now, s, p, best, c.shares.excess(now, p.Account)); refusal != nil {
+		if best = c.forDeprived(now, s, p, best); best.upstream == nil {
 			return redwingshunt.Placed{}, refusal
 		}
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -312,21 +312,26 @@
 }
 
 // TestDeprivedAccount has a request of an account that gets far less than the
-// best served one go to an engine that has room, when both of its homes are too
-// busy; other accounts come back when the homes have room.
+// best served one wait at its home as long as one within its share may, and go
+// to an engine that has room when both homes are too busy. Other accounts come
+// back when the homes have room.
 func TestDeprivedAccount(t *testing.T) {
 	tests := map[string]struct {
 		asked    uint32 // tokens a second
 		admitted uint32 // of them
-		best     uint32 // tokens a second of the account that gets most
-		others   uint32 // unread tokens at the engines that are not the home
-		placed   bool
+		best     uint32 // tokens a second of another account
+		homes    uint32 // unread tokens at both homes
+		others   uint32 // unread tokens at the other engines
+		want     string // where it is placed
 	}{
-		"far below the others":  {20_000, 3_000, 15_000, 18_000, true},
-		"near its share":        {20_000, 9_000, 11_000, 18_000, false},
-		"others far beyond":     {20_000, 9_000, 27_000, 18_000, true},
-		"gets what it asks":     {30_000, 28_000, 90_000, 18_000, false},
-		"deprived and all busy": {20_000, 3_000, 15_000, 60_000, false},
+		"far below the others":          {20_000, 3_000, 15_000, 90_000, 18_000, "elsewhere"},
+		"near its share":                {20_000, 9_000, 11_000, 90_000, 18_000, "nowhere"},
+		"others far beyond":             {20_000, 9_000, 27_000, 90_000, 18_000, "elsewhere"},
+		"beyond its share, others more": {50_000, 15_000, 40_000, 90_000, 18_000, "elsewhere"},
+		"beyond its share, home in use": {50_000, 15_000, 40_000, 18_000, 18_000, "home"},
+		"beyond its share as others":    {50_000, 20_000, 16_000, 18_000, 18_000, "nowhere"},
+		"gets what it asks":             {30_000, 28_000, 90_000, 90_000, 18_000, "nowhere"},
+		"deprived and all busy":         {20_000, 3_000, 15_000, 90_000, 60_000, "nowhere"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -337,18 +342,27 @@
 			loads := &wire.Loads{Sequence: 1, Accounts: []*wire.AccountLoad{
 				{Account: "alpha", Asked: test.asked, Admitted: test.admitted},
 				{Account: "beta", Asked: 100_000, Admitted: test.best},
+				{Account: "gamma", Asked: 100_000, Admitted: 1_000},
+				{Account: "delta", Asked: 100_000, Admitted: 1_000},
+				{Account: "epsilon", Asked: 100_000, Admitted: 1_000},
 			}}
 			for _, u := range engines(6, "north") {
 				unread := test.others
 				if u.ID == home.ID || u.ID == second.ID {
-					unread = 90_000
+					unread = test.homes
 				}
 				loads.Upstreams = append(loads.Upstreams, &wire.UpstreamLoad{Id: string(u.ID), Service: "s", Unread: unread, Running: 1})
 			}
 			c.Heard(begin, "other", loads)
 			placed, refusal := c.Place(begin, about("x"))
-			is.Equal(refusal == nil, test.placed)
-			is.True(refusal != nil || placed.Upstream.ID != home.ID && placed.Upstream.ID != second.ID)
+			got := "elsewhere"
+			switch {
+			case refusal != nil:
+				got = "nowhere"
+			case placed.Upstream.ID == home.ID || placed.Upstream.ID == second.ID:
+				got = "home"
+			}
+			is.Equal(got, test.want)
 		})
 	}
 }
