Add a fault soak; keep one incarnation of upstreams that tell no start

The soak runs real processes under signals, proxies and misbehaving upstreams and checks promises from what callers and upstreams saw. Cause: each instance that took a first announcement gave the upstream a start of its own; one that missed the newer start told the older one for ever, and the others dropped it. Ruled out: the proxy, the upstream itself (its other callers were served). Now all take the same start until a leave, the sequence follows the time, and whoever is told of an incarnation that is gone corrects the sender. A leave counts in whatever order it is heard, and a renewal that comes in the same moment as a message is not left out of the next one (TestCorrected, both).

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -4,7 +4,8 @@
 // instance that takes announcements. That instance tells all others, at once
 // when something changed and otherwise gathered for a short while. What changed
 // lately is told again with each message, so that a lost message delays it only
-// until the next one. An instance that starts empty asks.
+// until the next one. An instance that starts empty asks; one that tells of an
+// incarnation that is gone is told so.
 //
 // Table decides whom to believe; it reads no clock and sends nothing.
 //
@@ -56,8 +57,9 @@
 
 	mu    sync.Mutex
 	table *Table
-	own   map[redwingshunt.UpstreamID]time.Time // announced here, and when
-	told  time.Time                             // of the last message
+	own   map[redwingshunt.UpstreamID]time.Time     // announced here, and when
+	fresh redwingshunt.Set[redwingshunt.UpstreamID] // of own, since the last message
+	told  time.Time                                 // of the last message
 	asked time.Time
 	last  []redwingshunt.UpstreamState
 	wake  chan struct{}
@@ -72,6 +74,7 @@
 		options: options,
 		table:   NewTable(options.Silence),
 		own:     make(map[redwingshunt.UpstreamID]time.Time),
+		fresh:   redwingshunt.NewSet[redwingshunt.UpstreamID](),
 		wake:    make(chan struct{}, 1),
 	}
 	options.Link.Handle(redwingshunt.KindRoll, e.receive)
@@ -89,6 +92,7 @@
 	news, changed := e.table.Enroll(s, now)
 	if news {
 		e.own[s.ID] = now
+		e.fresh.Add(s.ID)
 	}
 	e.mu.Unlock()
 	if changed {
@@ -182,10 +186,11 @@
 			delete(e.own, id)
 			continue
 		}
-		if at.After(e.told) || changed < repeatChanges {
+		if e.fresh.Has(id) || changed < repeatChanges {
 			due = append(due, announced)
 		}
 	}
+	clear(e.fresh)
 	return due
 }
 
@@ -228,7 +233,7 @@
 		return
 	}
 	now := e.options.Clock.Now()
-	var answer []Announced
+	var answer []Announced // to a question, and what the sender has missed
 	var changes []redwingshunt.UpstreamState
 	e.mu.Lock()
 	for _, record := range roll.GetEntries() {
@@ -240,6 +245,9 @@
 		if _, changed := e.table.Enroll(state, now.Add(-age)); changed {
 			changes = append(changes, state)
 		}
+		if correction, missed := e.table.Correction(state, now); missed {
+			answer = append(answer, correction)
+		}
 	}
 	if roll.GetAsk() {
 		answer = e.table.All(now)
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -33,6 +34,11 @@
 	mu       sync.Mutex
 	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
 	lose     int // messages that are lost next
+	cut      redwingshunt.InstanceID
+}
+
+func newNet() *net {
+	return &net{handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte))}
 }
 
 type node struct {
@@ -52,8 +58,8 @@
 func (n node) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
 	n.net.mu.Lock()
 	receive := n.net.handlers[to]
-	lost := n.net.lose > 0
-	if lost {
+	lost := n.net.lose > 0 || n.net.cut == to || n.net.cut == n.self
+	if n.net.lose > 0 {
 		n.net.lose--
 	}
 	n.net.mu.Unlock()
@@ -62,6 +68,13 @@
 	}
 }
 
+// isolate cuts one instance off, and nobody else any more.
+func (n *net) isolate(id redwingshunt.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = id
+}
+
 func (n *net) start(t *testing.T, id redwingshunt.InstanceID) *Enroller {
 	t.Helper()
 	e := New(Options{Members: node{n, id}, Link: node{n, id}, Clock: clock{}, Logger: discard})
@@ -78,7 +91,7 @@
 	for name, lose := range map[string]int{"calm": 0, "first messages lost": 2} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			n := &net{handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte))}
+			n := newNet()
 			a, b := n.start(t, "a"), n.start(t, "b")
 			n.mu.Lock()
 			n.lose = lose
@@ -96,6 +109,46 @@
 	}
 }
 
+// TestCorrected has an instance miss that an upstream left and came back at
+// another one. It goes on to tell the old incarnation; whoever knows better tells
+// it so, and all agree.
+func TestCorrected(t *testing.T) {
+	tests := map[string]struct{ back bool }{
+		"left":          {false},
+		"left and back": {true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { missALeave(t, test.back) })
+		})
+	}
+}
+
+func missALeave(t *testing.T, back bool) {
+	is := is.New(t)
+	n := newNet()
+	a, b := n.start(t, "a"), n.start(t, "b")
+	told := said{id: "u", unborn: true}.state()
+	a.Enroll(told)
+	await(t, func() bool { return len(b.Usable()) == 1 })
+	n.isolate("a")
+	time.Sleep(time.Second)
+	b.Dismiss("u", time.Time{})
+	want := 0
+	if back {
+		b.Enroll(told)
+		want = 1
+	}
+	time.Sleep(repeatChanges + gather) // b does not repeat it any more
+	n.isolate("")
+	is.Equal(len(b.Usable()), want)
+	a.Enroll(told)
+	time.Sleep(2 * gather)
+	is.Equal(len(a.Usable()), want)
+	is.Equal(len(b.Usable()), want)
+	is.True(a.table.entries["u"].state.Born.Equal(b.table.entries["u"].state.Born))
+}
+
 func await(t *testing.T, holds func() bool) {
 	t.Helper()
 	for !holds() {
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -86,26 +86,42 @@
 }
 
 // incarnation numbers an announcement of an upstream that does not tell its
-// start: it goes on with the incarnation that is known, unless that has left.
+// start. All instances take the same start for it until it leaves, and one that
+// comes back after that begins anew. The sequence follows the time, so that
+// another instance that takes the next announcement goes on with it.
 func incarnation(known *entry, made time.Time) (born time.Time, sequence uint64) {
-	if known == nil || known.state.Leaving {
-		return made, 1
+	sequence = uint64(made.UnixMilli())
+	if known == nil {
+		return time.UnixMilli(0), sequence
 	}
-	return known.state.Born, known.state.Sequence + 1
+	if known.state.Leaving {
+		return made, sequence
+	}
+	return known.state.Born, max(sequence, known.state.Sequence+1)
+}
+
+// Correction returns what is known of the identity of a state when that belongs
+// to an older incarnation, or to one that has left meanwhile: whoever told it
+// has missed that.
+func (t *Table) Correction(s redwingshunt.UpstreamState, now time.Time) (Announced, bool) {
+	known := t.entries[s.ID]
+	if known == nil || s.Born.After(known.state.Born) || s.Born.Equal(known.state.Born) && (s.Leaving || !known.state.Leaving) {
+		return Announced{}, false
+	}
+	return known.announced(now), true
 }
 
-// older reports whether a is no newer than b, of the same identity. A state
-// that says to leave counts once more under its number: it may have been told
-// in another way than by an announcement.
+// older reports whether a is no newer than b, of the same identity. Once an
+// incarnation leaves it does not come back, in whatever order that is heard.
 func older(a, b redwingshunt.UpstreamState) bool {
 	if c := a.Born.Compare(b.Born); c != 0 {
 		return c < 0
 	}
 	if b.Leaving && !a.Leaving {
-		return true // an incarnation that leaves does not come back
+		return true
 	}
 	if a.Leaving && !b.Leaving {
-		return a.Sequence < b.Sequence
+		return false
 	}
 	return a.Sequence <= b.Sequence
 }
--- a/enroller/table_test.go
+++ b/enroller/table_test.go
@@ -76,6 +76,9 @@
 		"start not told":         {[]said{{id: "a", unborn: true}, {id: "a", unborn: true, at: 4000}}, 8000, "[a]"},
 		"start not told, left":   {[]said{{id: "a", unborn: true}, {id: "a", dismiss: true, at: 10}}, 100, "[]"},
 		"start not told, return": {[]said{{id: "a", unborn: true}, {id: "a", dismiss: true, at: 10}, {id: "a", unborn: true, at: 20}}, 100, "[a]"},
+		"start not told, another clock": {
+			[]said{{id: "a", unborn: true, at: 5000}, {id: "a", unborn: true, at: 4000}, {id: "a", unborn: true, at: 7000}}, 11_000, "[a]",
+		},
 		"holds for longer": {
 			[]said{{id: "a", sequence: 1, ttl: 20 * time.Second}, {id: "b", host: 1, sequence: 1}, {id: "c", host: 2, sequence: 1, at: 9000}},
 			10_000, "[a c]",
--- /dev/null
+++ b/soaker/fleet_test.go
@@ -0,0 +1,273 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/requester"
+)
+
+const (
+	// bootstrapHash and platformHash are those of EXAMPLE-KEY-bootstrap and
+	// EXAMPLE-KEY-platform.
+	bootstrapHash = "sha256:c7db39134370c2f3039769e68cee7cd5e199adfd35b032f3ca91efdd60828873"
+	platformHash  = "sha256:65350817d8ec8c55e834980dccc22275057aa1bc852ebde973abde285bb6661a"
+	alphaHash     = "sha256:a989a7587b3e773915e04dcfbf97bc50b34d667fe41cf41b225c30c58ccb5093"
+	// voters and routers make the fleet.
+	voters, routers = 3, 2
+	// patience bounds what is bound to come.
+	patience = 30 * time.Second
+)
+
+// document is the first one, but for its routes.
+const document = `
+teams:
+  - {name: platform, key: ` + platformHash + `, edits: [teams, regions, services, accounts, once, fleet, routes, limits]}
+regions:
+  - {name: north, zones: [north-a]}
+services:
+  - {name: desk, kind: plain}
+  - {name: feed, kind: plain}
+accounts:
+  - {name: alpha, share: 1, home: north, key: ` + alphaHash + `}
+`
+
+// routesText returns the section of routes with a marker route for each version.
+func routesText(version int) string {
+	text := `routes:
+  - {name: safe, host: soak, prefix: /safe/, kind: safe, limit: 3s, aim: 300ms, attempts: 3, targets: [{service: desk, weight: 1}]}
+  - {name: once, host: soak, prefix: /once/, kind: once, limit: 3s, aim: 300ms, attempts: 3, targets: [{service: desk, weight: 1}]}
+  - {name: stream, host: soak, prefix: /stream/, kind: stream, limit: 6s, aim: 300ms, pause: 200ms, attempts: 3, resumable: true, targets: [{service: feed, weight: 1}]}
+`
+	for v := 1; v <= version; v++ {
+		text += fmt.Sprintf("  - {name: v%d, host: soak, prefix: /v%d/, kind: safe, limit: 3s, aim: 300ms, attempts: 3, targets: [{service: desk, weight: 1}]}\n", v, v)
+	}
+	return text
+}
+
+// process is one instance of the fleet.
+type process struct {
+	name         string
+	binary, file string
+	ip           string
+	port         int
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{} // closed when the running process has ended
+	life    int           // number of the running process
+	harm    int           // signals other than SIGTERM so far
+	planned int           // lives that were told to stop
+	served  int           // newest marker that this life has served
+}
+
+func (p *process) address(offset int) string { return fmt.Sprintf("%s:%d", p.ip, p.port+offset) }
+func (p *process) listen() string            { return p.address(0) }
+func (p *process) admin() string             { return p.address(2) }
+func (p *process) routes() string            { return p.address(3) }
+
+func (p *process) start(t testing.TB) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(p.binary, "--settings", p.file)
+	log, err := os.OpenFile(p.file+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer log.Close()
+	p.command.Stderr = log
+	if err := p.command.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	p.life++
+	p.served = 0
+	ended, command := make(chan struct{}), p.command
+	p.ended = ended
+	go func() {
+		_ = command.Wait() // how it ended is in its log
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the running process, which this fleet has started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return // its identifier may belong to another process by now
+	default:
+	}
+	if s == syscall.SIGTERM {
+		p.planned = p.life
+	} else {
+		p.harm++
+	}
+	_ = p.command.Process.Signal(s) // it may just have ended
+}
+
+// wait waits until the running process has ended.
+func (p *process) wait() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	<-ended
+}
+
+// state returns the life, the signals that harmed, and whether it is to stop.
+func (p *process) state() (life, harm int, stopping bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life, p.harm, p.planned == p.life
+}
+
+// fleet is all processes with their operator.
+type fleet struct {
+	t         testing.TB
+	processes []*process
+	operator  *requester.Client
+}
+
+// startFleet builds the program and starts all processes.
+func startFleet(t testing.TB) *fleet {
+	t.Helper()
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "redwingshuntd")
+	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/redwingshuntd").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, output)
+	}
+	f := &fleet{t: t}
+	port := freePorts(t)
+	for i := range voters + routers {
+		p := &process{
+			name: fmt.Sprintf("i%d", i), binary: binary, file: filepath.Join(folder, fmt.Sprintf("i%d.yaml", i)),
+			ip: fmt.Sprintf("127.73.%d.%d", os.Getpid()%250, i+1), port: port,
+		}
+		f.processes = append(f.processes, p)
+	}
+	var admins []string
+	for i, p := range f.processes {
+		if err := os.WriteFile(p.file, []byte(f.settings(i, folder)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.start(t)
+		t.Cleanup(func() {
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGKILL)
+			p.wait()
+			if t.Failed() {
+				p.tail(t)
+			}
+		})
+		admins = append(admins, "http://"+p.admin())
+	}
+	targets, err := requester.ParseTargets(admins)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := requester.New(requester.Options{Targets: targets, Key: "EXAMPLE-KEY-bootstrap"})
+	eventually(t, "the first document is not accepted", func(ctx context.Context) bool {
+		_, err := first.Submit(ctx, redwingshunt.Submission{ID: "first", Text: []byte(document + routesText(0))})
+		return err == nil
+	})
+	f.operator = requester.New(requester.Options{Targets: targets, Key: "EXAMPLE-KEY-platform"})
+	return f
+}
+
+func (f *fleet) settings(i int, folder string) string {
+	p := f.processes[i]
+	var peers, names []string
+	for j, other := range f.processes[:voters] {
+		peers = append(peers, other.address(1))
+		names = append(names, f.processes[j].name)
+	}
+	text := fmt.Sprintf("name: %s\nregion: north\nzone: north-a\nlisten: %s\nlink: %s\nadmin: %s\nroutes: %s\nready: %s\n"+
+		"peers: [%s]\nplain: true\nnotice: 300ms\ndrain: 8s\nbootstrap: %s\n", p.name, p.listen(), p.address(1), p.admin(),
+		p.routes(), p.address(4), strings.Join(peers, ", "), bootstrapHash)
+	if i < voters {
+		text += fmt.Sprintf("voters: [%s]\ndata: %s\n", strings.Join(names, ", "), filepath.Join(folder, p.name))
+	}
+	return text
+}
+
+// freePorts returns the first of five ports that are probably free.
+func freePorts(t testing.TB) int {
+	t.Helper()
+	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.73.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return int(min(netip.MustParseAddrPort(socket.Addr().String()).Port(), 60_000))
+}
+
+// change adds the marker route of a version and reports whether that is accepted.
+func (f *fleet) change(version int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, base, err := f.operator.Document(ctx, redwingshunt.SectionRoutes, 0)
+	if err != nil {
+		return false // nobody can be sure what is newest
+	}
+	_, err = f.operator.Submit(ctx, redwingshunt.Submission{
+		ID: fmt.Sprint("version-", version, "-", base), Section: redwingshunt.SectionRoutes, Base: base, Text: []byte(routesText(version)),
+	})
+	return err == nil
+}
+
+// tail logs the last lines that a process wrote.
+func (p *process) tail(t testing.TB) {
+	text, err := os.ReadFile(p.file + ".log")
+	if err != nil {
+		t.Log(err)
+		return
+	}
+	t.Logf("%s:\n%s", p.name, text[max(0, len(text)-tailBytes):])
+}
+
+// tailBytes is how much of a log a failure shows.
+const tailBytes = 4 << 10
+
+// eventually waits until something holds that is bound to come.
+func eventually(t testing.TB, failure string, holds func(context.Context) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for ctx.Err() == nil {
+		if holds(ctx) {
+			return
+		}
+		redwingshunt.Pause(ctx, 100*time.Millisecond)
+	}
+	t.Fatal(failure)
+}
+
+// announce tells an instance of an upstream and reports whether it took it.
+func (p *process) announce(body string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.listen()+"/v1/upstreams", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/soaker/soak_test.go
@@ -0,0 +1,193 @@
+package soaker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+const (
+	// callers send one request after the other, each.
+	callers = 8
+	// faults come within span, so that several hold at once.
+	faultsOfRun = 14
+	span        = 8 * time.Second
+	// longest is how long one fault holds at most.
+	longest = 2 * time.Second
+)
+
+// failed are the seeds that ever failed, with the cause that was found.
+var failed = map[string]uint64{
+	"an upstream that another instance takes for an older incarnation": 4,
+}
+
+// TestSoak plays one seed, those that ever failed, and as many fresh ones as the
+// environment asks for.
+func TestSoak(t *testing.T) {
+	t.Run("seed 1", func(t *testing.T) { soak(t, 1) })
+	for cause, seed := range failed {
+		t.Run(cause, func(t *testing.T) { soak(t, seed) })
+	}
+	fresh, _ := strconv.Atoi(os.Getenv("REDWINGSHUNT_SOAK")) // none unless it is a number
+	for range fresh {
+		seed := uint64(rand.Uint32())
+		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+// TestSeed plays the seed that the environment names.
+func TestSeed(t *testing.T) {
+	seed, err := strconv.ParseUint(os.Getenv("REDWINGSHUNT_SEED"), 10, 64)
+	if err != nil {
+		t.Skip("REDWINGSHUNT_SEED names no seed")
+	}
+	soak(t, seed)
+}
+
+// soak plays one run.
+func soak(t *testing.T, seed uint64) {
+	f := startFleet(t)
+	upstreams := []*upstream{
+		startUpstream(t, "desk", "desk-a", 0), startUpstream(t, "desk", "desk-b", 0),
+		startUpstream(t, "feed", "feed-a", eventsOfStream), startUpstream(t, "feed", "feed-b", eventsOfStream),
+	}
+	l := newLoad(f, upstreams)
+	ctx, stop := context.WithCancel(t.Context())
+	var around sync.WaitGroup
+	for _, u := range upstreams {
+		around.Go(func() { announce(ctx, f, u) })
+	}
+	everywhere(t, l, "before the faults")
+	for caller := range uint64(callers) {
+		around.Go(func() { l.call(ctx, seed, caller) })
+	}
+	harm(t, l, rand.New(rand.NewPCG(seed, 1000)))
+	everywhere(t, l, "after the faults")
+	stop()
+	around.Wait()
+	for _, fault := range l.verdict() {
+		t.Errorf("seed %d: %s", seed, fault)
+	}
+	t.Logf("seed %d: %v, version %d", seed, l.answers, l.accepted.Load())
+}
+
+// announce renews an announcement at whichever instance takes it.
+func announce(ctx context.Context, f *fleet, u *upstream) {
+	for ctx.Err() == nil {
+		for _, p := range f.processes {
+			if p.announce(u.announcement()) {
+				break
+			}
+		}
+		redwingshunt.Pause(ctx, 500*time.Millisecond)
+	}
+}
+
+// everywhere waits until each instance serves each kind, by the newest version.
+func everywhere(t *testing.T, l *load, when string) {
+	t.Helper()
+	for _, p := range l.fleet.processes {
+		for _, k := range []kind{safe, once, stream} {
+			eventually(t, string(k)+" requests are not served "+when+" by "+p.name, func(context.Context) bool {
+				return l.ask(k, 0, p).status == http.StatusOK
+			})
+		}
+		if version := int(l.accepted.Load()); version > 0 {
+			eventually(t, "an accepted change is not in force "+when+" at "+p.name, func(context.Context) bool {
+				return l.ask(marker, version, p).status == http.StatusOK
+			})
+		}
+	}
+}
+
+// harm lets the faults happen and returns when all are over and everything runs.
+func harm(t *testing.T, l *load, random *rand.Rand) {
+	var all sync.WaitGroup
+	busy := make(map[*process]bool) // one fault at a time each
+	var mu sync.Mutex
+	claim := func(p *process) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if busy[p] {
+			return false
+		}
+		busy[p] = true
+		return true
+	}
+	release := func(p *process) {
+		mu.Lock()
+		defer mu.Unlock()
+		delete(busy, p)
+	}
+	for range faultsOfRun {
+		at, lasts := time.Duration(random.Int64N(int64(span))), time.Duration(random.Int64N(int64(longest)))
+		p := l.fleet.processes[random.IntN(len(l.fleet.processes))]
+		u := l.upstreams[random.IntN(len(l.upstreams))]
+		choice, detail := random.IntN(8), random.IntN(1000)
+		all.Go(func() {
+			time.Sleep(at)
+			if choice < 3 {
+				if claim(p) {
+					defer release(p)
+					harmProcess(t, p, choice, lasts)
+				}
+				return
+			}
+			harmUpstream(t, l, u, choice, detail, lasts)
+		})
+	}
+	all.Wait()
+	for _, u := range l.upstreams {
+		u.misbehave(mimic.Behave, 0)
+	}
+}
+
+// harmProcess pauses, kills or stops a process, and starts it again.
+func harmProcess(t *testing.T, p *process, choice int, lasts time.Duration) {
+	switch choice {
+	case 0:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(lasts)
+		p.signal(syscall.SIGCONT)
+		return
+	case 1:
+		p.signal(syscall.SIGKILL)
+	case 2:
+		p.signal(syscall.SIGTERM)
+	}
+	p.wait()
+	time.Sleep(lasts / 4)
+	p.start(t)
+}
+
+// harmUpstream harms an upstream or the way to it, or changes the routes.
+func harmUpstream(t *testing.T, l *load, u *upstream, choice, detail int, lasts time.Duration) {
+	moods := []mimic.Misbehaviour{
+		mimic.Fail, mimic.RefuseAll, mimic.CutHeader, mimic.CutStream, mimic.Hang, mimic.AnswerLate, mimic.Unsigned, mimic.Wander,
+	}
+	switch choice {
+	case 3:
+		u.crash()
+		time.Sleep(lasts / 2)
+		u.renew(t)
+	case 4:
+		u.misbehave(moods[detail%len(moods)], 1+detail%5)
+	case 5:
+		u.proxy.mode.Store(int32(1 + detail%3))
+		time.Sleep(lasts)
+		u.proxy.mode.Store(int32(pass))
+	case 6:
+		u.proxy.reset()
+	case 7:
+		l.change()
+	}
+}
--- /dev/null
+++ b/soaker/upstream_test.go
@@ -0,0 +1,201 @@
+package soaker
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// mode is what a proxy does with bytes.
+type mode int32
+
+const (
+	pass   mode = iota
+	slow        // holds each piece for a while
+	silent      // passes nothing on; connections that were there stay so for good
+	deaf        // passes nothing on from the upstream
+)
+
+// proxy stands before an upstream.
+type proxy struct {
+	socket net.Listener
+	mode   atomic.Int32
+
+	mu          sync.Mutex
+	target      string
+	connections map[net.Conn]bool // both sides
+}
+
+func startProxy(t testing.TB) *proxy {
+	t.Helper()
+	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &proxy{socket: socket, connections: make(map[net.Conn]bool)}
+	t.Cleanup(func() { _ = socket.Close(); x.reset() })
+	go func() {
+		for {
+			caller, err := socket.Accept()
+			if err != nil {
+				return // closed at the end
+			}
+			go x.serve(caller)
+		}
+	}()
+	return x
+}
+
+func (x *proxy) point(target string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.target = target
+}
+
+// reset cuts all connections without a goodbye.
+func (x *proxy) reset() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for connection := range x.connections {
+		_ = connection.(*net.TCPConn).SetLinger(0) // a reset
+		_ = connection.Close()
+	}
+	clear(x.connections)
+}
+
+func (x *proxy) serve(caller net.Conn) {
+	x.mu.Lock()
+	target := x.target
+	x.mu.Unlock()
+	upstream, err := net.DialTimeout("tcp", target, time.Second)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	x.mu.Lock()
+	x.connections[caller], x.connections[upstream] = true, true
+	x.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { x.pump(upstream, caller, false) })
+	both.Go(func() { x.pump(caller, upstream, true) })
+	both.Wait()
+	x.mu.Lock()
+	delete(x.connections, caller)
+	delete(x.connections, upstream)
+	x.mu.Unlock()
+}
+
+// hold is how long a slow proxy keeps each piece.
+const hold = 150 * time.Millisecond
+
+// pump passes bytes on. A connection that has been silent stays silent.
+func (x *proxy) pump(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	chunk := make([]byte, 4<<10)
+	lost := false
+	for {
+		n, err := from.Read(chunk)
+		if err != nil {
+			return
+		}
+		switch mode(x.mode.Load()) {
+		case slow:
+			time.Sleep(hold)
+		case silent:
+			lost = true
+		case deaf:
+			lost = lost || answers
+		case pass:
+		}
+		if lost {
+			continue
+		}
+		if _, err := to.Write(chunk[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// upstream is one place of a service: incarnations of a stand-in behind a proxy.
+type upstream struct {
+	service string
+	events  int
+	proxy   *proxy
+
+	mu      sync.Mutex
+	current *mimic.Upstream
+	number  int
+	name    string
+	all     []*mimic.Upstream
+}
+
+const (
+	eventsOfStream = 12
+	eventPause     = 20 * time.Millisecond
+	slotsOfPlace   = 64
+)
+
+func startUpstream(t testing.TB, service, name string, events int) *upstream {
+	t.Helper()
+	u := &upstream{service: service, name: name, events: events, proxy: startProxy(t)}
+	u.renew(t)
+	t.Cleanup(func() { u.crash() })
+	return u
+}
+
+// renew starts the next incarnation.
+func (u *upstream) renew(t testing.TB) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.number++
+	u.current = mimic.NewUpstream(mimic.UpstreamOptions{
+		ID:      redwingshunt.UpstreamID(fmt.Sprintf("%s-%d", u.name, u.number)),
+		Dialect: redwingshunt.DefaultDialect(), Slots: slotsOfPlace, Events: u.events, Pause: eventPause,
+	})
+	if err := u.current.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	u.all = append(u.all, u.current)
+	u.proxy.point(u.current.Address().String())
+}
+
+// crash ends the incarnation with all of its connections.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.current.Stop()
+}
+
+// misbehave lets the incarnation do something to its next requests.
+func (u *upstream) misbehave(m mimic.Misbehaviour, times int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.current.Misbehave(m, times)
+}
+
+// runs returns how often a request has run in all incarnations.
+func (u *upstream) runs(request string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	total := 0
+	for _, m := range u.all {
+		total += m.Runs(request)
+	}
+	return total
+}
+
+// announcement is the body by which the incarnation announces itself.
+func (u *upstream) announcement() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return fmt.Sprintf(`{"id":"%s-%d","service":%q,"address":%q,"slots":%d,"ttl":3000}`,
+		u.name, u.number, u.service, u.proxy.socket.Addr(), slotsOfPlace)
+}
