Take a refusal of an upstream for 'not run' only when it says so

In the dialect of the project the header says yes or no; any value was taken for no, so a request that may run once was sent again after an upstream had run it and said that. TestMisbehaviour/once,_refused_after_it_began failed before (200, run twice).

--- a/dialect.go
+++ b/dialect.go
@@ -1,5 +1,10 @@
 package redwingshunt
 
+import (
+	"net/http"
+	"strings"
+)
+
 // Dialect names the headers that callers and upstreams of routes use. An empty
 // name leaves its header out.
 type Dialect struct {
@@ -8,7 +13,8 @@
 	Key       string   // key of the client account
 	Account   string   // to upstreams: name of the client account
 	Expect    string   // to upstreams: identity of the one that is meant
-	NotRun    string   // from upstreams: the request has not been run
+	NotRun    string   // from upstreams: whether the request has been run
+	NotRunAs  string   // value of NotRun that says it has not; any value does when empty
 	Signature string   // from upstreams: on each answer that they made
 	Load      string   // from upstreams: running, waiting, slots
 	Prompt    string   // parts of the prompt as ID:TOKENS, separated by commas
@@ -16,6 +22,16 @@
 	Internal  []string // headers that callers may not set
 }
 
+// SaysNotRun reports whether an upstream says in the header of its answer that
+// it has not run the request.
+func (d Dialect) SaysNotRun(header http.Header) bool {
+	if d.NotRun == "" {
+		return false
+	}
+	value := header.Get(d.NotRun)
+	return value != "" && (d.NotRunAs == "" || strings.EqualFold(value, d.NotRunAs))
+}
+
 // DefaultDialect is the dialect of this project.
 func DefaultDialect() Dialect {
 	return Dialect{
@@ -25,6 +41,7 @@
 		Account:   "Redwingshunt-Account",
 		Expect:    "Redwingshunt-Upstream",
 		NotRun:    HeaderBegun,
+		NotRunAs:  "no",
 		Signature: "Redwingshunt-Signature",
 		Prompt:    "Redwingshunt-Prompt",
 		Count:     "Redwingshunt-Tokens",
--- a/mimic/upstream.go
+++ b/mimic/upstream.go
@@ -31,15 +31,16 @@
 
 // The misbehaviours.
 const (
-	Behave     Misbehaviour = iota
-	Fail                    // answers 500
-	RefuseAll               // says that it has not begun
-	CutHeader               // runs the request and closes the connection without an answer
-	CutStream               // breaks a stream off within its second event
-	Hang                    // takes the request and stays silent
-	AnswerLate              // sends an answer to another request first
-	Unsigned                // answers without its signature
-	Wander                  // skips an event of a stream
+	Behave      Misbehaviour = iota
+	Fail                     // answers 500
+	RefuseAll                // says that it has not begun
+	CutHeader                // runs the request and closes the connection without an answer
+	CutStream                // breaks a stream off within its second event
+	Hang                     // takes the request and stays silent
+	AnswerLate               // sends an answer to another request first
+	Unsigned                 // answers without its signature
+	Wander                   // skips an event of a stream
+	RefuseBegun              // runs the request, answers 503 and says that it has begun
 )
 
 // Upstream is a stand-in for an upstream of routes. It speaks a dialect, signs
@@ -190,7 +191,7 @@
 	}
 	mood, admitted := w.begin(r, id, body)
 	if !admitted {
-		to.Header().Set(dialect.NotRun, "full")
+		to.Header().Set(dialect.NotRun, "no")
 		to.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -209,6 +210,10 @@
 		return
 	case CutHeader:
 		panic(http.ErrAbortHandler)
+	case RefuseBegun:
+		to.Header().Set(w.options.Dialect.NotRun, "yes")
+		to.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case Fail:
 		to.WriteHeader(http.StatusInternalServerError)
 		return
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -167,7 +167,7 @@
 	}
 	defer reply.Close()
 	dialect := x.relayer.options.Dialect
-	notRun := dialect.NotRun != "" && reply.Header.Get(dialect.NotRun) != ""
+	notRun := dialect.SaysNotRun(reply.Header)
 	switch {
 	case reply.Status == http.StatusMisdirectedRequest, notRun && reply.Status != http.StatusBadRequest:
 		_, _ = io.Copy(io.Discard, io.LimitReader(reply, wholeAnswer)) // only to keep the connection
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -209,6 +209,7 @@
 		"single attempt, failing":            {path: "/single/a", mood: mimic.Fail, status: 500, body: "", runs: [2]int{1, 0}},
 		"single attempt, refused":            {path: "/single/a", mood: mimic.RefuseAll, status: 503, runs: [2]int{0, 0}},
 		"once, refused goes on":              {path: "/once/a", mood: mimic.RefuseAll, status: 200, body: "answer of w1 to r1", runs: [2]int{0, 1}},
+		"once, refused after it began":       {path: "/once/a", mood: mimic.RefuseBegun, status: 502, runs: [2]int{1, 0}},
 		"once, cut is not repeated":          {path: "/once/a", mood: mimic.CutHeader, status: 502, runs: [2]int{1, 0}},
 		"once, failing is passed on":         {path: "/once/a", mood: mimic.Fail, status: 500, body: "", runs: [2]int{1, 0}},
 		"once, unsigned is not repeated":     {path: "/once/a", mood: mimic.Unsigned, status: 502, runs: [2]int{1, 0}},
