--- a/soaker/doc.go
+++ b/soaker/doc.go
@@ -24,4 +24,5 @@
 //	go test ./soaker                                  # one short run and the seeds that ever failed
 //	REDWINGSHUNT_SOAK=50 go test -timeout 2h ./soaker # that many fresh seeds, printed
 //	REDWINGSHUNT_SEED=7 go test -run TestSeed ./soaker
+//	REDWINGSHUNT_ROUTERS=100 go test -run TestSoak ./soaker # a large fleet
 package soaker
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,8 +26,10 @@
 	bootstrapHash = "sha256:c7db39134370c2f3039769e68cee7cd5e199adfd35b032f3ca91efdd60828873"
 	platformHash  = "sha256:65350817d8ec8c55e834980dccc22275057aa1bc852ebde973abde285bb6661a"
 	alphaHash     = "sha256:a989a7587b3e773915e04dcfbf97bc50b34d667fe41cf41b225c30c58ccb5093"
-	// voters and routers make the fleet.
-	voters, routers = 3, 2
+	// voters keep the log and route.
+	voters = 3
+	// fewestRouters route only; the environment may ask for more.
+	fewestRouters = 2
 	// patience bounds what is bound to come.
 	patience = 30 * time.Second
 )
@@ -152,10 +155,10 @@
 	}
 	f := &fleet{t: t}
 	port := freePorts(t)
-	for i := range voters + routers {
+	for i := range voters + routers(t) {
 		p := &process{
 			name: fmt.Sprintf("i%d", i), binary: binary, file: filepath.Join(folder, fmt.Sprintf("i%d.yaml", i)),
-			ip: fmt.Sprintf("127.73.%d.%d", os.Getpid()%250, i+1), port: port,
+			ip: fmt.Sprintf("127.%d.%d.%d", 73+i/250, os.Getpid()%250, i%250+1), port: port,
 		}
 		f.processes = append(f.processes, p)
 	}
@@ -188,6 +191,20 @@
 	return f
 }
 
+// routers returns how many processes route only.
+func routers(t testing.TB) int {
+	t.Helper()
+	text := os.Getenv("REDWINGSHUNT_ROUTERS")
+	if text == "" {
+		return fewestRouters
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > 300 {
+		t.Fatalf("REDWINGSHUNT_ROUTERS is from 0 to 300, not %q", text)
+	}
+	return n
+}
+
 func (f *fleet) settings(i int, folder string) string {
 	p := f.processes[i]
 	var peers, names []string
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -37,7 +37,13 @@
 	for cause, seed := range failed {
 		t.Run(cause, func(t *testing.T) { soak(t, seed) })
 	}
-	fresh, _ := strconv.Atoi(os.Getenv("REDWINGSHUNT_SOAK")) // none unless it is a number
+	fresh := 0
+	if text := os.Getenv("REDWINGSHUNT_SOAK"); text != "" {
+		var err error
+		if fresh, err = strconv.Atoi(text); err != nil {
+			t.Fatalf("REDWINGSHUNT_SOAK is a number of seeds, not %q", text)
+		}
+	}
 	for range fresh {
 		seed := uint64(rand.Uint32())
 		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) { soak(t, seed) })
