--- a/daemon/front.go
+++ b/daemon/front.go
@@ -146,6 +146,7 @@
 // govern bounds the requests at once by how late a timer is.
 func (f *front) govern(ctx context.Context) {
 	core := governor.New(mostOf(f.daemon.settings))
+	var before, gone int64
 	for {
 		f.limit.Store(int64(core.Limit()))
 		due := time.Now().Add(governor.Period)
@@ -154,13 +155,18 @@
 			return
 		}
 		running := int(f.relayer.Running())
-		switch core.Observe(time.Since(due), running) {
+		ended, abandoned := f.relayer.Ended()
+		sample := governor.Sample{
+			Late: time.Since(due), Running: running, Ended: int(ended - before), Abandoned: int(abandoned - gone),
+		}
+		before, gone = ended, abandoned
+		switch core.Observe(sample) {
 		case governor.Lowered:
 			f.daemon.logger.Warn("the processor does not carry the requests; fewer are served at once",
-				"late", core.Late().String(), "running", running, "limit", core.Limit())
+				"late", core.Late().String(), "abandoned", core.Abandoned(), "running", running, "limit", core.Limit())
 		case governor.Restored:
 			f.daemon.logger.Info("the processor carries the requests again",
-				"late", core.Late().String(), "running", running, "limit", core.Limit())
+				"late", core.Late().String(), "abandoned", core.Abandoned(), "running", running, "limit", core.Limit())
 		case governor.None:
 		}
 	}
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -4,11 +4,13 @@
 // caller's connection and changes of the configuration included, while other
 // instances have room.
 //
-// The measure is how late the timers of the instance fire, since everything
-// else that it does waits just as long. While they are late the bound falls by
-// a part of the requests that run; while they are on time and the bound is
-// reached it rises slowly. Without trouble the bound is that of memory, and the
-// governor does nothing.
+// There are two measures. One is how late the timers of the instance fire, since
+// everything else that it does waits just as long. The other is how many callers
+// had gone before their requests were read: connections wait where no timer
+// shows it. While either is high the bound falls by a part of the requests that
+// run, which leaves time to refuse the others at once; while both are low and
+// the bound is reached it rises slowly. Without trouble the bound is that of
+// memory, and the governor does nothing.
 //
 // The core reads no clock; the shell tells it how late its timer was.
 //
@@ -16,7 +18,7 @@
 //
 //	core := governor.New(most)
 //	timer.Reset(governor.Period) // again and again
-//	change := core.Observe(late, running)
+//	change := core.Observe(governor.Sample{Late: late, Running: running, Ended: ended, Abandoned: abandoned})
 //	if running >= core.Limit() { /* refuse: other instances have room */ }
 package governor
 
@@ -37,6 +39,12 @@
 	// lateMost bounds one observation: an instance that was stopped for seconds
 	// and goes on is not in trouble for that.
 	lateMost = 500 * time.Millisecond
+	// abandonedHigh is the smoothed part of the requests whose callers had gone
+	// before they were read, above which the bound falls. Callers wait a second,
+	// so each of them tells of a wait twice as long as what is allowed.
+	abandonedHigh = 0.03
+	// abandonedLow is the part below which the bound may rise.
+	abandonedLow = 0.01
 	// smoothing is the time over which lateness is averaged: one late timer, as
 	// by the collection of garbage, is no trouble.
 	smoothing = 250 * time.Millisecond
@@ -61,12 +69,22 @@
 	Restored        // the bound is that of memory again
 )
 
+// Sample is what the shell saw since its last one.
+type Sample struct {
+	Late      time.Duration // of the timer
+	Running   int           // requests at this moment
+	Ended     int           // requests, refused ones included
+	Abandoned int           // of them, whose callers had gone before they were read
+}
+
 // Core is the state of one instance. It is used by one goroutine at a time.
 type Core struct {
-	most    float64 // by memory
-	limit   float64
-	late    float64 // seconds, smoothed
-	fellAgo time.Duration
+	most      float64 // by memory
+	limit     float64
+	late      float64 // seconds, smoothed
+	ended     float64 // requests, smoothed
+	abandoned float64 // of ended
+	fellAgo   time.Duration
 }
 
 // New returns a core with the bound of memory; zero is unlimited.
@@ -88,18 +106,29 @@
 // Late returns the smoothed lateness.
 func (c *Core) Late() time.Duration { return time.Duration(c.late * float64(time.Second)) }
 
-// Observe takes how late the timer was at its last time, with the number of
-// requests that run.
-func (c *Core) Observe(late time.Duration, running int) Change {
-	late = min(late, lateMost)
+// Abandoned returns the smoothed part of the requests whose callers had gone
+// before they were read.
+func (c *Core) Abandoned() float64 {
+	if c.ended < 1 {
+		return 0 // too few to tell
+	}
+	return c.abandoned / c.ended
+}
+
+// Observe takes a sample.
+func (c *Core) Observe(s Sample) Change {
+	late := min(s.Late, lateMost)
 	elapsed := Period + late
-	c.late += (late.Seconds() - c.late) * -math.Expm1(-elapsed.Seconds()/smoothing.Seconds())
+	weight := -math.Expm1(-elapsed.Seconds() / smoothing.Seconds())
+	c.late += (late.Seconds() - c.late) * weight
+	c.ended += (float64(s.Ended) - c.ended) * weight
+	c.abandoned += (float64(s.Abandoned) - c.abandoned) * weight
 	c.fellAgo += elapsed
 	switch {
-	case c.late > lateHigh.Seconds() && c.fellAgo >= fallPause:
-		return c.lower(running)
-	case c.late < lateLow.Seconds() && c.limit < c.most:
-		return c.raise(running)
+	case (c.late > lateHigh.Seconds() || c.Abandoned() > abandonedHigh) && c.fellAgo >= fallPause:
+		return c.lower(s.Running)
+	case c.late < lateLow.Seconds() && c.Abandoned() < abandonedLow && c.limit < c.most:
+		return c.raise(s.Running)
 	}
 	return None
 }
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -57,7 +57,7 @@
 		r.backlog = max(r.backlog-step, 0)
 		if at >= due {
 			if r.core != nil {
-				r.core.Observe(r.backlog, len(r.running))
+				r.core.Observe(Sample{Late: r.backlog, Running: len(r.running)})
 			}
 			due = at + r.backlog + Period
 		}
@@ -125,11 +125,11 @@
 	is := is.New(t)
 	c := New(736)
 	for range 100 {
-		is.Equal(c.Observe(time.Second, 3), None)
+		is.Equal(c.Observe(Sample{Late: time.Second, Running: 3}), None)
 	}
 	is.Equal(c.Limit(), 736)
 	for range 100 {
-		c.Observe(time.Second, 500)
+		c.Observe(Sample{Late: time.Second, Running: 500})
 	}
 	is.Equal(c.Limit(), least) // something is always served
 }
@@ -140,14 +140,36 @@
 	c := New(100)
 	told := map[Change]int{}
 	for range 50 {
-		told[c.Observe(300*time.Millisecond, 90)]++
+		told[c.Observe(Sample{Late: 300 * time.Millisecond, Running: 90})]++
 	}
 	is.Equal(told[Lowered], 1)
 	is.Equal(told[Restored], 0)
 	for range 200 {
-		told[c.Observe(0, 5)]++
+		told[c.Observe(Sample{Running: 5})]++
 	}
 	is.Equal(told[Lowered], 1)
 	is.Equal(told[Restored], 1)
 	is.True(New(0).Limit() > 1<<20) // no bound of memory
 }
+
+// TestAbandoned lowers the bound when callers go before their requests are read,
+// although timers are on time, and raises it when they stay.
+func TestAbandoned(t *testing.T) {
+	is := is.New(t)
+	c := New(736)
+	for range 60 {
+		c.Observe(Sample{Running: 200, Ended: 30, Abandoned: 3})
+	}
+	is.True(c.Limit() < 200)
+	low := c.Limit()
+	for range 40 {
+		c.Observe(Sample{Running: low, Ended: 30})
+	}
+	is.True(c.Limit() > low)
+	few := New(736)
+	for range 60 {
+		few.Observe(Sample{Running: 20, Ended: 1, Abandoned: 0})
+		few.Observe(Sample{Running: 20})
+	}
+	is.Equal(few.Limit(), 736)
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -48,6 +48,9 @@
 	var last verdict
 	for {
 		if callerGone(ctx) {
+			if x.tries == 0 {
+				x.relayer.unread.Add(1)
+			}
 			return x.giveUp(ctx, last, nil)
 		}
 		err := x.admitSuspect(ctx)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -72,6 +72,8 @@
 	accounts *authenticator.Authenticator
 	index    atomic.Pointer[index]
 	running  atomic.Int64
+	ended    atomic.Int64
+	unread   atomic.Int64 // of ended, whose callers had gone before
 	leaving  atomic.Bool
 	stopping atomic.Bool
 	base     context.Context
@@ -111,6 +113,10 @@
 // Running returns the number of requests that are being served.
 func (r *Relayer) Running() int64 { return r.running.Load() }
 
+// Ended returns how many requests have ended since the start, and of how many
+// of them the callers had gone before they were read.
+func (r *Relayer) Ended() (all, abandoned int64) { return r.ended.Load(), r.unread.Load() }
+
 // Leave closes each connection after its next answer, while requests are still
 // served.
 func (r *Relayer) Leave() { r.leaving.Store(true) }
@@ -149,6 +155,7 @@
 func (r *Relayer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.running.Add(1)
 	defer r.running.Add(-1)
+	defer r.ended.Add(1)
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
