Turn new connections away at a ceiling; keep fewer

Beyond the kept connections and the requests at once the longest idle one makes room, or the new one is closed unread; half as many are kept.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -52,7 +52,7 @@
 func newFront(d *Daemon) *front {
 	f := &front{
 		daemon:  d,
-		usher:   usher.New(keptOf(d.settings)),
+		usher:   usher.New(keptOf(d.settings), ceilingOf(d.settings)),
 		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request}),
 		allocator: allocator.New(allocator.Options{
 			Members: d.members, Link: d.linker, Configuration: d.configured, Clock: wallClock{},
@@ -92,10 +92,10 @@
 	return int(settings.Memory / requestMemory)
 }
 
-// connectionMemory is what an open connection of a caller takes at most times,
-// in bytes, with what collecting garbage needs beside it. Connections are kept
-// as long as they fill no more than the memory that requests leave.
-const connectionMemory = 128 << 10
+// connectionMemory is the memory in bytes for which one connection of a caller
+// is kept. It holds 18 KiB itself; the rest is for the requests of others and
+// for what collecting garbage needs.
+const connectionMemory = 256 << 10
 
 // keptOf returns how many open connections an instance has before it closes
 // them after their answers.
@@ -106,6 +106,17 @@
 	return int(settings.Memory / connectionMemory)
 }
 
+// ceilingOf returns how many open connections an instance has at most: the kept
+// ones and one for each request that it serves at once. Without a bound on
+// either there is none.
+func ceilingOf(settings redwingshunt.Settings) int {
+	kept, most := keptOf(settings), mostOf(settings)
+	if kept == 0 || most == 0 {
+		return 0
+	}
+	return kept + most
+}
+
 // equipped reports whether upstreams have been heard of.
 func (f *front) equipped() bool { return f.upstreams.Load() }
 
@@ -119,7 +130,9 @@
 
 // start serves until the context ends.
 func (f *front) start(ctx context.Context, group *errgroup.Group) {
-	group.Go(func() error { return ignoreClosed(f.server.Serve(f.daemon.secure(f.daemon.sockets.routes))) })
+	group.Go(func() error {
+		return ignoreClosed(f.server.Serve(f.daemon.secure(f.usher.Door(f.daemon.sockets.routes))))
+	})
 	if socket := f.daemon.sockets.ready; socket != nil {
 		group.Go(func() error { return serveUntil(ctx, f.ready, socket) })
 	}
@@ -182,7 +195,7 @@
 	}
 	if closed := f.usher.Sweep(time.Now(), limits); closed > 0 {
 		f.daemon.logger.Debug("connections of callers without a request closed", "closed", closed,
-			"idle", limits.Idle.String(), "first", limits.First.String(), "open", f.usher.Open())
+			"idle", limits.Idle.String(), "first", limits.First.String(), "open", f.usher.Open(), "turned", f.usher.Turned())
 	}
 }
 
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -45,7 +45,7 @@
 	}{
 		"nothing given": {redwingshunt.Settings{}, 0},
 		"given":         {redwingshunt.Settings{Kept: 9, Memory: 1 << 30}, 9},
-		"by memory":     {redwingshunt.Settings{Memory: 184 << 20}, 1472},
+		"by memory":     {redwingshunt.Settings{Memory: 184 << 20}, 736},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/usher/usher.go
+++ b/usher/usher.go
@@ -10,9 +10,14 @@
 // carried no request for longer than the document allows. Limits hold from the
 // next sweep on, for open connections too, which those of a server do not.
 //
+// A flood of new connections is cut at the door: beyond a ceiling the longest
+// idle connection makes room, and without one the new connection is closed
+// before anything is read from it, so that its caller turns to another instance.
+//
 // # Usage
 //
-//	u := usher.New(most)
+//	u := usher.New(most, ceiling)
+//	server.Serve(u.Door(socket))
 //	server := &http.Server{ConnState: u.Note, ...}
 //	if u.Crowded() { header.Set("Connection", "close") }
 //	u.Sweep(time.Now(), usher.Limits{Idle: limits.Idle, First: limits.HeaderTime}) // from time to time
@@ -33,17 +38,56 @@
 
 // Usher counts the connections of one server. It is safe for concurrent use.
 type Usher struct {
-	most int
-	open atomic.Int64
+	most    int
+	ceiling int
+	open    atomic.Int64
+	turned  atomic.Int64 // connections that were closed at the door
 
 	mu    sync.Mutex
 	idle  *queue // no further request has come
 	fresh *queue // no request has come yet
 }
 
-// New returns an usher that has connections kept up to a number of open ones;
-// zero is unlimited.
-func New(most int) *Usher { return &Usher{most: most, idle: newQueue(), fresh: newQueue()} }
+// New returns an usher that has connections kept up to a number of open ones,
+// and lets no more in beyond a ceiling; zero is unlimited, each.
+func New(most, ceiling int) *Usher {
+	return &Usher{most: most, ceiling: ceiling, idle: newQueue(), fresh: newQueue()}
+}
+
+// Door returns a listener that lets connections in up to the ceiling.
+func (u *Usher) Door(socket net.Listener) net.Listener { return door{socket, u} }
+
+// door is a listener that turns connections away.
+type door struct {
+	net.Listener
+	usher *Usher
+}
+
+// Accept returns the next connection that there is room for.
+func (d door) Accept() (net.Conn, error) {
+	for {
+		connection, err := d.Listener.Accept()
+		if err != nil || d.usher.makeRoom() {
+			return connection, err
+		}
+		d.usher.turned.Add(1)
+		_ = connection.Close() // its caller has sent nothing that was read
+	}
+}
+
+// makeRoom reports whether one more connection may be open, after closing the
+// longest idle one if that is needed.
+func (u *Usher) makeRoom() bool {
+	if u.ceiling == 0 || u.Open() < u.ceiling {
+		return true
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.idle.closeLongest()
+}
+
+// Turned returns how many connections were turned away since the start.
+func (u *Usher) Turned() int64 { return u.turned.Load() }
 
 // Note is the ConnState of the server.
 func (u *Usher) Note(connection net.Conn, state http.ConnState) {
@@ -103,16 +147,27 @@
 	}
 }
 
+// closeLongest closes the connection that has waited longest and reports whether
+// there was one.
+func (q *queue) closeLongest() bool {
+	e := q.order.Front()
+	if e == nil {
+		return false
+	}
+	longest := e.Value.(seat)
+	q.remove(longest.connection)
+	_ = longest.connection.Close() // the server hears of it by its next read
+	return true
+}
+
 // closeBefore closes the connections that have waited for longer than a limit.
 func (q *queue) closeBefore(now time.Time, limit time.Duration) int {
 	closed := 0
 	for e := q.order.Front(); e != nil && limit > 0; e = q.order.Front() {
-		longest := e.Value.(seat)
-		if now.Sub(longest.since) <= limit {
+		if now.Sub(e.Value.(seat).since) <= limit {
 			break
 		}
-		q.remove(longest.connection)
-		_ = longest.connection.Close() // the server hears of it by its next read
+		q.closeLongest()
 		closed++
 	}
 	return closed
--- a/usher/usher_test.go
+++ b/usher/usher_test.go
@@ -68,7 +68,7 @@
 
 func TestCrowded(t *testing.T) {
 	is := is.New(t)
-	u := New(3)
+	u := New(3, 0)
 	server := startServer(t, u)
 	for range 3 {
 		is.True(!dial(t, server).ask(t)) // there is room to keep it
@@ -81,7 +81,7 @@
 
 func TestUnlimited(t *testing.T) {
 	is := is.New(t)
-	u := New(0)
+	u := New(0, 0)
 	server := startServer(t, u)
 	for range 20 {
 		is.True(!dial(t, server).ask(t))
@@ -90,7 +90,7 @@
 
 func TestSweep(t *testing.T) {
 	is := is.New(t)
-	u := New(0)
+	u := New(0, 0)
 	server := startServer(t, u)
 	const limit = time.Minute
 	first, second := dial(t, server), dial(t, server)
@@ -118,7 +118,7 @@
 // its end, and leaves one alone whose request runs.
 func TestSlowHeader(t *testing.T) {
 	is := is.New(t)
-	u := New(0)
+	u := New(0, 0)
 	release := make(chan struct{})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	server.Config.ConnState = u.Note
@@ -145,3 +145,49 @@
 	is.NoErr(response.Body.Close())
 	is.Equal(response.StatusCode, 200)
 }
+
+// TestFlood opens more connections than there may be. An idle one makes room;
+// when none is idle, the new one is closed unread.
+func TestFlood(t *testing.T) {
+	is := is.New(t)
+	u := New(0, 2)
+	release := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			<-release
+		}
+	}))
+	server.Config.ConnState = u.Note
+	server.Listener = u.Door(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	idle, long := dial(t, server), dial(t, server)
+	idle.ask(t)
+	_, err := long.socket.Write([]byte("GET /long HTTP/1.1\r\nHost: h\r\n\r\n"))
+	is.NoErr(err)
+	eventually(t, "the connections are not both in use", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.idle.order.Len() == 1 && u.fresh.order.Len() == 0 && u.Open() == 2
+	})
+	third := dial(t, server)
+	_, err = third.socket.Write([]byte("GET /long HTTP/1.1\r\nHost: h\r\n\r\n"))
+	is.NoErr(err)
+	_, err = idle.reader.ReadByte()
+	is.True(err != nil) // it made room
+	eventually(t, "the third does not run", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.idle.order.Len() == 0 && u.fresh.order.Len() == 0 && u.Open() == 2
+	})
+	fourth := dial(t, server)
+	_, err = fourth.reader.ReadByte()
+	is.True(err != nil) // there is no room
+	is.Equal(u.Turned(), int64(1))
+	close(release)
+	for _, c := range []*caller{long, third} {
+		response, err := http.ReadResponse(c.reader, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+}
