--- a/cmd/redwingshunt/commander/fleet_test.go
+++ b/cmd/redwingshunt/commander/fleet_test.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -14,7 +13,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -22,38 +20,19 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/daemon"
+	"github.com/redwingshunt/redwingshunt/logger"
 )
 
 // patience bounds waits for something that must happen.
 const patience = 30 * time.Second
 
-// logBuffer collects the log of a fleet.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-// String returns what was logged so far.
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // fleet is three daemons with TLS, and the environment of an operator.
 type fleet struct {
 	daemons     []*daemon.Daemon
 	stopped     []chan error
 	environment map[string]string
 	client      *http.Client
-	log         *logBuffer
+	log         *logger.Memory
 }
 
 // startSecured starts the fleet with certificates that keygen makes.
@@ -61,7 +40,7 @@
 	t.Helper()
 	is := is.New(t)
 	folder := t.TempDir()
-	f := &fleet{log: &logBuffer{}}
+	f := &fleet{log: &logger.Memory{}}
 	var peers []netip.AddrPort
 	var admins []string
 	for i, name := range []string{"node-a", "node-b", "node-c"} {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,12 +1,12 @@
 package coordinator
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/logger"
 )
 
 // fleet is a set of coordinators with links in memory.
@@ -24,25 +25,7 @@
 	handlers  map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)
 	pending   chan func()
 	all       map[redwingshunt.InstanceID]*Coordinator
-	log       lines
-}
-
-// lines keeps what was logged.
-type lines struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *lines) has(part string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return bytes.Contains(l.text.Bytes(), []byte(part))
+	log       logger.Memory
 }
 
 // member is one instance of a fleet. It implements Link, Members,
@@ -192,7 +175,8 @@
 			}
 			owner := f.all["a1"].lookup("s").dump().Owner
 			left := test.change(f)
-			is.New(t).True(f.log.has(`msg="owner of a service changed" service=s before=` + string(owner) + " owner="))
+			is.New(t).True(strings.Contains(f.log.String(),
+				`msg="owner of a service changed" service=s before=`+string(owner)+" owner="))
 			f.announce(left[0], "u", test.region, 1)
 			f.run(t, left...)
 		})
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -14,14 +13,11 @@
 // slow is a writer that waits until it is released.
 type slow struct {
 	release chan struct{}
-	mu      sync.Mutex
-	text    bytes.Buffer
+	text    Memory
 }
 
 func (s *slow) Write(p []byte) (int, error) {
 	<-s.release
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return s.text.Write(p)
 }
 
--- a/relayer/story_test.go
+++ b/relayer/story_test.go
@@ -1,11 +1,9 @@
 package relayer
 
 import (
-	"bytes"
 	"log/slog"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -14,23 +12,12 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/allocator"
+	"github.com/redwingshunt/redwingshunt/logger"
 	"github.com/redwingshunt/redwingshunt/mimic"
 	"github.com/redwingshunt/redwingshunt/narrator"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// lines is a log in memory.
-type lines struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
 // alone is a fleet of one router whose gatherer is told by the test.
 type alone struct {
 	receive func(redwingshunt.InstanceID, []byte)
@@ -65,14 +52,14 @@
 			is := is.New(t)
 			b := newBench(t)
 			b.use(b.streaming)
-			log, counted := &lines{}, make(chan Record, 10)
+			log, counted := &logger.Memory{}, make(chan Record, 10)
 			b.relayer.options.Logger = slog.New(slog.NewJSONHandler(log, nil)).With("instance", "r")
 			b.relayer.options.Observe = func(r Record) { counted <- r }
 			test.cause(t, b)
 			b.ask(t, test.path, func(r *http.Request) { r.Header.Set("Redwingshunt-Tokens", "1000,100") })
 			is.Equal((<-counted).Outcome, test.metric)
 			story := narrator.New("r1")
-			is.NoErr(story.Read("log", strings.NewReader(log.text.String())))
+			is.NoErr(story.Read("log", strings.NewReader(log.String())))
 			var told strings.Builder
 			for _, line := range story.Lines() {
 				told.WriteString(line.String() + "\n")
