--- a/placer/choose.go
+++ b/placer/choose.go
@@ -32,27 +32,51 @@
 	secondRead = 0.4
 )
 
-// best returns the option with the least cost among those that are up.
-func (c *Core) best(now time.Time, s *service, p *redwingshunt.Placement) option {
+// lookup is what is looked up once for a request.
+type lookup struct {
+	service      *service
+	placement    *redwingshunt.Placement
+	tokens       int64 // of the prompt
+	home, second *upstream
+}
+
+func newLookup(now time.Time, s *service, p *redwingshunt.Placement) lookup {
 	home, second := homes(now, s, p)
-	weight := readWeight(now, s, p)
-	tokens := p.Tokens()
-	var best option
-	for _, u := range s.upstreams {
-		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
-			continue
+	return lookup{service: s, placement: p, tokens: p.Tokens(), home: home, second: second}
+}
+
+// best returns the option with the least cost, with a weight on reading that
+// keeps requests at their homes.
+func (c *Core) best(now time.Time, l lookup) option {
+	weight := readWeight(now, l.service, l.placement)
+	return c.cheapest(now, l, func(u *upstream) float64 {
+		if u == l.second {
+			return secondRead * weight
 		}
-		o := c.weigh(now, s, p, tokens, u, u == home)
-		if u == second {
-			o.cost += time.Duration(secondRead * weight * float64(o.read))
-		} else {
-			o.cost += time.Duration(weight * float64(o.read))
+		return weight
+	})
+}
+
+// soonest returns the option with the least time until the answer.
+func (c *Core) soonest(now time.Time, l lookup) option {
+	return c.cheapest(now, l, func(*upstream) float64 { return 1 })
+}
+
+// cheapest returns the option with the least cost among those that are up, when
+// reading counts so many times.
+func (c *Core) cheapest(now time.Time, l lookup, weight func(*upstream) float64) option {
+	var cheapest option
+	for _, u := range l.service.upstreams {
+		if l.placement.Avoid.Has(u.ID) || u.downUntil.After(now) {
+			continue
 		}
-		if best.upstream == nil || o.cost < best.cost || o.cost == best.cost && u.ID < best.upstream.ID {
-			best = o
+		o := c.weigh(now, l.service, l.placement, l.tokens, u, u == l.home)
+		o.cost += time.Duration(weight(u) * float64(o.read))
+		if cheapest.upstream == nil || o.cost < cheapest.cost || o.cost == cheapest.cost && u.ID < cheapest.upstream.ID {
+			cheapest = o
 		}
 	}
-	return best
+	return cheapest
 }
 
 // forDeprived returns an option for a request that is refused although its
@@ -60,35 +84,17 @@
 // time until the answer, if the wait there is within the bound of an account
 // that has had nothing. The homes of its prompts are too busy then, while those
 // of the other account have room.
-func (c *Core) forDeprived(now time.Time, s *service, p *redwingshunt.Placement, best option) option {
-	if !s.model || c.shares.capacity == 0 || !c.shares.deprived(now, p.Account) {
+func (c *Core) forDeprived(now time.Time, l lookup, best option) option {
+	if !l.service.model || c.shares.capacity == 0 || !c.shares.deprived(now, l.placement.Account) {
 		return option{}
 	}
-	for _, o := range []option{best, c.soonest(now, s, p)} {
-		if o.upstream != nil && c.admit(now, s, p, o, 0) == nil {
-			return o
-		}
+	if c.admit(now, l.service, l.placement, best, 0) == nil {
+		return best
 	}
-	return option{}
-}
-
-// soonest returns the option with the least time until the answer among those
-// that are up.
-func (c *Core) soonest(now time.Time, s *service, p *redwingshunt.Placement) option {
-	tokens := p.Tokens()
-	home, _ := homes(now, s, p)
-	var soonest option
-	for _, u := range s.upstreams {
-		if p.Avoid.Has(u.ID) || u.downUntil.After(now) {
-			continue
-		}
-		o := c.weigh(now, s, p, tokens, u, u == home)
-		o.cost += o.read
-		if soonest.upstream == nil || o.cost < soonest.cost || o.cost == soonest.cost && u.ID < soonest.upstream.ID {
-			soonest = o
-		}
+	if soonest := c.soonest(now, l); c.admit(now, l.service, l.placement, soonest, 0) == nil {
+		return soonest
 	}
-	return soonest
+	return option{}
 }
 
 // homes returns the upstream that keeps what the request shares with others and
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -200,12 +200,13 @@
 	if s == nil || len(s.upstreams) == 0 {
 		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
 	}
-	best := c.best(now, s, p)
+	l := newLookup(now, s, p)
+	best := c.best(now, l)
 	if best.upstream == nil {
 		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
 	}
 	if refusal := c.admit(now, s, p, best, c.shares.excess(now, p.Account)); refusal != nil {
-		if best = c.forDeprived(now, s, p, best); best.upstream == nil {
+		if best = c.forDeprived(now, l, best); best.upstream == nil {
 			return redwingshunt.Placed{}, refusal
 		}
 	}
