--- a/prober/view.go
+++ b/prober/view.go
@@ -43,17 +43,10 @@
 }
 
 func (p *Prober) receivePing(now time.Time, e Received, from *member) {
-	if e.Probe.Full {
-		ack := p.fullProbe(wire.Probe_ACK)
-		ack.Sequence = e.Probe.Sequence
-		p.send(e.From, ack)
-		return
-	}
-	if e.Probe.Sequence == 0 {
+	if e.Probe.Sequence == 0 && !e.Probe.Full {
 		return // a notice that wants no answer
 	}
-	if e.Probe.Digest != 0 && e.Probe.Digest != p.digest() && now.Sub(p.viewSent) >= p.params.Period {
-		p.viewSent = now
+	if e.Probe.Full || p.viewWanted(now, e.Probe.Digest) {
 		ack := p.fullProbe(wire.Probe_ACK)
 		ack.Sequence = e.Probe.Sequence
 		p.send(e.From, ack)
@@ -85,6 +78,16 @@
 	p.send(ping.origin, &wire.Probe{Type: wire.Probe_ACK, Sequence: ping.answer, Target: string(ping.target)})
 }
 
+// viewWanted reports whether a view with another digest is to be told the whole
+// own view now, which is done once in a period.
+func (p *Prober) viewWanted(now time.Time, digest uint64) bool {
+	if digest == 0 || digest == p.digest() || now.Sub(p.viewSent) < p.params.Period {
+		return false
+	}
+	p.viewSent = now
+	return true
+}
+
 // completeView answers a whole view with the rows that it lacked.
 func (p *Prober) completeView(e Received) {
 	if !e.Probe.Full {
