--- a/daemon/front.go
+++ b/daemon/front.go
@@ -156,10 +156,11 @@
 	}
 }
 
-// govern bounds the requests at once by how late a timer is.
+// govern bounds the requests at once by how late a timer is and how many
+// callers go before their requests are read.
 func (f *front) govern(ctx context.Context) {
 	core := governor.New(mostOf(f.daemon.settings))
-	var before, gone int64
+	var endedBefore, abandonedBefore int64
 	for {
 		f.limit.Store(int64(core.Limit()))
 		due := time.Now().Add(governor.Period)
@@ -170,9 +171,9 @@
 		running := int(f.relayer.Running())
 		ended, abandoned := f.relayer.Ended()
 		sample := governor.Sample{
-			Late: time.Since(due), Running: running, Ended: int(ended - before), Abandoned: int(abandoned - gone),
+			Late: time.Since(due), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
 		}
-		before, gone = ended, abandoned
+		endedBefore, abandonedBefore = ended, abandoned
 		switch core.Observe(sample) {
 		case governor.Lowered:
 			f.daemon.logger.Warn("the processor does not carry the requests; fewer are served at once",
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,7 +49,7 @@
 	for {
 		if callerGone(ctx) {
 			if x.tries == 0 {
-				x.relayer.unread.Add(1)
+				x.relayer.abandoned.Add(1)
 			}
 			return x.giveUp(ctx, last, nil)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -73,11 +73,12 @@
 	index    atomic.Pointer[index]
 	running  atomic.Int64
 	ended    atomic.Int64
-	unread   atomic.Int64 // of ended, whose callers had gone before
-	leaving  atomic.Bool
-	stopping atomic.Bool
-	base     context.Context
-	abort    context.CancelCauseFunc
+	// abandoned counts those of ended whose callers had gone before they were read.
+	abandoned atomic.Int64
+	leaving   atomic.Bool
+	stopping  atomic.Bool
+	base      context.Context
+	abort     context.CancelCauseFunc
 }
 
 // connectionKey is the key of the caller's connection in a context.
@@ -115,7 +116,7 @@
 
 // Ended returns how many requests have ended since the start, and of how many
 // of them the callers had gone before they were read.
-func (r *Relayer) Ended() (all, abandoned int64) { return r.ended.Load(), r.unread.Load() }
+func (r *Relayer) Ended() (all, abandoned int64) { return r.ended.Load(), r.abandoned.Load() }
 
 // Leave closes each connection after its next answer, while requests are still
 // served.
