--- a/daemon/front.go
+++ b/daemon/front.go
@@ -46,13 +46,16 @@
 	server    *http.Server
 	ready     *http.Server
 	upstreams atomic.Bool  // some were heard of
-	limit     atomic.Int64 // of requests at once, zero without
+	bounds    bounds
+	limit     atomic.Int64 // of requests at once now, within bounds; zero until it is known
 }
 
 func newFront(d *Daemon) *front {
+	bounds := boundsOf(d.settings)
 	f := &front{
 		daemon:  d,
-		usher:   usher.New(keptOf(d.settings), ceilingOf(d.settings)),
+		usher:   usher.New(bounds.kept, bounds.open),
+		bounds:  bounds,
 		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request}),
 		allocator: allocator.New(allocator.Options{
 			Members: d.members, Link: d.linker, Configuration: d.configured, Clock: wallClock{},
@@ -80,41 +83,36 @@
 	return f
 }
 
-// requestMemory is what a request and its connections take of an instance at
-// most times, in bytes; a part of the memory is left for everything else.
-const requestMemory = 256 << 10
+const (
+	// requestMemory is what a request and its connections take of an instance at
+	// most times, in bytes; a part of the memory is left for everything else.
+	requestMemory = 256 << 10
+	// connectionMemory is the memory in bytes for which one connection of a
+	// caller is kept. It holds 18 KiB itself; the rest is for the requests of
+	// others and for what collecting garbage needs.
+	connectionMemory = 256 << 10
+)
 
-// mostOf returns how many requests an instance holds at once.
-func mostOf(settings redwingshunt.Settings) int {
-	if settings.Most > 0 || settings.Memory == 0 {
-		return settings.Most
-	}
-	return int(settings.Memory / requestMemory)
+// bounds are what callers may have at one instance; zero is unlimited, each.
+type bounds struct {
+	requests int // at once
+	kept     int // open connections beyond which an answer closes its own
+	open     int // connections
 }
 
-// connectionMemory is the memory in bytes for which one connection of a caller
-// is kept. It holds 18 KiB itself; the rest is for the requests of others and
-// for what collecting garbage needs.
-const connectionMemory = 256 << 10
-
-// keptOf returns how many open connections an instance has before it closes
-// them after their answers.
-func keptOf(settings redwingshunt.Settings) int {
-	if settings.Kept > 0 || settings.Memory == 0 {
-		return settings.Kept
+// boundsOf returns the bounds of the settings, or else those of the memory.
+func boundsOf(settings redwingshunt.Settings) bounds {
+	b := bounds{requests: settings.Most, kept: settings.Kept}
+	if b.requests == 0 {
+		b.requests = int(settings.Memory / requestMemory)
 	}
-	return int(settings.Memory / connectionMemory)
-}
-
-// ceilingOf returns how many open connections an instance has at most: the kept
-// ones and one for each request that it serves at once. Without a bound on
-// either there is none.
-func ceilingOf(settings redwingshunt.Settings) int {
-	kept, most := keptOf(settings), mostOf(settings)
-	if kept == 0 || most == 0 {
-		return 0
+	if b.kept == 0 {
+		b.kept = int(settings.Memory / connectionMemory)
+	}
+	if b.kept > 0 && b.requests > 0 {
+		b.open = b.kept + b.requests
 	}
-	return kept + most
+	return b
 }
 
 // equipped reports whether upstreams have been heard of.
@@ -159,7 +157,7 @@
 // govern bounds the requests at once by how late a timer is and how many
 // callers go before their requests are read.
 func (f *front) govern(ctx context.Context) {
-	core := governor.New(mostOf(f.daemon.settings))
+	core := governor.New(f.bounds.requests)
 	var endedBefore, abandonedBefore int64
 	for {
 		f.limit.Store(int64(core.Limit()))
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -19,38 +19,23 @@
 	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
-// TestMostOf bounds the requests at once by the setting, or else by the memory.
-func TestMostOf(t *testing.T) {
+// TestBounds takes what callers may have from the settings, or else from the
+// memory.
+func TestBounds(t *testing.T) {
 	tests := map[string]struct {
 		settings redwingshunt.Settings
-		want     int
+		want     bounds
 	}{
-		"nothing given": {redwingshunt.Settings{}, 0},
-		"given":         {redwingshunt.Settings{Most: 9, Memory: 1 << 30}, 9},
-		"by memory":     {redwingshunt.Settings{Memory: 184 << 20}, 736},
+		"nothing given":     {redwingshunt.Settings{}, bounds{}},
+		"requests given":    {redwingshunt.Settings{Most: 9, Memory: 1 << 30}, bounds{requests: 9, kept: 4096, open: 4105}},
+		"connections given": {redwingshunt.Settings{Kept: 9, Memory: 1 << 30}, bounds{requests: 4096, kept: 9, open: 4105}},
+		"without memory":    {redwingshunt.Settings{Kept: 9}, bounds{kept: 9}},
+		"by memory":         {redwingshunt.Settings{Memory: 184 << 20}, bounds{requests: 736, kept: 736, open: 1472}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(mostOf(test.settings), test.want)
-		})
-	}
-}
-
-// TestKeptOf bounds the open connections by the setting, or else by the memory.
-func TestKeptOf(t *testing.T) {
-	tests := map[string]struct {
-		settings redwingshunt.Settings
-		want     int
-	}{
-		"nothing given": {redwingshunt.Settings{}, 0},
-		"given":         {redwingshunt.Settings{Kept: 9, Memory: 1 << 30}, 9},
-		"by memory":     {redwingshunt.Settings{Memory: 184 << 20}, 736},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			is.Equal(keptOf(test.settings), test.want)
+			is.Equal(boundsOf(test.settings), test.want)
 		})
 	}
 }
