--- a/daemon/front.go
+++ b/daemon/front.go
@@ -45,7 +45,7 @@
 	usher     *usher.Usher
 	server    *http.Server
 	ready     *http.Server
-	upstreams atomic.Bool  // some were heard of
+	upstreams atomic.Bool // some were heard of
 	bounds    bounds
 	limit     atomic.Int64 // of requests at once now, within bounds; zero until it is known
 }
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -255,18 +255,22 @@
 	return c, step
 }
 
+// acknowledged is the answer of voter b of newLeader that it holds all entries up
+// to an index.
+func acknowledged(index uint64) Message {
+	return Message{
+		Kind: MessageAppendReply, From: MemberID{"b", 2}, To: MemberID{"a", 1}, Term: 3, Start: NewStart(0, 2), Index: index, Last: index,
+	}
+}
+
 // TestCommitNeedsOwnTerm acknowledges an entry of an earlier term alone: it may
 // still be replaced by a leader that lacks it, so it is not committed.
 func TestCommitNeedsOwnTerm(t *testing.T) {
 	is := is.New(t)
 	c, step := newLeader(t)
-	reply := Message{
-		Kind: MessageAppendReply, From: MemberID{"b", 2}, To: MemberID{"a", 1}, Term: 3, Start: NewStart(0, 2), Index: 2, Last: 2,
-	}
-	step(Received{reply})
+	step(Received{acknowledged(2)})
 	is.Equal(c.Status().Commit, uint64(1))
-	reply.Index, reply.Last = 3, 3
-	step(Received{reply})
+	step(Received{acknowledged(3)})
 	is.Equal(c.Status().Commit, uint64(3))
 }
 
@@ -276,20 +280,16 @@
 func TestOvertakenAppend(t *testing.T) {
 	is := is.New(t)
 	_, step := newLeader(t)
-	reply := Message{
-		Kind: MessageAppendReply, From: MemberID{"b", 2}, To: MemberID{"a", 1}, Term: 3, Start: NewStart(0, 2), Index: 3, Last: 3,
-	}
-	step(Received{reply})
+	step(Received{acknowledged(3)})
 	for i := range 2 {
 		step(Proposed{ID: uint64(i + 1), Commands: [][]byte{{byte(i)}}}) // entries 4 and 5
 	}
-	reply.Index, reply.Last = 4, 4
-	step(Received{reply})
-	refusal := reply
+	refusal := acknowledged(4)
+	step(Received{refusal})
 	refusal.Reject, refusal.Commit, refusal.Last = true, 3, 3 // when only entry 5 had come
 	var again []Entry
 	for _, m := range step(Received{refusal}) {
-		if m.Kind == MessageAppend && m.To == reply.From {
+		if m.Kind == MessageAppend && m.To == refusal.From {
 			again = append(again, m.Entries...)
 		}
 	}
