--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -67,7 +67,9 @@
 	ip           string
 	port         int
 
-	mu      sync.Mutex
+	faulty sync.Mutex // held while a fault is done to it
+
+	mu      sync.Mutex // guards what follows
 	command *exec.Cmd
 	ended   chan struct{} // closed when the running process has ended
 	life    int           // number of the running process
@@ -140,7 +142,6 @@
 
 // fleet is all processes with their operator.
 type fleet struct {
-	t         testing.TB
 	processes []*process
 	operator  *requester.Client
 }
@@ -153,7 +154,7 @@
 	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/redwingshuntd").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
-	f := &fleet{t: t}
+	f := &fleet{}
 	port := freePorts(t)
 	for i := range voters + routers(t) {
 		p := &process{
@@ -208,9 +209,9 @@
 func (f *fleet) settings(i int, folder string) string {
 	p := f.processes[i]
 	var peers, names []string
-	for j, other := range f.processes[:voters] {
+	for _, other := range f.processes[:voters] {
 		peers = append(peers, other.address(1))
-		names = append(names, f.processes[j].name)
+		names = append(names, other.name)
 	}
 	text := fmt.Sprintf("name: %s\nregion: north\nzone: north-a\nlisten: %s\nlink: %s\nadmin: %s\nroutes: %s\nready: %s\n"+
 		"peers: [%s]\nplain: true\nnotice: 300ms\ndrain: 8s\nbootstrap: %s\n", p.name, p.listen(), p.address(1), p.admin(),
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -118,22 +118,6 @@
 // harm lets the faults happen and returns when all are over and everything runs.
 func harm(t *testing.T, l *load, random *rand.Rand) {
 	var all sync.WaitGroup
-	busy := make(map[*process]bool) // one fault at a time each
-	var mu sync.Mutex
-	claim := func(p *process) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		if busy[p] {
-			return false
-		}
-		busy[p] = true
-		return true
-	}
-	release := func(p *process) {
-		mu.Lock()
-		defer mu.Unlock()
-		delete(busy, p)
-	}
 	for range faultsOfRun {
 		at, lasts := time.Duration(random.Int64N(int64(span))), time.Duration(random.Int64N(int64(longest)))
 		p := l.fleet.processes[random.IntN(len(l.fleet.processes))]
@@ -141,14 +125,17 @@
 		choice, detail := random.IntN(8), random.IntN(1000)
 		all.Go(func() {
 			time.Sleep(at)
-			if choice < 3 {
-				if claim(p) {
-					defer release(p)
+			switch {
+			case choice < 3:
+				if p.faulty.TryLock() { // one fault at a time
+					defer p.faulty.Unlock()
 					harmProcess(t, p, choice, lasts)
 				}
-				return
+			case choice < 7:
+				harmUpstream(t, u, choice, detail, lasts)
+			default:
+				l.change()
 			}
-			harmUpstream(t, l, u, choice, detail, lasts)
 		})
 	}
 	all.Wait()
@@ -175,8 +162,8 @@
 	p.start(t)
 }
 
-// harmUpstream harms an upstream or the way to it, or changes the routes.
-func harmUpstream(t *testing.T, l *load, u *upstream, choice, detail int, lasts time.Duration) {
+// harmUpstream harms an upstream or the way to it.
+func harmUpstream(t *testing.T, u *upstream, choice, detail int, lasts time.Duration) {
 	moods := []mimic.Misbehaviour{
 		mimic.Fail, mimic.RefuseAll, mimic.CutHeader, mimic.CutStream, mimic.Hang, mimic.AnswerLate, mimic.Unsigned, mimic.Wander,
 	}
@@ -193,7 +180,5 @@
 		u.proxy.mode.Store(int32(pass))
 	case 6:
 		u.proxy.reset()
-	case 7:
-		l.change()
 	}
 }
