Let new connections wait at the ceiling instead of closing any

At the ceiling a router closed the longest idle connection or the new one; on a late router a whole request was on its way there, and 21,937 tries ended so.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -194,7 +194,7 @@
 	}
 	if closed := f.usher.Sweep(time.Now(), limits); closed > 0 {
 		f.daemon.logger.Debug("connections of callers without a request closed", "closed", closed,
-			"idle", limits.Idle.String(), "first", limits.First.String(), "open", f.usher.Open(), "turned", f.usher.Turned())
+			"idle", limits.Idle.String(), "first", limits.First.String(), "open", f.usher.Open())
 	}
 }
 
--- a/usher/usher.go
+++ b/usher/usher.go
@@ -10,9 +10,10 @@
 // carried no request for longer than the document allows. Limits hold from the
 // next sweep on, for open connections too, which those of a server do not.
 //
-// A flood of new connections is cut at the door: beyond a ceiling the longest
-// idle connection makes room, and without one the new connection is closed
-// before anything is read from it, so that its caller turns to another instance.
+// A flood of new connections waits at the door: at a ceiling no more are taken
+// from the system, which holds them at little cost, until one ends. Nothing is
+// closed for it, since a request may be on its way on any of them; a caller that
+// is not read soon turns to another instance by itself.
 //
 // # Usage
 //
@@ -41,7 +42,7 @@
 	most    int
 	ceiling int
 	open    atomic.Int64
-	turned  atomic.Int64 // connections that were closed at the door
+	left    chan struct{} // holds one: a connection has ended
 
 	mu    sync.Mutex
 	idle  *queue // no further request has come
@@ -51,44 +52,40 @@
 // New returns an usher that has connections kept up to a number of open ones,
 // and lets no more in beyond a ceiling; zero is unlimited, each.
 func New(most, ceiling int) *Usher {
-	return &Usher{most: most, ceiling: ceiling, idle: newQueue(), fresh: newQueue()}
+	return &Usher{most: most, ceiling: ceiling, left: make(chan struct{}, 1), idle: newQueue(), fresh: newQueue()}
 }
 
 // Door returns a listener that lets connections in up to the ceiling.
-func (u *Usher) Door(socket net.Listener) net.Listener { return door{socket, u} }
+func (u *Usher) Door(socket net.Listener) net.Listener {
+	return &door{Listener: socket, usher: u, closed: make(chan struct{})}
+}
 
-// door is a listener that turns connections away.
+// door is a listener that waits for room.
 type door struct {
 	net.Listener
-	usher *Usher
+	usher  *Usher
+	once   sync.Once
+	closed chan struct{}
 }
 
-// Accept returns the next connection that there is room for.
-func (d door) Accept() (net.Conn, error) {
-	for {
-		connection, err := d.Listener.Accept()
-		if err != nil || d.usher.makeRoom() {
-			return connection, err
+// Accept returns the next connection once there is room for it.
+func (d *door) Accept() (net.Conn, error) {
+	for d.usher.ceiling > 0 && d.usher.Open() >= d.usher.ceiling {
+		select {
+		case <-d.usher.left:
+		case <-d.closed:
+			return nil, net.ErrClosed
 		}
-		d.usher.turned.Add(1)
-		_ = connection.Close() // its caller has sent nothing that was read
 	}
+	return d.Listener.Accept()
 }
 
-// makeRoom reports whether one more connection may be open, after closing the
-// longest idle one if that is needed.
-func (u *Usher) makeRoom() bool {
-	if u.ceiling == 0 || u.Open() < u.ceiling {
-		return true
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.idle.closeLongest()
+// Close ends the wait for room as well.
+func (d *door) Close() error {
+	d.once.Do(func() { close(d.closed) })
+	return d.Listener.Close()
 }
 
-// Turned returns how many connections were turned away since the start.
-func (u *Usher) Turned() int64 { return u.turned.Load() }
-
 // Note is the ConnState of the server.
 func (u *Usher) Note(connection net.Conn, state http.ConnState) {
 	switch state {
@@ -96,6 +93,10 @@
 		u.open.Add(1)
 	case http.StateHijacked, http.StateClosed:
 		u.open.Add(-1)
+		select {
+		case u.left <- struct{}{}:
+		default:
+		}
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -147,27 +148,16 @@
 	}
 }
 
-// closeLongest closes the connection that has waited longest and reports whether
-// there was one.
-func (q *queue) closeLongest() bool {
-	e := q.order.Front()
-	if e == nil {
-		return false
-	}
-	longest := e.Value.(seat)
-	q.remove(longest.connection)
-	_ = longest.connection.Close() // the server hears of it by its next read
-	return true
-}
-
 // closeBefore closes the connections that have waited for longer than a limit.
 func (q *queue) closeBefore(now time.Time, limit time.Duration) int {
 	closed := 0
 	for e := q.order.Front(); e != nil && limit > 0; e = q.order.Front() {
-		if now.Sub(e.Value.(seat).since) <= limit {
+		longest := e.Value.(seat)
+		if now.Sub(longest.since) <= limit {
 			break
 		}
-		q.closeLongest()
+		q.remove(longest.connection)
+		_ = longest.connection.Close() // the server hears of it by its next read
 		closed++
 	}
 	return closed
