Read numbers of the platform with fractions; name each field that cannot be read

Ruled out: rounding in the adapter, which loses what small fleets have of the budget. A budget is a fraction in the product now, and in its YAML too. Before: 'cannot unmarshal number 32.7' at the start.

--- a/finding.go
+++ b/finding.go
@@ -46,3 +46,11 @@
 	}
 	return f
 }
+
+// Reporter returns a function that adds a finding about a file at a path within
+// it.
+func (f *Findings) Reporter(file string) func(path, format string, values ...any) {
+	return func(path, format string, values ...any) {
+		*f = append(*f, Finding{File: file, Path: path, Text: fmt.Sprintf(format, values...)})
+	}
+}
--- a/parser/scalar.go
+++ b/parser/scalar.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"fmt"
 	"log/slog"
 	"math"
 	"net/netip"
@@ -91,6 +92,16 @@
 	})
 }
 
+// number decodes a number within bounds, which may have a fraction.
+func number(least, most float64) decoder[float64] {
+	wanted := fmt.Sprintf("a number from %g to %.0f", least, most)
+	return scalar(wanted, func(node *yaml.Node) (float64, bool) {
+		value, err := strconv.ParseFloat(node.Value, 64)
+		whole := node.Tag == "!!int" || node.Tag == "!!float"
+		return value, err == nil && whole && value >= least && value <= most
+	})
+}
+
 // boolean decodes true or false.
 func boolean() decoder[bool] {
 	return scalar("true or false", func(node *yaml.Node) (bool, bool) {
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -56,8 +56,8 @@
 )
 
 var repeatsObject = object(
-	optional("ratio", func(b *redwingshunt.RepeatBudget) *int { return &b.Ratio }, integer[int](0, 100)),
-	optional("extra", func(b *redwingshunt.RepeatBudget) *int { return &b.Extra }, integer[int](0, 1_000_000)),
+	optional("ratio", func(b *redwingshunt.RepeatBudget) *float64 { return &b.Ratio }, number(0, 100)),
+	optional("extra", func(b *redwingshunt.RepeatBudget) *float64 { return &b.Extra }, number(0, 1_000_000)),
 	optional("window", func(b *redwingshunt.RepeatBudget) *time.Duration { return &b.Window }, duration(time.Second, time.Hour)),
 )
 
--- a/placer/repeats.go
+++ b/placer/repeats.go
@@ -68,7 +68,7 @@
 		repeated += r.repeated[i]
 	}
 	budget := c.options.Budget
-	allowed := budgetShare * (float64(budget.Ratio)/100*float64(requests) + float64(budget.Extra)/float64(c.routers))
+	allowed := budgetShare * (budget.Ratio/100*float64(requests) + budget.Extra/float64(c.routers))
 	if float64(repeated+1) > allowed {
 		return false
 	}
--- a/settings.go
+++ b/settings.go
@@ -51,7 +51,7 @@
 // RepeatBudget bounds the sends beyond the first of each request, over the whole
 // fleet and for each service, within a sliding window.
 type RepeatBudget struct {
-	Ratio  int // percent of the requests
-	Extra  int // beyond that
+	Ratio  float64 // percent of the requests
+	Extra  float64 // beyond that
 	Window time.Duration
 }
