Heed upstreams that leave or ask for a pause in their answers

Cause: an upstream was known to leave by its announcements alone; one that had lost touch with the keepers went on getting requests, and a 503 with a Retry-After was taken for full for 150 ms. Ruled out: telling all instances from each router that sees the answer (64 requests under way at 300 instances are 19,200 messages); routers tell the voters, which tell all.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -188,6 +188,20 @@
 	a.core.End(a.options.Clock.Now(), ticket, end)
 }
 
+// Spare implements redwingshunt.Placer.
+func (a *Allocator) Spare(ticket uint64, pause time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Spare(a.options.Clock.Now(), ticket, pause)
+}
+
+// Holds implements redwingshunt.Placer.
+func (a *Allocator) Holds(ticket uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Holds(a.options.Clock.Now(), ticket)
+}
+
 // Repeat implements redwingshunt.Placer.
 func (a *Allocator) Repeat(service redwingshunt.ServiceID) bool {
 	a.mu.Lock()
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -88,8 +88,14 @@
 	Header  http.Header
 	Body    []byte
 	Once    bool // non-idempotent: a connection that may be closing is avoided
+	// Holds is asked just before the first byte is written whether the call may
+	// still be sent; may be nil.
+	Holds func() bool
 }
 
+// ErrStale means that a call was not sent since it did not hold any more.
+var ErrStale = errors.New("the choice of the upstream does not hold any more")
+
 // Failure is the error of a call without an answer.
 type Failure struct {
 	Sent bool // a byte may have reached the upstream
@@ -170,6 +176,10 @@
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
+	if call.Holds != nil && !call.Holds() {
+		c.keep(connection, idleDefault)
+		return nil, &Failure{Err: ErrStale}
+	}
 	stop := context.AfterFunc(ctx, connection.cut)
 	response, err := connection.exchange(call, c.options.Header, &c.foreign) //nolint:bodyclose // Reply.Close ends the connection or keeps it
 	if err != nil {
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -63,7 +63,7 @@
 		}),
 	}
 	f.relayer = relayer.New(relayer.Options{
-		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier,
+		Configuration: d.configured, Placer: f.allocator, Suspects: d.guarantees.notifier, Roll: d.enroller,
 		Carrier: f.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
 		Limit: func() int { return int(f.limit.Load()) },
 	})
--- a/dialect.go
+++ b/dialect.go
@@ -16,6 +16,8 @@
 	NotRun    string   // from upstreams: whether the request has been run
 	NotRunAs  string   // value of NotRun that says it has not; any value does when empty
 	Signature string   // from upstreams: on each answer that they made
+	Leaving   string   // from upstreams: on each answer of one that takes no new work
+	LeavingAs string   // value of Leaving that says so
 	Load      string   // from upstreams: running, waiting, slots
 	Prompt    string   // parts of the prompt as ID:TOKENS, separated by commas
 	Count     string   // tokens of the prompt and at most generated, separated by a comma
@@ -32,6 +34,12 @@
 	return value != "" && (d.NotRunAs == "" || strings.EqualFold(value, d.NotRunAs))
 }
 
+// SaysLeaving reports whether an upstream says in the header of its answer that
+// it takes no new work.
+func (d Dialect) SaysLeaving(header http.Header) bool {
+	return d.Leaving != "" && strings.EqualFold(header.Get(d.Leaving), d.LeavingAs)
+}
+
 // DefaultDialect is the dialect of this project.
 func DefaultDialect() Dialect {
 	return Dialect{
@@ -43,6 +51,8 @@
 		NotRun:    HeaderBegun,
 		NotRunAs:  "no",
 		Signature: "Redwingshunt-Signature",
+		Leaving:   "Redwingshunt-Leaving",
+		LeavingAs: "yes",
 		Prompt:    "Redwingshunt-Prompt",
 		Count:     "Redwingshunt-Tokens",
 	}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -64,6 +64,8 @@
 	last  []redwingshunt.UpstreamState
 	wake  chan struct{}
 	watch func([]redwingshunt.UpstreamState)
+
+	turning sync.Mutex // held by turn, so that the watcher is told in order
 }
 
 var _ redwingshunt.Roll = (*Enroller)(nil)
@@ -106,18 +108,42 @@
 func (e *Enroller) Dismiss(id redwingshunt.UpstreamID, born time.Time) {
 	now := e.options.Clock.Now()
 	e.mu.Lock()
-	state, known := e.table.Dismiss(id, born, now)
-	if known {
+	state, known, news := e.table.Dismiss(id, born, now)
+	if known && e.spreads() {
 		e.own[id] = now
 	}
 	e.mu.Unlock()
-	if known {
-		e.log(state, "left")
-		e.tell([]Announced{{State: state}})
-		e.poke()
+	if !known || !news {
+		return
+	}
+	e.log(state, "left")
+	e.turn() // before any request that comes after this
+	e.pass([]Announced{{State: state}})
+}
+
+// pass tells of upstreams that leave. Many instances may notice it at the same
+// moment; those that keep the log tell all others, so that a fleet of hundreds
+// is not told by each of them.
+func (e *Enroller) pass(entries []Announced) {
+	if e.spreads() {
+		e.tell(entries)
+		return
+	}
+	message := encode(entries, false)
+	for _, member := range e.options.Members.Live() {
+		if member.Voter {
+			e.options.Link.Send(member.ID, message)
+		}
 	}
 }
 
+// spreads reports whether this instance tells all others of what it noticed: it
+// keeps the log, or knows nobody who does.
+func (e *Enroller) spreads() bool {
+	return e.options.Members.Self().Voter ||
+		!slices.ContainsFunc(e.options.Members.Live(), func(m redwingshunt.Instance) bool { return m.Voter })
+}
+
 // Usable returns the upstreams that take new work.
 func (e *Enroller) Usable() []redwingshunt.UpstreamState {
 	e.mu.Lock()
@@ -149,6 +175,8 @@
 
 // turn sends what is due and tells the watcher of changes.
 func (e *Enroller) turn() {
+	e.turning.Lock()
+	defer e.turning.Unlock()
 	now := e.options.Clock.Now()
 	e.mu.Lock()
 	var due []Announced
@@ -235,6 +263,8 @@
 	now := e.options.Clock.Now()
 	var answer []Announced // to a question, and what the sender has missed
 	var changes []redwingshunt.UpstreamState
+	var left []Announced
+	noticed := e.spreads() && e.noticed(from)
 	e.mu.Lock()
 	for _, record := range roll.GetEntries() {
 		state, age, err := decode(record)
@@ -244,6 +274,10 @@
 		}
 		if _, changed := e.table.Enroll(state, now.Add(-age)); changed {
 			changes = append(changes, state)
+			if state.Leaving && noticed {
+				left = append(left, Announced{State: state, Age: age})
+				e.own[state.ID] = now // so that it is told again
+			}
 		}
 		if correction, missed := e.table.Correction(state, now); missed {
 			answer = append(answer, correction)
@@ -262,6 +296,20 @@
 	if len(changes) > 0 {
 		e.poke()
 	}
+	if len(left) > 0 {
+		e.tell(left)
+	}
+}
+
+// noticed reports whether an instance tells of what upstreams said to it as a
+// router, which it leaves to the keepers of the log to pass on.
+func (e *Enroller) noticed(from redwingshunt.InstanceID) bool {
+	for _, member := range e.options.Members.Live() {
+		if member.ID == from {
+			return !member.Voter
+		}
+	}
+	return false
 }
 
 func (e *Enroller) log(s redwingshunt.UpstreamState, how string) {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -35,10 +35,15 @@
 	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
 	lose     int // messages that are lost next
 	cut      redwingshunt.InstanceID
+	voter    redwingshunt.InstanceID // the only one, if any
+	sent     map[redwingshunt.InstanceID]int
 }
 
 func newNet() *net {
-	return &net{handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte))}
+	return &net{
+		handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)),
+		sent:     make(map[redwingshunt.InstanceID]int),
+	}
 }
 
 type node struct {
@@ -46,9 +51,15 @@
 	self redwingshunt.InstanceID
 }
 
-func (n node) Self() redwingshunt.Instance { return redwingshunt.Instance{ID: n.self, Region: "north"} }
+func (n node) Self() redwingshunt.Instance {
+	return redwingshunt.Instance{ID: n.self, Region: "north", Voter: n.self == n.net.voter}
+}
 func (n node) Live() []redwingshunt.Instance {
-	return []redwingshunt.Instance{{ID: "a", Region: "north"}, {ID: "b", Region: "north"}, {ID: "c", Region: "south"}}
+	live := []redwingshunt.Instance{{ID: "a", Region: "north"}, {ID: "b", Region: "north"}, {ID: "c", Region: "south"}}
+	for i := range live {
+		live[i].Voter = live[i].ID == n.net.voter
+	}
+	return live
 }
 func (n node) Handle(_ redwingshunt.MessageKind, receive func(redwingshunt.InstanceID, []byte)) {
 	n.net.mu.Lock()
@@ -58,6 +69,7 @@
 func (n node) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
 	n.net.mu.Lock()
 	receive := n.net.handlers[to]
+	n.net.sent[n.self]++
 	lost := n.net.lose > 0 || n.net.cut == to || n.net.cut == n.self
 	if n.net.lose > 0 {
 		n.net.lose--
@@ -109,6 +121,51 @@
 	}
 }
 
+// TestNoticed has one router notice that an upstream leaves, as told in an
+// answer: it spares it before it goes on, and tells the voter alone, which tells
+// all others, also when its first messages are lost.
+func TestNoticed(t *testing.T) {
+	for name, lose := range map[string]int{"calm": 0, "passing on is lost": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNet()
+				n.voter = "a"
+				a, b, c := n.start(t, "a"), n.start(t, "b"), n.start(t, "c")
+				s := said{id: "u", sequence: 1}.state()
+				s.Born = time.Now()
+				a.Enroll(s)
+				await(t, func() bool { return len(b.Usable()) == 1 && len(c.Usable()) == 1 })
+				time.Sleep(repeatChanges + gather)
+				n.mu.Lock()
+				clear(n.sent)
+				n.lose = lose
+				n.mu.Unlock()
+				told := -1
+				b.Watch(func(usable []redwingshunt.UpstreamState) { told = len(usable) })
+				for range 50 { // each answer says so
+					b.Dismiss("u", s.Born)
+				}
+				is.Equal(told, 0) // in the same call
+				time.Sleep(3 * gather)
+				for range lose { // announcements are answered by who knows better
+					s.Sequence++
+					a.Enroll(s)
+					time.Sleep(3 * gather)
+				}
+				is.Equal(len(a.Usable())+len(b.Usable())+len(c.Usable()), 0)
+				is.True(n.sent["b"] <= 2)
+				again := s
+				again.Born, again.Sequence = s.Born.Add(time.Minute), 1
+				a.Enroll(again)
+				time.Sleep(gather)
+				b.Dismiss("u", s.Born) // a late answer of the one before
+				is.Equal(len(b.Usable()), 1)
+			})
+		})
+	}
+}
+
 // TestCorrected has an instance miss that an upstream left and came back at
 // another one. It goes on to tell the old incarnation; whoever knows better tells
 // it so, and all agree.
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -147,20 +147,22 @@
 }
 
 // Dismiss marks an incarnation of an identity as leaving, or any when born is
-// zero, and returns the state to pass on.
-func (t *Table) Dismiss(id redwingshunt.UpstreamID, born, now time.Time) (redwingshunt.UpstreamState, bool) {
+// zero, and returns the state to pass on, whether it is known, and whether its
+// leaving is news.
+func (t *Table) Dismiss(id redwingshunt.UpstreamID, born, now time.Time) (s redwingshunt.UpstreamState, known, news bool) {
 	e := t.entries[id]
 	if e != nil && !born.IsZero() && e.state.Born.After(born) {
-		return redwingshunt.UpstreamState{}, false // an older incarnation left
+		return redwingshunt.UpstreamState{}, false, false // an older incarnation left
 	}
 	if e == nil {
 		t.left[id] = now // an announcement that is on its way must not bring it back
-		return redwingshunt.UpstreamState{}, false
+		return redwingshunt.UpstreamState{}, false, false
 	}
-	if !e.state.Leaving {
+	news = !e.state.Leaving
+	if news {
 		e.state.Leaving, e.changed = true, now
 	}
-	return e.state, true
+	return e.state, true, news
 }
 
 // Usable returns the upstreams that take new work, ordered by service and name.
--- a/mimic/upstream.go
+++ b/mimic/upstream.go
@@ -53,7 +53,9 @@
 
 	mu      sync.Mutex
 	mood    Misbehaviour
-	times   int // requests that the mood holds for; negative for all
+	leaving bool   // each answer says so
+	after   string // Retry-After of refusals
+	times   int    // requests that the mood holds for; negative for all
 	running int
 	runs    map[string]int         // by request
 	headers map[string]http.Header // of the last run
@@ -151,6 +153,35 @@
 	return w.left[request]
 }
 
+// Leave has the upstream say in each answer that it takes no new work.
+func (w *Upstream) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// BackOff sets the Retry-After of refusals; empty leaves it out.
+func (w *Upstream) BackOff(after string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.after = after
+}
+
+func (w *Upstream) backOff() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.after
+}
+
+// asks writes what the upstream asks for in each answer.
+func (w *Upstream) asks(header http.Header) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		header.Set(w.options.Dialect.Leaving, w.options.Dialect.LeavingAs)
+	}
+}
+
 // begin books a request and returns what it meets.
 func (w *Upstream) begin(r *http.Request, id string, body int64) (Misbehaviour, bool) {
 	w.mu.Lock()
@@ -185,6 +216,7 @@
 		panic(http.ErrAbortHandler) // the caller broke off
 	}
 	to.Header().Set(dialect.Request, id)
+	w.asks(to.Header())
 	if expected := r.Header.Get(dialect.Expect); expected != "" && expected != string(w.options.ID) {
 		to.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -192,6 +224,9 @@
 	mood, admitted := w.begin(r, id, body)
 	if !admitted {
 		to.Header().Set(dialect.NotRun, "no")
+		if after := w.backOff(); after != "" {
+			to.Header().Set("Retry-After", after)
+		}
 		to.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -67,7 +67,7 @@
 func (c *Core) cheapest(now time.Time, l lookup, weight func(*upstream) float64) option {
 	var cheapest option
 	for _, u := range l.service.upstreams {
-		if l.placement.Avoid.Has(u.ID) || u.downUntil.After(now) {
+		if l.placement.Avoid.Has(u.ID) || u.awayUntil().After(now) {
 			continue
 		}
 		o := c.weigh(now, l.service, l.placement, l.tokens, u, u == l.home)
@@ -108,7 +108,7 @@
 	}
 	var highest, next uint64
 	for _, u := range s.upstreams {
-		if u.downUntil.Sub(now) > firstDown {
+		if u.awayUntil().Sub(now) > firstDown {
 			continue
 		}
 		switch weight := rendezvous(key, u.ID); {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,6 +99,7 @@
 	others    others
 	shares    *shares
 	repeats   map[redwingshunt.ServiceID]*repeats
+	spared    map[incarnation]time.Time // until when
 	routers   int
 	next      uint64
 }
@@ -132,6 +133,7 @@
 		tickets:   make(map[uint64]*ticket),
 		shares:    newShares(),
 		repeats:   make(map[redwingshunt.ServiceID]*repeats),
+		spared:    make(map[incarnation]time.Time),
 		routers:   1,
 	}
 }
@@ -167,6 +169,7 @@
 		u := c.upstreams[s.Key()]
 		if u == nil || u.born != s.Born {
 			u = newUpstream(s)
+			u.sparedUntil = c.spared[u.incarnation()]
 		}
 		u.Upstream = s.Upstream
 		kept[s.Key()] = u
@@ -203,7 +206,7 @@
 	l := newLookup(now, s, p)
 	best := c.best(now, l)
 	if best.upstream == nil {
-		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: noUpstreamAfter}
+		return redwingshunt.Placed{}, &Refusal{Reason: redwingshunt.ReasonNoUpstream, After: returnOf(now, s)}
 	}
 	if refusal := c.admit(now, s, p, best, c.shares.excess(now, p.Account)); refusal != nil {
 		if best = c.forDeprived(now, l, best); best.upstream == nil {
@@ -232,7 +235,7 @@
 	}
 	c.tickets[c.next] = t
 	o.upstream.take(t)
-	return redwingshunt.Placed{Ticket: c.next, Upstream: o.upstream.Upstream, Predicted: t.predicted}
+	return redwingshunt.Placed{Ticket: c.next, Upstream: o.upstream.Upstream, Born: o.upstream.born, Predicted: t.predicted}
 }
 
 func partsLimit(s *service) int64 { return int64(float64(s.engine.Memory) * partsShare) }
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -26,10 +26,11 @@
 	failing  float64       // share of attempts that failed, smoothed
 	duration time.Duration // of a plain request, smoothed
 
-	failures  int // in a row
-	downUntil time.Time
-	fullUntil time.Time
-	parts     partCache
+	failures    int // in a row
+	downUntil   time.Time
+	fullUntil   time.Time
+	sparedUntil time.Time // it asked for no new work until then
+	parts       partCache
 }
 
 // work is what routers have with one upstream.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -160,6 +160,9 @@
 	watched, dog := x.watch(ctx, placed)
 	defer dog.stop()
 	reply, err := x.relayer.options.Carrier.Send(watched, x.call(placed))
+	if errors.Is(err, carrier.ErrStale) {
+		return verdict{end: redwingshunt.EndLeft, err: err}
+	}
 	if err != nil {
 		var failure *carrier.Failure
 		if errors.As(err, &failure) && !failure.Sent {
@@ -169,6 +172,7 @@
 		return verdict{end: lostUnless(ctx), sent: true, ran: true, err: err}
 	}
 	defer reply.Close()
+	x.heed(placed, reply)
 	dialect := x.relayer.options.Dialect
 	notRun := dialect.SaysNotRun(reply.Header)
 	switch {
--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -31,6 +31,9 @@
 	upstreams []redwingshunt.Upstream
 	budget    int // repeats
 	ends      []redwingshunt.PlacementEnd
+	pauses    []time.Duration // asked for by upstreams
+	stale     int             // choices that do not hold, from the first one on
+	asked     int             // choices that were asked about
 }
 
 func (l *list) Place(p *redwingshunt.Placement) (redwingshunt.Placed, error) {
@@ -46,6 +49,19 @@
 
 func (l *list) First(uint64) {}
 
+func (l *list) Spare(_ uint64, pause time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pauses = append(l.pauses, pause)
+}
+
+func (l *list) Holds(uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked++
+	return l.asked > l.stale
+}
+
 func (l *list) End(_ uint64, end redwingshunt.PlacementEnd) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relayer/headers.go
+++ b/relayer/headers.go
@@ -32,6 +32,7 @@
 	return carrier.Call{
 		Address: placed.Upstream.Address, ID: x.id, Method: x.request.Method, Target: targetOf(x.request),
 		Host: x.request.Host, Header: header, Body: x.body, Once: !x.route.Idempotent(),
+		Holds: func() bool { return x.relayer.options.Placer.Holds(placed.Ticket) },
 	}
 }
 
--- /dev/null
+++ b/relayer/heed.go
@@ -0,0 +1,53 @@
+package relayer
+
+// What upstreams ask for in the header of their answers.
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/carrier"
+)
+
+// heed does what an upstream asks for in its answer: one that leaves gets no
+// new work, and one that names a time gets none until then.
+func (x *exchange) heed(placed redwingshunt.Placed, reply *carrier.Reply) {
+	options := &x.relayer.options
+	if options.Roll != nil && options.Dialect.SaysLeaving(reply.Header) {
+		options.Roll.Dismiss(placed.Upstream.ID, placed.Born)
+	}
+	if reply.Status != http.StatusServiceUnavailable {
+		return
+	}
+	pause := pauseOf(reply.Header.Get("Retry-After"), time.Now())
+	if pause == 0 {
+		return
+	}
+	options.Placer.Spare(placed.Ticket, pause)
+	options.Logger.Info("upstream asks for a pause", "request", x.id, "upstream", string(placed.Upstream.ID),
+		"address", placed.Upstream.Address.String(), "pause", pause.String())
+}
+
+// longestPause is read of any time that is longer.
+const longestPause = 24 * time.Hour
+
+// pauseOf reads a Retry-After: seconds, which may have a fraction, or a date.
+// It returns zero when there is none or it cannot be read.
+func pauseOf(text string, now time.Time) time.Duration {
+	text = strings.TrimSpace(text)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil || math.IsInf(seconds, 0) {
+		if !(seconds > 0) { // NaN too
+			return 0
+		}
+		return time.Duration(min(seconds, longestPause.Seconds()) * float64(time.Second))
+	}
+	date, err := http.ParseTime(text)
+	if err != nil {
+		return 0
+	}
+	return min(max(date.Sub(now), 0), longestPause)
+}
--- /dev/null
+++ b/relayer/heed_test.go
@@ -0,0 +1,150 @@
+package relayer
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// TestPauseOf reads the Retry-After of upstreams.
+func TestPauseOf(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tests := map[string]struct {
+		text string
+		want time.Duration
+	}{
+		"none": {"", 0}, "zero": {"0", 0}, "whole": {"2", 2 * time.Second}, "fraction": {" 0.5 ", 500 * time.Millisecond},
+		"below zero": {"-3", 0}, "absurd": {"1e300", longestPause}, "beyond numbers": {"1e999", longestPause}, "no number": {"NaN", 0},
+		"words": {"soon", 0}, "two": {"1, 2", 0},
+		"date": {now.Add(4 * time.Second).UTC().Format(http.TimeFormat), 4 * time.Second}, "past": {now.Add(-time.Hour).UTC().Format(http.TimeFormat), 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(pauseOf(test.text, now), test.want)
+		})
+	}
+}
+
+// TestBackOff has an upstream refuse with a time: the request goes elsewhere and
+// the upstream is spared.
+func TestBackOff(t *testing.T) {
+	for name, path := range map[string]string{"safe": "/safe/a", "once": "/once/a"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.plain)
+			b.plain[0].Misbehave(mimic.RefuseAll, -1)
+			b.plain[0].BackOff("1.5")
+			is.Equal(b.ask(t, path, nil).status, 200)
+			is.Equal(b.placer.pauses, []time.Duration{1500 * time.Millisecond})
+			is.Equal(b.plain[0].Runs("r1"), 0)
+		})
+	}
+}
+
+// roll counts what is dismissed.
+type roll struct {
+	mu        sync.Mutex
+	dismissed map[redwingshunt.UpstreamID]int
+}
+
+func (*roll) Enroll(redwingshunt.UpstreamState) {}
+
+func (r *roll) Dismiss(id redwingshunt.UpstreamID, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dismissed[id]++
+}
+
+// TestLeaving has an upstream say in each kind of answer that it leaves.
+func TestLeaving(t *testing.T) {
+	tests := map[string]struct {
+		path      string
+		mood      mimic.Misbehaviour
+		streaming bool
+		leaving   bool
+	}{
+		"success":      {"/safe/a", mimic.Behave, false, true},
+		"error":        {"/once/a", mimic.Fail, false, true},
+		"refusal":      {"/safe/a", mimic.RefuseAll, false, true},
+		"unsigned":     {"/safe/a", mimic.Unsigned, false, true},
+		"stream":       {"/stream/a", mimic.Behave, true, true},
+		"cut stream":   {"/resumable/a", mimic.CutStream, true, true},
+		"not leaving":  {"/safe/a", mimic.Behave, false, false},
+		"cut off head": {"/safe/a", mimic.CutHeader, false, false}, // said nothing
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			told := &roll{dismissed: make(map[redwingshunt.UpstreamID]int)}
+			b.relayer.options.Roll = told
+			upstreams := b.plain
+			if test.streaming {
+				upstreams = b.streaming
+			}
+			b.use(upstreams)
+			upstreams[0].Misbehave(test.mood, -1)
+			if test.leaving {
+				upstreams[0].Leave()
+			}
+			b.ask(t, test.path, nil)
+			is.Equal(told.dismissed["w0"] > 0, test.leaving)
+			is.Equal(told.dismissed["w1"], 0)
+		})
+	}
+}
+
+// TestStale has choices that do not hold any more when their connection is open,
+// as after a pause of the process: nothing is sent, whatever the request is.
+func TestStale(t *testing.T) {
+	for name, path := range map[string]string{"safe": "/safe/a", "once": "/once/a"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.plain)
+			b.placer.stale = 1
+			b.placer.budget = 0 // it takes no repeat: nothing was sent before
+			is.Equal(b.ask(t, path, nil).status, 200)
+			is.Equal([2]int{b.plain[0].Runs("r1"), b.plain[1].Runs("r1")}, [2]int{0, 1})
+			is.Equal(b.placer.ends[0], redwingshunt.EndLeft)
+		})
+	}
+}
+
+// TestLeavingUnderLoad has an upstream leave under many requests that go through
+// the whole way of placing: once the first answer has said so, none that comes
+// later reaches it.
+func TestLeavingUnderLoad(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	placing := usePlacing(t, b)
+	var wait sync.WaitGroup
+	var asked atomic.Int64
+	ask := func(n int) {
+		for range n {
+			wait.Go(func() {
+				id := fmt.Sprint("q", asked.Add(1))
+				b.ask(t, "/safe/a", func(r *http.Request) { r.Header.Set(redwingshunt.HeaderRequest, id) })
+			})
+		}
+		wait.Wait()
+	}
+	ask(20)
+	is.True(b.plain[0].Total() > 0 && b.plain[1].Total() > 0)
+	b.plain[0].Leave()
+	for len(placing.Usable()) == 2 {
+		ask(4) // until one of them has met it
+	}
+	before := b.plain[0].Total()
+	ask(40)
+	is.Equal(b.plain[0].Total(), before)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,6 +46,7 @@
 	Configuration redwingshunt.Configuration
 	Placer        redwingshunt.Placer
 	Suspects      redwingshunt.Suspects // may be nil
+	Roll          redwingshunt.Roll     // told of upstreams that leave; may be nil
 	Carrier       *carrier.Carrier
 	Dialect       redwingshunt.Dialect
 	Logger        *slog.Logger
--- a/relayer/story_test.go
+++ b/relayer/story_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/allocator"
+	"github.com/redwingshunt/redwingshunt/enroller"
 	"github.com/redwingshunt/redwingshunt/logger"
 	"github.com/redwingshunt/redwingshunt/mimic"
 	"github.com/redwingshunt/redwingshunt/narrator"
@@ -76,6 +77,31 @@
 	}
 }
 
+// usePlacing places by the roll and the policy of the product.
+func usePlacing(t *testing.T, b *bench) *enroller.Enroller {
+	t.Helper()
+	fleet, log := &alone{}, b.relayer.options.Logger
+	document := &redwingshunt.Document{Services: []redwingshunt.Service{{Name: "s", Kind: redwingshunt.ServicePlain}}}
+	a := allocator.New(allocator.Options{
+		Members: fleet, Link: fleet, Clock: fleet, Logger: log,
+		Configuration: fixed{&redwingshunt.Snapshot{Revision: 1, Document: document}},
+	})
+	e := enroller.New(enroller.Options{Members: fleet, Link: fleet, Clock: fleet, Logger: log})
+	e.Watch(a.SetUpstreams)
+	go func() { a.Run(t.Context()) }()
+	go func() { e.Run(t.Context()) }()
+	for _, w := range b.plain {
+		e.Enroll(w.State("s", 1))
+	}
+	b.relayer.options.Placer, b.relayer.options.Roll = a, e
+	eventually(t, func() bool {
+		placed, err := a.Place(&redwingshunt.Placement{Service: "s", Route: &routes()[0], Attempt: 1})
+		a.End(placed.Ticket, redwingshunt.EndLeft)
+		return err == nil && len(e.Usable()) == 2
+	})
+	return e
+}
+
 // refuseUnderLoad lets other routers have five seconds of reading at the only
 // upstream.
 func refuseUnderLoad(t *testing.T, b *bench) {
--- a/route.go
+++ b/route.go
@@ -104,6 +104,7 @@
 type Placed struct {
 	Ticket    uint64
 	Upstream  Upstream
+	Born      time.Time     // start of its incarnation
 	Predicted time.Duration // until the first event
 }
 
@@ -116,6 +117,12 @@
 	// End notes the end of an attempt; each Place without an error is followed
 	// by one.
 	End(ticket uint64, end PlacementEnd)
+	// Spare keeps new work from the upstream of an attempt for a while, since it
+	// asks for that.
+	Spare(ticket uint64, pause time.Duration)
+	// Holds reports whether an attempt that has not been sent yet still may be:
+	// its upstream takes new work, and it was chosen a moment ago.
+	Holds(ticket uint64) bool
 	// Repeat asks whether the fleet's budget has room for one more send of a
 	// request to a service, and takes it.
 	Repeat(service ServiceID) bool
