Raise the bound of requests at once fast while timers are on time

Ruled out: doubling at half use only, which a router at its bound never reaches. Change: below 3 ms of lateness the bound doubles in a second. Test: TestFloodEnds (fails without).

--- a/governor/governor.go
+++ b/governor/governor.go
@@ -55,6 +55,10 @@
 	fallPause = 4 * Period
 	// rise is the part of the bound that is added in a second on time.
 	rise = 0.1
+	// latePrompt is the smoothed lateness below which there is much room, and the
+	// bound rises by promptRise in a second.
+	latePrompt = 3 * time.Millisecond
+	promptRise = 1.0
 	// least requests are served in any case.
 	least = 8
 )
@@ -151,7 +155,11 @@
 		// The load is gone; the bound is not what keeps it away.
 		c.limit = min(c.limit*2, c.most)
 	} else {
-		c.limit = min(c.limit+c.limit*rise*Period.Seconds()+rise, c.most)
+		growth := rise
+		if c.late < latePrompt.Seconds() {
+			growth = promptRise
+		}
+		c.limit = min(c.limit+c.limit*growth*Period.Seconds()+rise, c.most)
 	}
 	if c.limit == c.most {
 		return Restored
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -173,3 +173,20 @@
 	}
 	is.Equal(few.Limit(), 736)
 }
+
+// TestFloodEnds lets the bound fall to its least and the flood end: an instance
+// whose timers are on time serves a usual load again within four seconds.
+func TestFloodEnds(t *testing.T) {
+	const (
+		usual  = 150 // requests at once
+		within = 4 * time.Second
+		late   = 500 * time.Microsecond
+	)
+	is := is.New(t)
+	core := New(736)
+	core.limit = least
+	for at := time.Duration(0); at < within; at += Period {
+		core.Observe(Sample{Late: late, Running: min(core.Limit(), usual), Ended: 10})
+	}
+	is.True(core.Limit() >= usual)
+}
