--- a/governor/governor.go
+++ b/governor/governor.go
@@ -56,9 +56,9 @@
 	// rise is the part of the bound that is added in a second on time.
 	rise = 0.1
 	// latePrompt is the smoothed lateness below which there is much room, and the
-	// bound rises by promptRise in a second.
+	// bound rises by promptRise requests in a second besides.
 	latePrompt = 3 * time.Millisecond
-	promptRise = 1.0
+	promptRise = 40
 	// least requests are served in any case.
 	least = 8
 )
@@ -155,11 +155,11 @@
 		// The load is gone; the bound is not what keeps it away.
 		c.limit = min(c.limit*2, c.most)
 	} else {
-		growth := rise
+		step := c.limit*rise*Period.Seconds() + rise
 		if c.late < latePrompt.Seconds() {
-			growth = promptRise
+			step += promptRise * Period.Seconds()
 		}
-		c.limit = min(c.limit+c.limit*growth*Period.Seconds()+rise, c.most)
+		c.limit = min(c.limit+step, c.most)
 	}
 	if c.limit == c.most {
 		return Restored
