--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -32,6 +32,7 @@
 	stall      *time.Timer
 	silent     bool // the connection failed, not the upstream
 	crossed    bool // the answer belonged to another request
+	alone      bool // the connection carries no other request
 
 	resumable bool // the stream can be resumed
 	resumed   int  // how often that was tried
@@ -116,7 +117,8 @@
 }
 
 func (a *attempt) transport() http.RoundTripper {
-	if a.exchange.Request.Once {
+	a.alone = a.exchange.Request.Once || !a.dispatcher.echoes.has(a.grant.Upstream.Address)
+	if a.alone {
 		return a.dispatcher.fresh
 	}
 	return a.dispatcher.reuse
@@ -148,12 +150,17 @@
 	a.stall.Reset(a.exchange.Service.Stall)
 }
 
-// checkID drops an answer that names another request.
+// checkID drops an answer that names another request, or none although the
+// connection has carried others.
 func (a *attempt) checkID(response *http.Response) error {
-	id := response.Header.Get(redwingshunt.HeaderRequest)
-	if id == "" || id == a.exchange.Request.ID {
+	switch id := response.Header.Get(redwingshunt.HeaderRequest); {
+	case id == a.exchange.Request.ID:
+		a.dispatcher.echoes.add(a.grant.Upstream.Address)
+		return nil
+	case id == "" && a.alone:
 		return nil
 	}
+	a.dispatcher.echoes.remove(a.grant.Upstream.Address)
 	a.dispatcher.crossed.Add(1)
 	a.crossed = true
 	return redwingshunt.MayHaveRun(redwingshunt.ReasonUpstreamFailed, http.StatusBadGateway,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,8 +49,9 @@
 type Dispatcher struct {
 	options Options
 	reuse   *connector.Connector // for idempotent requests
-	fresh   *http.Transport      // a connection for each request that runs at most once
-	crossed atomic.Uint64        // answers dropped because they belong to another request
+	fresh   *http.Transport      // a connection for each request that runs at most once, or whose answer might not name it
+	echoes  echoes
+	crossed atomic.Uint64 // answers dropped because they belong to another request
 
 	mu     sync.Mutex
 	policy *retrier.Policy
--- a/placer/spare.go
+++ b/placer/spare.go
@@ -50,7 +50,7 @@
 // Holds reports whether an attempt may still be sent.
 func (c *Core) Holds(now time.Time, number uint64) bool {
 	t := c.tickets[number]
-	if t == nil || now.Sub(t.placed) > holdLimit {
+	if t == nil || redwingshunt.Elapsed(t.placed, now) > holdLimit {
 		return false
 	}
 	return c.upstreams[t.upstream.Key()] == t.upstream && !t.upstream.sparedUntil.After(now)
--- a/values.go
+++ b/values.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // Set is an unordered collection of distinct values.
@@ -30,6 +31,12 @@
 // Sorted returns the values in ascending order.
 func (s Set[T]) Sorted() []T { return slices.Sorted(maps.Keys(s)) }
 
+// Elapsed returns the time between two moments, by the clock that shows more of
+// it: the steady clock does not count while a machine is suspended.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // Option is a value that may be absent.
 type Option[T any] struct {
 	value   T
