Bound connections by the descriptors that a process may have open

Ruled out: fewer kept connections to each upstream, which costs reuse on small fleets. Change: setting files; half for callers, a quarter each for requests and kept connections. Tests: TestBounds, TestKeptBound.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -81,6 +81,9 @@
 type Options struct {
 	// Header echoes the identifier of a request in its answer.
 	Header string
+	// Kept bounds the connections without a request to all upstreams together;
+	// zero is unlimited.
+	Kept int
 }
 
 // Call is one request.
@@ -135,6 +138,7 @@
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*connection // longest idle first
+	kept   int                              // connections in idle
 	closed bool
 }
 
@@ -237,6 +241,7 @@
 		return nil
 	}
 	c.idle[call.Address] = list[:len(list)-1]
+	c.kept--
 	return last
 }
 
@@ -246,11 +251,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[connection.address]
-	if c.closed || len(list) >= idlePerUpstream {
+	if c.closed || len(list) >= idlePerUpstream || c.options.Kept > 0 && c.kept >= c.options.Kept {
 		connection.cut()
 		return
 	}
 	c.idle[connection.address] = append(list, connection)
+	c.kept++
 }
 
 // Sweep closes connections that have been idle for too long. It is called from
@@ -264,6 +270,7 @@
 		for _, connection := range list {
 			if now.Sub(connection.since) > connection.limit {
 				connection.cut()
+				c.kept--
 				continue
 			}
 			kept = append(kept, connection)
@@ -283,6 +290,7 @@
 	for _, connection := range c.idle[address] {
 		connection.cut()
 	}
+	c.kept -= len(c.idle[address])
 	delete(c.idle, address)
 }
 
@@ -297,6 +305,7 @@
 		}
 	}
 	clear(c.idle)
+	c.kept = 0
 }
 
 // connection is one open connection to an upstream.
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -299,3 +299,40 @@
 		})
 	}
 }
+
+// TestKeptBound keeps no more connections than allowed, over all upstreams, and
+// has room again when some of them are used, forgotten or swept.
+func TestKeptBound(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Header: "X-Request-Id", Kept: 2})
+	t.Cleanup(c.Close)
+	var peers []*peer
+	for range 4 {
+		peers = append(peers, newPeer(t, func(connection net.Conn, r *http.Request, _ int) bool {
+			answerTo(connection, r.Header.Get("X-Request-Id"), "hi")
+			return true
+		}))
+	}
+	askAll := func() {
+		for _, p := range peers {
+			_, err := ask(c, call(p, "a"))
+			is.NoErr(err)
+		}
+	}
+	askAll()
+	is.Equal(c.kept, 2)
+	askAll()
+	is.Equal(c.kept, 2)
+	is.Equal(c.Counts().Reused, uint64(2))
+	c.Forget(peers[0].address())
+	is.Equal(c.kept, 1)
+	for _, list := range c.idle {
+		for _, k := range list {
+			k.since = k.since.Add(-time.Hour)
+		}
+	}
+	c.Sweep()
+	is.Equal(c.kept, 0)
+	askAll()
+	is.Equal(c.kept, 2)
+}
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -56,7 +56,7 @@
 		daemon:  d,
 		usher:   usher.New(bounds.kept, bounds.open),
 		bounds:  bounds,
-		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request}),
+		carrier: carrier.New(carrier.Options{Header: d.options.Dialect.Request, Kept: bounds.idle}),
 		allocator: allocator.New(allocator.Options{
 			Members: d.members, Link: d.linker, Configuration: d.configured, Clock: wallClock{},
 			Budget: d.settings.Repeats, Logger: d.logger,
@@ -101,6 +101,7 @@
 	requests int // at once
 	kept     int // open connections beyond which an answer closes its own
 	open     int // connections
+	idle     int // kept connections to upstreams
 }
 
 // boundsOf returns the bounds of the settings, or else those of the memory.
@@ -115,9 +116,30 @@
 	if b.kept > 0 && b.requests > 0 {
 		b.open = b.kept + b.requests
 	}
+	if settings.Files > 0 {
+		b.share(max(settings.Files-filesReserve, settings.Files/2))
+	}
 	return b
 }
 
+// filesReserve are the descriptors for everything but callers and upstreams:
+// links to other instances, the log, the files of the process.
+const filesReserve = 600
+
+// share bounds all connections by descriptors: half of them for callers, a
+// quarter each for requests under way and for kept connections to upstreams.
+func (b *bounds) share(files int) {
+	atMost := func(bound *int, most int) {
+		if *bound == 0 || *bound > most {
+			*bound = most
+		}
+	}
+	atMost(&b.open, files/2)
+	atMost(&b.kept, files/2)
+	atMost(&b.requests, files/4)
+	atMost(&b.idle, files/4)
+}
+
 // equipped reports whether upstreams have been heard of.
 func (f *front) equipped() bool { return f.upstreams.Load() }
 
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -30,6 +30,9 @@
 		"requests given":    {redwingshunt.Settings{Most: 9, Memory: 1 << 30}, bounds{requests: 9, kept: 4096, open: 4105}},
 		"connections given": {redwingshunt.Settings{Kept: 9, Memory: 1 << 30}, bounds{requests: 4096, kept: 9, open: 4105}},
 		"without memory":    {redwingshunt.Settings{Kept: 9}, bounds{kept: 9}},
+		"files leave room":  {redwingshunt.Settings{Memory: 184 << 20, Files: 4100}, bounds{requests: 736, kept: 736, open: 1472, idle: 875}},
+		"few files":         {redwingshunt.Settings{Memory: 184 << 20, Files: 1024}, bounds{requests: 128, kept: 256, open: 256, idle: 128}},
+		"files alone":       {redwingshunt.Settings{Files: 2600}, bounds{requests: 500, kept: 1000, open: 1000, idle: 500}},
 		"by memory":         {redwingshunt.Settings{Memory: 184 << 20}, bounds{requests: 736, kept: 736, open: 1472}},
 	}
 	for name, test := range tests {
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -22,6 +22,9 @@
 // maxVoters bounds the voters of a log.
 const maxVoters = 7
 
+// leastFiles are the descriptors without which an instance serves nobody.
+const leastFiles = 1024
+
 // settings shortens the table below.
 type settings = redwingshunt.Settings
 
@@ -51,6 +54,7 @@
 	optional("most", func(s *settings) *int { return &s.Most }, integer[int](0, 1_000_000)),
 	optional("kept", func(s *settings) *int { return &s.Kept }, integer[int](0, 1_000_000)),
 	optional("memory", func(s *settings) *int64 { return &s.Memory }, size(0, 1<<40)),
+	optional("files", func(s *settings) *int { return &s.Files }, integer[int](leastFiles, 10_000_000)),
 	optional("restart", func(s *settings) *bool { return &s.Restart }, boolean()),
 	optional("repeats", func(s *settings) *redwingshunt.RepeatBudget { return &s.Repeats }, repeatsObject),
 )
--- a/settings.go
+++ b/settings.go
@@ -33,6 +33,7 @@
 	Most     int              // requests of routes at once, more are refused; zero is unlimited
 	Kept     int              // open connections of callers of routes, beyond which an answer closes its own; zero is unlimited
 	Memory   int64            // bytes that the process may take; zero leaves it to the system
+	Files    int              // descriptors that the process may have open; zero leaves it to the system
 	Repeats  RepeatBudget     // bounds what routers send more than once
 	TLS      TLSFiles
 	Plain    bool // plain text is allowed; never set together with TLS
