--- a/relayer/crowd.go
+++ b/relayer/crowd.go
@@ -17,6 +17,13 @@
 // other instances may serve it at once.
 const fullAfter = 100 * time.Millisecond
 
+// restTime is how long the rest of a refused request may take; a connection on
+// which it takes longer is closed after the refusal.
+const restTime = 50 * time.Millisecond
+
+// patience is how long a refusal may wait before its caller may have gone.
+const patience = 500 * time.Millisecond
+
 // linesPerSecond is how many refusals of a full instance have a line of the log
 // each; the others are counted.
 const linesPerSecond = 10
@@ -34,9 +41,20 @@
 	}
 )
 
+// refusedAtOnce is how many refusals of a full instance are under way at the
+// same moment. The others wait in their order, so that what has been admitted,
+// and the ends of callers, get the processor before them.
+const refusedAtOnce = 4
+
 // refuseFull refuses a request that has only been read as far as its header.
 func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
+	r.refusing <- struct{}{}
+	defer func() { <-r.refusing }()
+	if time.Since(arrived) > patience && callerGone(request.Context()) {
+		r.abandoned.Add(1)
+		panic(http.ErrAbortHandler)
+	}
 	id := request.Header.Get(r.options.Dialect.Request)
 	header := w.Header()
 	for name, value := range fullHeader {
@@ -47,6 +65,10 @@
 	}
 	w.WriteHeader(errFull.Status)
 	_, _ = w.Write(fullBody) // a caller that left asks another instance anyway
+	// Flush reads what is left of the request; the others wait for that.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(restTime)) // not on a recorded response
+	_ = controller.Flush()
 	r.noteRefusal(arrived, id)
 }
 
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -197,3 +197,44 @@
 	is.True(line)
 	is.Equal(untold, 5000-linesPerSecond)
 }
+
+// TestSlowBodiesAtTheBound has more callers than are refused at once send their
+// bodies a byte now and then to a full instance. They are told within a moment
+// each, and so is everybody who comes after them.
+func TestSlowBodiesAtTheBound(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	b.relayer.options.Limit = func() int { return 1 }
+	b.relayer.running.Store(1)
+	answered := make(chan int, 2*refusedAtOnce)
+	for range cap(answered) {
+		connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", b.server.Listener.Addr().String())
+		is.NoErr(err)
+		defer connection.Close()
+		_, err = io.WriteString(connection, "POST /safe/a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nx")
+		is.NoErr(err)
+		go func() {
+			for {
+				if _, err := io.WriteString(connection, "x"); err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err != nil {
+				answered <- 0
+				return
+			}
+			response.Body.Close()
+			answered <- response.StatusCode
+		}()
+	}
+	for range cap(answered) {
+		is.Equal(<-answered, 503)
+	}
+	is.Equal(b.ask(t, "/safe/a", nil).status, 503)
+	is.Equal(b.relayer.Running(), int64(1))
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -81,6 +81,7 @@
 	// abandoned counts those of ended whose callers had gone before they were read.
 	abandoned atomic.Int64
 	refusals  refusals
+	refusing  chan struct{} // holds one for each refusal of a full instance that is under way
 	leaving   atomic.Bool
 	stopping  atomic.Bool
 	base      context.Context
@@ -112,7 +113,7 @@
 
 // New returns a relayer.
 func New(options Options) *Relayer {
-	r := &Relayer{options: options, accounts: authenticator.New()}
+	r := &Relayer{options: options, accounts: authenticator.New(), refusing: make(chan struct{}, refusedAtOnce)}
 	r.base, r.abort = context.WithCancelCause(context.Background())
 	return r
 }
