--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -35,7 +35,10 @@
 	// against the silence after which an upstream is taken for dead.
 	gather = 600 * time.Millisecond
 	// repeatChanges is how long a change is told again.
-	repeatChanges = 2 * time.Second
+	repeatChanges = 3 * time.Second
+	// missed is how long ago a change may be that an instance is told of which was
+	// taken for dead meanwhile.
+	missed = 30 * time.Second
 	// askPeriod is the time between two questions of an empty instance.
 	askPeriod = 500 * time.Millisecond
 	// tick is how often the parts that depend on time are looked at.
@@ -64,6 +67,7 @@
 	last  []redwingshunt.UpstreamState
 	wake  chan struct{}
 	watch func([]redwingshunt.UpstreamState)
+	alive redwingshunt.Set[redwingshunt.InstanceID] // at the last turn
 
 	turning sync.Mutex // held by turn, so that the watcher is told in order
 }
@@ -184,6 +188,7 @@
 		due = e.due(now)
 		e.told = now
 	}
+	returned, recent := e.returned(now)
 	empty := e.table.Empty() && now.Sub(e.asked) >= askPeriod
 	if empty {
 		e.asked = now
@@ -195,6 +200,9 @@
 	if len(due) > 0 {
 		e.tell(due)
 	}
+	for _, id := range returned {
+		e.options.Link.Send(id, encode(recent, false))
+	}
 	if empty {
 		e.ask()
 	}
@@ -204,6 +212,29 @@
 	}
 }
 
+// returned returns the instances that are alive now and were not at the turn
+// before, and the leaves that they may have missed.
+func (e *Enroller) returned(now time.Time) ([]redwingshunt.InstanceID, []Announced) {
+	before := e.alive
+	e.alive = redwingshunt.NewSet[redwingshunt.InstanceID]()
+	var returned []redwingshunt.InstanceID
+	self := e.options.Members.Self().ID
+	for _, member := range e.options.Members.Live() {
+		e.alive.Add(member.ID)
+		if member.ID != self && !before.Has(member.ID) {
+			returned = append(returned, member.ID)
+		}
+	}
+	if len(returned) == 0 || !e.spreads() {
+		return nil, nil
+	}
+	recent := e.table.Left(now, missed)
+	if len(recent) == 0 {
+		return nil, nil
+	}
+	return returned, recent
+}
+
 // due returns what was announced here since the last message or has changed
 // lately.
 func (e *Enroller) due(now time.Time) []Announced {
@@ -264,7 +295,8 @@
 	var answer []Announced // to a question, and what the sender has missed
 	var changes []redwingshunt.UpstreamState
 	var left []Announced
-	noticed := e.spreads() && e.noticed(from)
+	spreads := e.spreads()
+	noticed := spreads && e.noticed(from)
 	e.mu.Lock()
 	for _, record := range roll.GetEntries() {
 		state, age, err := decode(record)
@@ -274,9 +306,13 @@
 		}
 		if _, changed := e.table.Enroll(state, now.Add(-age)); changed {
 			changes = append(changes, state)
+			if state.Leaving && spreads {
+				// Told again by each keeper of the log, so that an instance that
+				// one of them cannot reach hears of it from another.
+				e.own[state.ID] = now
+			}
 			if state.Leaving && noticed {
 				left = append(left, Announced{State: state, Age: age})
-				e.own[state.ID] = now // so that it is told again
 			}
 		}
 		if correction, missed := e.table.Correction(state, now); missed {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -35,7 +35,10 @@
 	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
 	lose     int // messages that are lost next
 	cut      redwingshunt.InstanceID
-	voter    redwingshunt.InstanceID // the only one, if any
+	voter    redwingshunt.InstanceID // "a" or none, and "c" beside it when there are two
+	voters   int
+	dead     redwingshunt.InstanceID    // taken for dead by all others
+	between  [2]redwingshunt.InstanceID // messages between these are lost
 	sent     map[redwingshunt.InstanceID]int
 }
 
@@ -46,18 +49,27 @@
 	}
 }
 
+func (n *net) votes(id redwingshunt.InstanceID) bool {
+	return id == n.voter || n.voters > 1 && id == "c"
+}
+
 type node struct {
 	net  *net
 	self redwingshunt.InstanceID
 }
 
 func (n node) Self() redwingshunt.Instance {
-	return redwingshunt.Instance{ID: n.self, Region: "north", Voter: n.self == n.net.voter}
+	return redwingshunt.Instance{ID: n.self, Region: "north", Voter: n.net.votes(n.self)}
 }
 func (n node) Live() []redwingshunt.Instance {
-	live := []redwingshunt.Instance{{ID: "a", Region: "north"}, {ID: "b", Region: "north"}, {ID: "c", Region: "south"}}
-	for i := range live {
-		live[i].Voter = live[i].ID == n.net.voter
+	n.net.mu.Lock()
+	defer n.net.mu.Unlock()
+	var live []redwingshunt.Instance
+	for _, i := range []redwingshunt.Instance{{ID: "a", Region: "north"}, {ID: "b", Region: "north"}, {ID: "c", Region: "south"}} {
+		i.Voter = n.net.votes(i.ID)
+		if n.self == i.ID || n.net.dead != i.ID {
+			live = append(live, i)
+		}
 	}
 	return live
 }
@@ -70,7 +82,8 @@
 	n.net.mu.Lock()
 	receive := n.net.handlers[to]
 	n.net.sent[n.self]++
-	lost := n.net.lose > 0 || n.net.cut == to || n.net.cut == n.self
+	lost := n.net.lose > 0 || n.net.cut == to || n.net.cut == n.self || n.net.dead == n.self ||
+		n.net.between == [2]redwingshunt.InstanceID{n.self, to}
 	if n.net.lose > 0 {
 		n.net.lose--
 	}
@@ -166,6 +179,47 @@
 	}
 }
 
+// TestMissedLeave has a router miss that an upstream leaves: the voter that took
+// the announcement does not reach it, or all take it for dead for ten seconds.
+func TestMissedLeave(t *testing.T) {
+	tests := map[string]struct {
+		between [2]redwingshunt.InstanceID
+		dead    redwingshunt.InstanceID
+		within  time.Duration // after the leave, or after the return
+	}{
+		"not reached by one voter": {between: [2]redwingshunt.InstanceID{"a", "b"}, within: time.Second},
+		"taken for dead":           {dead: "b", within: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNet()
+				n.voter, n.voters = "a", 2
+				a, b, _ := n.start(t, "a"), n.start(t, "b"), n.start(t, "c")
+				s := said{id: "u", sequence: 1}.state()
+				s.Born, s.TTL = time.Now(), time.Minute
+				a.Enroll(s)
+				await(t, func() bool { return len(b.Usable()) == 1 })
+				n.mu.Lock()
+				n.between, n.dead = test.between, test.dead
+				n.mu.Unlock()
+				s.Sequence, s.Leaving = 2, true
+				a.Enroll(s)
+				if test.dead != "" {
+					time.Sleep(10 * time.Second)
+					is.Equal(len(b.Usable()), 1)
+					n.mu.Lock()
+					n.dead = ""
+					n.mu.Unlock()
+				}
+				time.Sleep(test.within)
+				is.Equal(len(b.Usable()), 0)
+			})
+		})
+	}
+}
+
 // TestCorrected has an instance miss that an upstream left and came back at
 // another one. It goes on to tell the old incarnation; whoever knows better tells
 // it so, and all agree.
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -221,6 +221,17 @@
 	return all
 }
 
+// Left returns the entries that began to leave within some time before now.
+func (t *Table) Left(now time.Time, within time.Duration) []Announced {
+	var left []Announced
+	for _, e := range t.entries {
+		if e.state.Leaving && now.Sub(e.changed) <= within {
+			left = append(left, e.announced(now))
+		}
+	}
+	return left
+}
+
 // forget drops what was heard of long ago.
 func (t *Table) forget(now time.Time) {
 	for id, e := range t.entries {
