--- a/relayer/crowd.go
+++ b/relayer/refusal.go
@@ -17,12 +17,12 @@
 // other instances may serve it at once.
 const fullAfter = 100 * time.Millisecond
 
-// restTime is how long the rest of a refused request may take; a connection on
+// bodyRestTimeout bounds the rest of the body of a refused request; a connection on
 // which it takes longer is closed after the refusal.
-const restTime = 50 * time.Millisecond
+const bodyRestTimeout = 50 * time.Millisecond
 
-// patience is how long a refusal may wait before its caller may have gone.
-const patience = 500 * time.Millisecond
+// callerCheckAfter is how long a refusal waits before its caller may have gone.
+const callerCheckAfter = 500 * time.Millisecond
 
 // linesPerSecond is how many refusals of a full instance have a line of the log
 // each; the others are counted.
@@ -51,7 +51,7 @@
 	arrived := time.Now()
 	r.refusing <- struct{}{}
 	defer func() { <-r.refusing }()
-	if time.Since(arrived) > patience && callerGone(request.Context()) {
+	if time.Since(arrived) > callerCheckAfter && callerGone(request.Context()) {
 		r.abandoned.Add(1)
 		panic(http.ErrAbortHandler)
 	}
@@ -67,7 +67,7 @@
 	_, _ = w.Write(fullBody) // a caller that left asks another instance anyway
 	// Flush reads what is left of the request; the others wait for that.
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(restTime)) // not on a recorded response
+	_ = controller.SetReadDeadline(time.Now().Add(bodyRestTimeout)) // not on a recorded response
 	_ = controller.Flush()
 	r.noteRefusal(arrived, id)
 }
