End streams in which bytes come but no event

Cause: on the fleet's own interface any byte began the stall limit anew; an upstream that sent one now and then, or an engine that sent comments, held a stream until the deadline of its request. Ruled out: a least rate of bytes, which cuts slow but sound ones. Change: whole events are progress, of an engine those with data. TestByteNowAndThen (hangs before).

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -270,6 +270,38 @@
 	is.True(<-gone != nil)
 }
 
+// TestByteNowAndThen ends streams that go on without an event, although bytes or,
+// from an engine, comments come all the time.
+func TestByteNowAndThen(t *testing.T) {
+	tests := map[string]struct {
+		kind redwingshunt.ServiceKind
+		text string
+	}{
+		"bytes of a plain service": {redwingshunt.ServicePlain, "x"},
+		"bytes of an engine":       {redwingshunt.ServiceEngine, "x"},
+		"comments of an engine":    {redwingshunt.ServiceEngine, ": there\n\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			u := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+				for err == nil {
+					_, err = io.WriteString(c, test.text)
+					time.Sleep(5 * time.Millisecond)
+				}
+				close(closed)
+			})
+			recorder := serve(t, &single{address: u.address, left: 1}, true, true, func(s *redwingshunt.Service) {
+				s.Kind, s.Stall = test.kind, 100*time.Millisecond
+			})
+			<-closed
+			is.Equal(recorder.Header().Get(redwingshunt.HeaderOutcome), string(redwingshunt.OutcomeMayHaveRun))
+		})
+	}
+}
+
 func exchange(ctx context.Context, w http.ResponseWriter, once, stream bool) *redwingshunt.Exchange {
 	return &redwingshunt.Exchange{
 		Writer:  w,
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -30,11 +30,14 @@
 // passEvents passes server-sent events on one by one. A stream is whole when
 // its last event says so; one that ends before is reported as truncated.
 func (a *attempt) passEvents(ctx context.Context, response *http.Response) error {
-	scanner := bufio.NewScanner(&progressReader{attempt: a, reader: response.Body})
+	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(make([]byte, 0, copyBuffer), largestEvent)
 	scanner.Split(splitter.Events)
 	for scanner.Scan() {
 		event := scanner.Bytes()
+		if a.exchange.Service.Kind == redwingshunt.ServicePlain || splitter.HasData(event) {
+			a.progress() // bytes that complete no event, and comments of an engine, are none
+		}
 		pass, err := a.accept(event)
 		if err != nil {
 			return truncated(err.Error())
