--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -212,20 +212,23 @@
 	}
 }
 
-// returned returns the instances that are alive now and were not at the turn
-// before, and the leaves that they may have missed.
+// returned returns, on a keeper of the log, the instances that are alive now and
+// were not at the turn before, and the leaves that they may have missed.
 func (e *Enroller) returned(now time.Time) ([]redwingshunt.InstanceID, []Announced) {
+	self := e.options.Members.Self()
+	if !self.Voter {
+		return nil, nil
+	}
 	before := e.alive
 	e.alive = redwingshunt.NewSet[redwingshunt.InstanceID]()
 	var returned []redwingshunt.InstanceID
-	self := e.options.Members.Self().ID
 	for _, member := range e.options.Members.Live() {
 		e.alive.Add(member.ID)
-		if member.ID != self && !before.Has(member.ID) {
+		if member.ID != self.ID && !before.Has(member.ID) {
 			returned = append(returned, member.ID)
 		}
 	}
-	if len(returned) == 0 || !e.spreads() {
+	if len(returned) == 0 {
 		return nil, nil
 	}
 	recent := e.table.Left(now, missed)
