--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -275,7 +275,7 @@
 		}
 		return
 	}
-	if p.transfer != nil && m.Index >= p.transfer.snapshot.Index {
+	if t := p.transfer; t != nil && t.snapshot != nil && m.Index >= t.snapshot.Index {
 		p.transfer = nil
 		p.next = m.Index + 1
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -297,6 +297,30 @@
 	is.Equal(again[0].Index, uint64(5))
 }
 
+// TestAcknowledgedWhileLoading has a voter ask for entries that are gone, and an
+// older acknowledgement of it come while the snapshot for it is still being read.
+// The transfer goes on once the snapshot is there, and ends when the voter turns
+// out to hold what it covers.
+func TestAcknowledgedWhileLoading(t *testing.T) {
+	is := is.New(t)
+	c, step := newLeader(t)
+	refusal := acknowledged(2)
+	refusal.Reject, refusal.Commit, refusal.Last = true, 0, 0
+	step(Received{refusal})
+	is.True(c.progress[refusal.From].transfer != nil) // the snapshot is asked for
+	step(Received{acknowledged(3)})
+	chunks := 0
+	for _, m := range step(SnapshotLoaded{Snapshot{SnapshotMeta: c.snapshot, Data: []byte("state")}}) {
+		if m.Kind == MessageSnapshot && m.To == refusal.From {
+			chunks++
+		}
+	}
+	is.Equal(chunks, 1)
+	step(Received{acknowledged(3)})
+	is.True(c.progress[refusal.From].transfer == nil)
+	is.Equal(c.Status().Commit, uint64(3))
+}
+
 // TestPreferredTransfer hands over to the named voter, and to none that is
 // silent: the leader then goes on to take proposals.
 func TestPreferredTransfer(t *testing.T) {
