--- /dev/null
+++ b/daemon/router_bench_test.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/authenticator"
+	"github.com/redwingshunt/redwingshunt/logger"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+const (
+	// peerVariable marks the process that plays upstreams and callers.
+	peerVariable = "REDWINGSHUNT_BENCH_PEER"
+	peerEngines  = 90
+	peerEvents   = 24
+	peerPause    = 15 * time.Millisecond
+	peerKey      = "EXAMPLE-KEY-peer"
+)
+
+// orders tell the peer what to send.
+type orders struct {
+	Router  string // address of its routes
+	Count   int    // requests
+	Callers int    // at once
+	Kept    bool   // connections
+}
+
+// result is what the callers of the peer saw.
+type result struct {
+	Served, Refused int64
+}
+
+func TestMain(m *testing.M) {
+	if os.Getenv(peerVariable) != "" {
+		playPeer()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// BenchmarkRouter reports the processor time that a router spends on a request.
+// Callers and upstreams are in another process, so that a profile shows the
+// router alone.
+func BenchmarkRouter(b *testing.B) {
+	cases := map[string]struct {
+		most int // requests at once
+		kept bool
+	}{
+		"served/kept":  {1000, true},
+		"served/new":   {1000, false},
+		"refused/kept": {1, true},
+		"refused/new":  {1, false},
+	}
+	for name, c := range cases {
+		b.Run(name, func(b *testing.B) { benchRouter(b, c.most, c.kept) })
+	}
+}
+
+func benchRouter(b *testing.B, most int, kept bool) {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), peerVariable+"=1")
+	command.Stderr = os.Stderr
+	to, err := command.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	from, err := command.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = to.Close(); _ = command.Wait() })
+	answers := json.NewDecoder(from)
+	var engines []netip.AddrPort
+	if err := answers.Decode(&engines); err != nil {
+		b.Fatal(err)
+	}
+
+	settings := testSettings(0, nil)
+	settings.Routes, settings.Most = settings.Listen, most
+	log := logger.New(io.Discard, slog.LevelInfo)
+	b.Cleanup(log.Close)
+	n := runNode(b, settings, func(o *Options) { o.Document = peerDocument(); o.Logger = slog.New(log.Handler()) })
+	for i, address := range engines {
+		n.enroller.Enroll(redwingshunt.UpstreamState{
+			Upstream: redwingshunt.Upstream{ID: peerEngine(i), Service: "model", Address: address, Slots: 64, Region: "north"},
+			Born:     time.UnixMilli(1), Sequence: 1,
+		})
+	}
+	order := func(count int) result {
+		var r result
+		if err := json.NewEncoder(to).Encode(orders{
+			Router: n.sockets.routes.Addr().String(), Count: count, Callers: 100, Kept: kept,
+		}); err != nil {
+			b.Fatal(err)
+		}
+		if err := answers.Decode(&r); err != nil {
+			b.Fatal(err)
+		}
+		return r
+	}
+	order(200)
+	before := processorTime()
+	b.ResetTimer()
+	r := order(b.N)
+	b.StopTimer()
+	spent := processorTime() - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/request")
+	b.ReportMetric(float64(r.Served)/float64(b.N), "served")
+	b.ReportMetric(float64(r.Refused)/float64(b.N), "refused")
+}
+
+// processorTime returns what this process has spent, the system's part included.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func peerEngine(i int) redwingshunt.UpstreamID {
+	return redwingshunt.UpstreamID(fmt.Sprint("engine-", i))
+}
+
+func peerDocument() *redwingshunt.Document {
+	return &redwingshunt.Document{
+		Services: []redwingshunt.Service{{
+			Name: "model", Kind: redwingshunt.ServiceEngine, Engine: redwingshunt.Engine{Slots: 64, Memory: 600_000},
+		}},
+		Routes: []redwingshunt.Route{{
+			Name: "plan", Host: "h", Prefix: "/plan/", Kind: redwingshunt.RouteStream, Resumable: true, Prompt: true,
+			Limit: 10 * time.Second, Aim: 100 * time.Second, Pause: 300 * time.Millisecond, Attempts: 2,
+			Targets: []redwingshunt.Target{{Service: "model", Weight: 1}},
+		}},
+		Accounts: []redwingshunt.Account{{Name: "alpha", Keys: []redwingshunt.KeyHash{authenticator.HashKey(peerKey)}}},
+		Limits:   redwingshunt.RequestLimits{Tokens: 5_000_000},
+	}
+}
+
+// playPeer serves as all upstreams and sends what it is ordered to.
+func playPeer() {
+	answers := json.NewEncoder(os.Stdout)
+	var addresses []netip.AddrPort
+	for i := range peerEngines {
+		engine := mimic.NewUpstream(mimic.UpstreamOptions{
+			ID: peerEngine(i), Dialect: redwingshunt.DefaultDialect(), Events: peerEvents, Pause: peerPause,
+		})
+		if err := engine.Start(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return
+		}
+		addresses = append(addresses, engine.Address())
+	}
+	_ = answers.Encode(addresses)
+	commands := json.NewDecoder(os.Stdin)
+	for {
+		var o orders
+		if commands.Decode(&o) != nil {
+			return
+		}
+		_ = answers.Encode(o.send())
+	}
+}
+
+// send sends the requests and waits for their answers.
+func (o orders) send() result {
+	var wait sync.WaitGroup
+	var left, served, refused atomic.Int64
+	left.Store(int64(o.Count))
+	body := strings.Repeat("x", 6<<10)
+	for caller := range o.Callers {
+		wait.Go(func() {
+			var socket net.Conn
+			var reader *bufio.Reader
+			for i := 0; left.Add(-1) >= 0; i++ {
+				if socket == nil || !o.Kept {
+					if socket != nil {
+						_ = socket.Close()
+					}
+					var err error
+					if socket, err = net.Dial("tcp", o.Router); err != nil {
+						return
+					}
+					reader = bufio.NewReader(socket)
+				}
+				fmt.Fprintf(socket, "POST /plan/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-%d-%d\r\nRedwingshunt-Deadline: 10000\r\n"+
+					"Redwingshunt-Tokens: 1460,80\r\nRedwingshunt-Prompt: 5c1e07a2:800,%x:410,%x:250\r\nRedwingshunt-Key: %s\r\n"+
+					"Content-Length: %d\r\n\r\n%s", caller, i, (caller+i)%700, i*1000+caller, peerKey, len(body), body)
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return
+				}
+				text, err := io.ReadAll(response.Body)
+				switch {
+				case err != nil:
+					return
+				case response.StatusCode == http.StatusOK:
+					served.Add(1)
+				default:
+					if refused.Add(1) == 1 {
+						fmt.Fprintln(os.Stderr, response.Status, string(text))
+					}
+				}
+			}
+		})
+	}
+	wait.Wait()
+	return result{Served: served.Load(), Refused: refused.Load()}
+}
