Name the account of a refusal, and tell what began for it

A refusal of an instance that serves as many requests as it carries named no account, and nothing told how much of what was admitted for an account began. So logs could not tell which of two reasons kept an account short, nor compare what it was given with what the fleet believes.

Once a second a router now writes one line for each of the five accounts of which it refused most requests: by which reason, and the tokens asked, admitted, begun, admitted by the fleet, and the share. No decision changes.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -29,8 +29,14 @@
 	"github.com/redwingshunt/redwingshunt/placer"
 )
 
-// forgetPeriod is how often it is looked whether news of others have ceased.
-const forgetPeriod = 500 * time.Millisecond
+const (
+	// forgetPeriod is how often it is looked whether news of others have ceased.
+	forgetPeriod = 500 * time.Millisecond
+	// reportPeriod is how often accounts whose requests were refused are told in
+	// the log, mostAccounts of them at most.
+	reportPeriod = time.Second
+	mostAccounts = 5
+)
 
 // Options configure an Allocator.
 type Options struct {
@@ -74,9 +80,10 @@
 
 // Run works until ctx ends.
 func (a *Allocator) Run(ctx context.Context) {
-	tell, forget := time.NewTicker(gatherer.Period), time.NewTicker(forgetPeriod)
+	tell, forget, report := time.NewTicker(gatherer.Period), time.NewTicker(forgetPeriod), time.NewTicker(reportPeriod)
 	defer tell.Stop()
 	defer forget.Stop()
+	defer report.Stop()
 	for {
 		changed := a.options.Configuration.Watch()
 		a.configure()
@@ -90,6 +97,8 @@
 				a.tell()
 			case <-forget.C:
 				a.forget()
+			case <-report.C:
+				a.report()
 			}
 		}
 	}
@@ -118,6 +127,18 @@
 	a.core.Forget(a.options.Clock.Now())
 }
 
+// report tells of accounts whose requests were refused what they have had.
+func (a *Allocator) report() {
+	a.mu.Lock()
+	states := a.core.Accounts(a.options.Clock.Now(), mostAccounts)
+	a.mu.Unlock()
+	for _, s := range states {
+		a.options.Logger.Info("requests of an account refused", "account", string(s.Account),
+			"full", s.Refusals.Full, "wait", s.Refusals.Wait, "asked", int64(s.Asked), "admitted", int64(s.Admitted),
+			"begun", int64(s.Begun), "fleet", int64(s.Fleet), "share", int64(s.Share))
+	}
+}
+
 // tell tells the gatherer of this router what it has.
 func (a *Allocator) tell() {
 	now := a.options.Clock.Now()
@@ -174,6 +195,13 @@
 	return redwingshunt.Placed{}, redwingshunt.NotRun(refusal.Reason, http.StatusServiceUnavailable, detail).After(refusal.After)
 }
 
+// Refused implements redwingshunt.Placer.
+func (a *Allocator) Refused(account redwingshunt.AccountID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.Refused(account)
+}
+
 // First implements redwingshunt.Placer.
 func (a *Allocator) First(ticket uint64) {
 	a.mu.Lock()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -114,6 +114,8 @@
 // ticket is one attempt that is with an upstream.
 type ticket struct {
 	upstream  *upstream
+	account   redwingshunt.AccountID
+	tokens    int64 // that count for the account; zero for a repeat
 	unread    int64 // prompt tokens until the first event
 	memory    int64
 	placed    time.Time
@@ -210,6 +212,7 @@
 	}
 	if refusal := c.admit(now, s, p, best, c.shares.excess(now, p.Account)); refusal != nil {
 		if best = c.forDeprived(now, l, best); best.upstream == nil {
+			c.shares.of(p.Account).refused.Wait++
 			return redwingshunt.Placed{}, refusal
 		}
 	}
@@ -219,6 +222,16 @@
 	return c.take(now, s, p, best), nil
 }
 
+// Refused notes a request that was refused before it came to the core, since
+// the router serves as many as it carries.
+func (c *Core) Refused(account redwingshunt.AccountID) {
+	c.shares.of(account).refused.Full++
+}
+
+// Accounts reports the accounts of which requests were refused since the last
+// report, the most refused first, and at most so many.
+func (c *Core) Accounts(now time.Time, most int) []AccountState { return c.shares.report(now, most) }
+
 // noUpstreamAfter is when a caller may come back that found no upstream: an
 // upstream that restarts announces itself about once a second.
 const noUpstreamAfter = time.Second
@@ -227,7 +240,10 @@
 func (c *Core) take(now time.Time, s *service, p *redwingshunt.Placement, o option) redwingshunt.Placed {
 	c.next++
 	t := &ticket{
-		upstream: o.upstream, placed: now, predicted: o.wait + o.read + o.trip,
+		upstream: o.upstream, account: p.Account, placed: now, predicted: o.wait + o.read + o.trip,
+	}
+	if p.Attempt <= 1 {
+		t.tokens = p.Tokens() + 2*p.Output
 	}
 	if s.model {
 		t.unread, t.memory = o.unread, p.Tokens()+p.Output
@@ -247,6 +263,7 @@
 		return
 	}
 	t.begun = true
+	c.shares.begin(now, t.account, t.tokens)
 	t.upstream.begin(t, now.Sub(t.placed))
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -366,3 +366,24 @@
 		})
 	}
 }
+
+// TestAccountsReport tells of an account what was refused and what has begun.
+func TestAccountsReport(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1)
+	c.Configure(document(60_000))
+	placed, refusal := c.Place(begin, about("a"))
+	is.True(refusal == nil)
+	for range 10 {
+		c.Place(begin, about("b"))
+	}
+	c.Refused("alpha")
+	c.First(begin, placed.Ticket)
+	states := c.Accounts(begin, 5)
+	is.Equal(len(states), 1)
+	is.Equal(states[0].Refusals.Full, 1)
+	is.True(states[0].Refusals.Wait > 0)
+	is.Equal(states[0].Begun, float64(about("a").Tokens())/rateWindow.Seconds())
+	is.True(states[0].Admitted >= states[0].Begun && states[0].Admitted < states[0].Asked)
+	is.Equal(len(c.Accounts(begin, 5)), 0) // nothing was refused since
+}
--- a/placer/shares.go
+++ b/placer/shares.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,8 +39,24 @@
 
 // accountRates are the rates of one account at this router and at all others.
 type accountRates struct {
-	asked, admitted             rate
+	asked, admitted, begun      rate
 	remoteAsked, remoteAdmitted float64
+	refused                     Refusals
+}
+
+// Refusals counts the requests of an account that this router has refused.
+type Refusals struct {
+	Full int // since it serves as many requests as it carries
+	Wait int // since the wait was beyond the bound of the account
+}
+
+// AccountState is what this router knows of an account, in tokens a second.
+type AccountState struct {
+	Account                redwingshunt.AccountID
+	Asked, Admitted, Begun float64  // at this router
+	Fleet                  float64  // admitted by all routers
+	Share                  float64  // that each account has who asks for more than it
+	Refusals               Refusals // since the last report
 }
 
 // shares divides the tokens that the engines produce between client accounts.
@@ -68,6 +85,32 @@
 	s.of(account).asked.add(now, tokens)
 }
 
+func (s *shares) begin(now time.Time, account redwingshunt.AccountID, tokens int64) {
+	s.of(account).begun.add(now, tokens)
+}
+
+// report returns the accounts of which requests were refused since the last one,
+// the most refused first, and at most so many.
+func (s *shares) report(now time.Time, most int) []AccountState {
+	var states []AccountState
+	for id, a := range s.accounts {
+		if a.refused == (Refusals{}) {
+			continue
+		}
+		states = append(states, AccountState{
+			Account: id, Asked: a.asked.get(now), Admitted: a.admitted.get(now), Begun: a.begun.get(now),
+			Fleet: a.admitted.get(now) + a.remoteAdmitted, Share: s.share, Refusals: a.refused,
+		})
+		a.refused = Refusals{}
+	}
+	slices.SortFunc(states, func(a, b AccountState) int {
+		return cmp.Or(cmp.Compare(b.Refusals.total(), a.Refusals.total()), cmp.Compare(a.Account, b.Account))
+	})
+	return states[:min(len(states), most)]
+}
+
+func (r Refusals) total() int { return r.Full + r.Wait }
+
 func (s *shares) admit(now time.Time, account redwingshunt.AccountID, tokens int64) {
 	s.of(account).admitted.add(now, tokens)
 }
--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -34,6 +34,7 @@
 	pauses    []time.Duration // asked for by upstreams
 	stale     int             // choices that do not hold, from the first one on
 	asked     int             // choices that were asked about
+	refused   []redwingshunt.AccountID
 }
 
 func (l *list) Place(p *redwingshunt.Placement) (redwingshunt.Placed, error) {
@@ -49,6 +50,12 @@
 
 func (l *list) First(uint64) {}
 
+func (l *list) Refused(account redwingshunt.AccountID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = append(l.refused, account)
+}
+
 func (l *list) Spare(_ uint64, pause time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -69,11 +69,28 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyRestTimeout)) // not on a recorded response
 	_ = controller.Flush()
-	r.noteRefusal(arrived, id)
+	account := r.accountOf(request)
+	if r.options.Placer != nil {
+		r.options.Placer.Refused(account)
+	}
+	r.noteRefusal(arrived, id, account)
+}
+
+// accountOf returns the client account of a request, or nothing.
+func (r *Relayer) accountOf(request *http.Request) redwingshunt.AccountID {
+	i := r.indexOf()
+	if i == nil {
+		return ""
+	}
+	account := r.accounts.Find(i.snapshot, request.Header.Get(r.options.Dialect.Key))
+	if account == nil {
+		return ""
+	}
+	return account.Name
 }
 
 // noteRefusal counts a refusal and writes its line, if it has one.
-func (r *Relayer) noteRefusal(arrived time.Time, id string) {
+func (r *Relayer) noteRefusal(arrived time.Time, id string, account redwingshunt.AccountID) {
 	if r.options.Observe != nil {
 		r.options.Observe(Record{Outcome: string(errFull.Reason), Total: time.Since(arrived)})
 	}
@@ -81,7 +98,7 @@
 	if !line {
 		return
 	}
-	r.options.Logger.Warn("request ended", "request", id, "outcome", string(errFull.Reason), "status", errFull.Status,
+	r.options.Logger.Warn("request ended", "request", id, "account", string(account), "outcome", string(errFull.Reason), "status", errFull.Status,
 		"promise", string(errFull.Outcome), "detail", errFull.Detail, "after", errFull.RetryAfter,
 		"running", r.running.Load(), "untold", untold)
 }
--- a/route.go
+++ b/route.go
@@ -112,6 +112,9 @@
 // that says not run.
 type Placer interface {
 	Place(p *Placement) (Placed, error)
+	// Refused notes a request of an account that was refused before Place, since
+	// the instance serves as many requests as it carries.
+	Refused(account AccountID)
 	// First notes that the first byte of the answer, or its first event, came.
 	First(ticket uint64)
 	// End notes the end of an attempt; each Place without an error is followed
