Let an instance that refuses at its bound ask for no new connections

The bound told the callers, who come back to the same router, and not the balancer, which keeps sending them there.

An instance that has refused at its bound for 0.2 s now answers its readiness check with 503 for 2.5 to 4 s and then works for a second at least, so that a fleet of which all instances are full stays reachable. Open connections are served on.

TestRestsWhileItRefuses never ends before.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -48,6 +48,7 @@
 	upstreams atomic.Bool // some were heard of
 	bounds    bounds
 	limit     atomic.Int64 // of requests at once now, within bounds; zero until it is known
+	resting   atomic.Bool  // the balancer is to send new connections elsewhere
 }
 
 func newFront(d *Daemon) *front {
@@ -183,7 +184,7 @@
 // callers go before their requests are read.
 func (f *front) govern(ctx context.Context) {
 	core := governor.New(f.bounds.requests)
-	var endedBefore, abandonedBefore int64
+	var endedBefore, abandonedBefore, refusedBefore int64
 	var told time.Time
 	for {
 		f.limit.Store(int64(core.Limit()))
@@ -193,12 +194,18 @@
 			return
 		}
 		running := int(f.relayer.Running())
-		ended, abandoned := f.relayer.Ended()
+		ended, abandoned, refused := f.relayer.Ended()
 		sample := governor.Sample{
 			Late: time.Since(due), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
+			Refused: int(refused - refusedBefore),
 		}
-		endedBefore, abandonedBefore = ended, abandoned
-		switch core.Observe(sample) {
+		endedBefore, abandonedBefore, refusedBefore = ended, abandoned, refused
+		change := core.Observe(sample)
+		if resting := core.Resting(); f.resting.Swap(resting) != resting {
+			f.daemon.logger.Info("readiness for new connections changed", "resting", resting, "late", core.Late().String(),
+				"running", running, "limit", core.Limit(), "refused", refused, "open", f.usher.Open())
+		}
+		switch change {
 		case governor.Lowered:
 			f.daemon.logger.Warn("the processor does not carry the requests; fewer are served at once",
 				"late", core.Late().String(), "abandoned", core.Abandoned(), "running", running, "limit", core.Limit())
@@ -235,7 +242,11 @@
 
 // serveReady tells a balancer whether to send connections here.
 func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if reason := f.daemon.Ready(); reason != "" {
+	reason := f.daemon.Ready()
+	if reason == "" && f.resting.Load() {
+		reason = "the instance serves as many requests as it carries"
+	}
+	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -117,3 +118,51 @@
 	is.Equal(call(http.MethodDelete, announcements+"/desk/d1", "", plain), 204)
 	eventually(t, func() bool { return ask() == 503 })
 }
+
+// TestRestsWhileItRefuses asks an instance that serves as many requests as it
+// carries whether it is ready, until it refuses nothing any more.
+func TestRestsWhileItRefuses(t *testing.T) {
+	is := is.New(t)
+	dialect := redwingshunt.DefaultDialect()
+	settings := testSettings(0, nil)
+	settings.Routes, settings.Most = settings.Listen, 1
+	settings.Ready = settings.Listen
+	n := runNode(t, settings, func(o *Options) {
+		o.Document = &redwingshunt.Document{
+			Services: []redwingshunt.Service{{Name: "desk"}},
+			Routes: []redwingshunt.Route{{
+				Name: "desk", Host: "h", Prefix: "/desk/", Kind: redwingshunt.RouteOnce, Limit: patience, Attempts: 1,
+				Targets: []redwingshunt.Target{{Service: "desk", Weight: 1}},
+			}},
+		}
+	})
+	upstream := mimic.NewUpstream(mimic.UpstreamOptions{ID: "d1", Dialect: dialect, Slots: 4})
+	is.NoErr(upstream.Start())
+	t.Cleanup(upstream.Stop)
+	upstream.Misbehave(mimic.Hang, 1)
+	n.enroller.Enroll(upstream.State("desk", 1))
+	ask := func(ctx context.Context, url string) int {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		is.NoErr(err)
+		request.Host = "h"
+		request.Header.Set(dialect.Request, "r1")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	ready := func() int { return ask(t.Context(), "http://"+n.sockets.ready.Addr().String()+"/") }
+	route := "http://" + n.sockets.routes.Addr().String() + "/desk/1"
+	eventually(t, func() bool { return ready() == 200 })
+	held, hangUp := context.WithCancel(t.Context())
+	ended := make(chan int, 1)
+	go func() { ended <- ask(held, route) }()
+	eventually(t, func() bool { return upstream.Runs("r1") == 1 })
+	eventually(t, func() bool { return ask(t.Context(), route) == 503 && ready() == 503 })
+	hangUp()
+	<-ended
+	eventually(t, func() bool { return ready() == 200 })
+	eventually(t, func() bool { return ask(t.Context(), route) == 200 })
+}
--- a/daemon/router_bench_test.go
+++ b/daemon/router_bench_test.go
@@ -39,6 +39,7 @@
 	Count   int    // requests
 	Callers int    // at once
 	Kept    bool   // connections
+	Short   bool   // deadlines, that no upstream can meet
 }
 
 // result is what the callers of the peer saw.
@@ -59,20 +60,22 @@
 // router alone.
 func BenchmarkRouter(b *testing.B) {
 	cases := map[string]struct {
-		most int // requests at once
-		kept bool
+		most   int // requests at once
+		orders orders
 	}{
-		"served/kept":  {1000, true},
-		"served/new":   {1000, false},
-		"refused/kept": {1, true},
-		"refused/new":  {1, false},
+		"served/kept":  {1000, orders{Kept: true}},
+		"served/new":   {1000, orders{}},
+		"full/kept":    {1, orders{Kept: true}}, // refused, since it serves as many as it carries
+		"full/new":     {1, orders{}},
+		"refused/kept": {1000, orders{Kept: true, Short: true}}, // by the placer
+		"refused/new":  {1000, orders{Short: true}},
 	}
 	for name, c := range cases {
-		b.Run(name, func(b *testing.B) { benchRouter(b, c.most, c.kept) })
+		b.Run(name, func(b *testing.B) { benchRouter(b, c.most, c.orders) })
 	}
 }
 
-func benchRouter(b *testing.B, most int, kept bool) {
+func benchRouter(b *testing.B, most int, o orders) {
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), peerVariable+"=1")
 	command.Stderr = os.Stderr
@@ -105,11 +108,11 @@
 			Born:     time.UnixMilli(1), Sequence: 1,
 		})
 	}
+	o.Router, o.Callers = n.sockets.routes.Addr().String(), 100
 	order := func(count int) result {
 		var r result
-		if err := json.NewEncoder(to).Encode(orders{
-			Router: n.sockets.routes.Addr().String(), Count: count, Callers: 100, Kept: kept,
-		}); err != nil {
+		o.Count = count
+		if err := json.NewEncoder(to).Encode(o); err != nil {
 			b.Fatal(err)
 		}
 		if err := answers.Decode(&r); err != nil {
@@ -186,7 +189,10 @@
 	var wait sync.WaitGroup
 	var left, served, refused atomic.Int64
 	left.Store(int64(o.Count))
-	body := strings.Repeat("x", 6<<10)
+	body, deadline := strings.Repeat("x", 6<<10), 10_000
+	if o.Short {
+		deadline = 1
+	}
 	for caller := range o.Callers {
 		wait.Go(func() {
 			var socket net.Conn
@@ -202,23 +208,21 @@
 					}
 					reader = bufio.NewReader(socket)
 				}
-				fmt.Fprintf(socket, "POST /plan/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-%d-%d\r\nRedwingshunt-Deadline: 10000\r\n"+
+				fmt.Fprintf(socket, "POST /plan/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-%d-%d\r\nRedwingshunt-Deadline: %d\r\n"+
 					"Redwingshunt-Tokens: 1460,80\r\nRedwingshunt-Prompt: 5c1e07a2:800,%x:410,%x:250\r\nRedwingshunt-Key: %s\r\n"+
-					"Content-Length: %d\r\n\r\n%s", caller, i, (caller+i)%700, i*1000+caller, peerKey, len(body), body)
+					"Content-Length: %d\r\n\r\n%s", caller, i, deadline, (caller+i)%700, i*1000+caller, peerKey, len(body), body)
 				response, err := http.ReadResponse(reader, nil)
 				if err != nil {
 					return
 				}
-				text, err := io.ReadAll(response.Body)
+				_, err = io.Copy(io.Discard, response.Body)
 				switch {
 				case err != nil:
 					return
 				case response.StatusCode == http.StatusOK:
 					served.Add(1)
 				default:
-					if refused.Add(1) == 1 {
-						fmt.Fprintln(os.Stderr, response.Status, string(text))
-					}
+					refused.Add(1)
 				}
 			}
 		})
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -12,6 +12,13 @@
 // the bound is reached it rises slowly. Without trouble the bound is that of
 // memory, and the governor does nothing.
 //
+// A bound alone leaves callers at an instance that refuses them, while others have
+// room: a balancer that keeps a caller at one instance sends it there again and
+// again. An instance that refuses at its bound therefore rests: it asks the
+// balancer for no new connections. What is open stays and is served. It rests for a
+// bounded time and works for a while between two rests, so that a fleet of which
+// all instances are full stays reachable.
+//
 // The core reads no clock; the shell tells it how late its timer was.
 //
 // # Usage
@@ -61,6 +68,16 @@
 	promptRise = 40
 	// least requests are served in any case.
 	least = 8
+	// restAfter is how long an instance refuses at its bound before it rests.
+	restAfter = 200 * time.Millisecond
+	// restLeast is how long it rests at least; balancers take a moment to notice.
+	restLeast = 2500 * time.Millisecond
+	// restMost bounds a rest.
+	restMost = 4 * time.Second
+	// workLeast is how long it takes new connections between two rests.
+	workLeast = time.Second
+	// calmAfter is how long nothing was refused at the bound before a rest ends.
+	calmAfter = 500 * time.Millisecond
 )
 
 // Change tells what an observation has changed.
@@ -79,6 +96,7 @@
 	Running   int           // requests at this moment
 	Ended     int           // requests, refused ones included
 	Abandoned int           // of them, whose callers had gone before they were read
+	Refused   int           // of them, at the bound
 }
 
 // Core is the state of one instance. It is used by one goroutine at a time.
@@ -89,6 +107,10 @@
 	ended     float64 // requests, smoothed
 	abandoned float64 // of ended
 	fellAgo   time.Duration
+	resting   bool
+	turn      time.Duration // since it began or ended to rest
+	refusing  time.Duration // for which it has refused at its bound
+	calm      time.Duration // since it refused last
 }
 
 // New returns a core with the bound of memory; zero is unlimited.
@@ -98,6 +120,7 @@
 		c.most = unlimited
 	}
 	c.limit = c.most
+	c.turn = workLeast
 	return c
 }
 
@@ -119,6 +142,26 @@
 	return c.abandoned / c.ended
 }
 
+// Resting reports whether a balancer should send new connections elsewhere.
+func (c *Core) Resting() bool { return c.resting }
+
+// rest begins or ends a rest.
+func (c *Core) rest(refused int, elapsed time.Duration) {
+	c.turn += elapsed
+	c.calm += elapsed
+	if refused > 0 {
+		c.calm = 0
+		c.refusing += elapsed
+	} else if c.calm >= calmAfter {
+		c.refusing = 0
+	}
+	begins := !c.resting && c.refusing >= restAfter && c.turn >= workLeast
+	ends := c.resting && (c.turn >= restMost || c.turn >= restLeast && c.calm >= calmAfter)
+	if begins || ends {
+		c.resting, c.turn, c.refusing = begins, 0, 0
+	}
+}
+
 // Observe takes a sample.
 func (c *Core) Observe(s Sample) Change {
 	late := min(s.Late, lateMost)
@@ -128,6 +171,7 @@
 	c.ended += (float64(s.Ended) - c.ended) * weight
 	c.abandoned += (float64(s.Abandoned) - c.abandoned) * weight
 	c.fellAgo += elapsed
+	c.rest(s.Refused, elapsed)
 	switch {
 	case (c.late > lateHigh.Seconds() || c.Abandoned() > abandonedHigh) && c.fellAgo >= fallPause:
 		return c.lower(s.Running)
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -17,6 +17,7 @@
 	backlog time.Duration // work that waits
 	running []int         // events left of each stream
 	refused int
+	told    int // of refused, to the core
 	served  int
 	worst   time.Duration // backlog after the first seconds
 }
@@ -57,7 +58,8 @@
 		r.backlog = max(r.backlog-step, 0)
 		if at >= due {
 			if r.core != nil {
-				r.core.Observe(Sample{Late: r.backlog, Running: len(r.running)})
+				r.core.Observe(Sample{Late: r.backlog, Running: len(r.running), Refused: r.refused - r.told})
+				r.told = r.refused
 			}
 			due = at + r.backlog + Period
 		}
@@ -190,3 +192,116 @@
 	}
 	is.True(core.Limit() >= usual)
 }
+
+// zone is a model of instances behind a balancer that keeps the new connections
+// of a caller at the first one that has not missed two polls. Half of the
+// requests come on connections that are open.
+type zone struct {
+	routers []*router
+	missed  []int
+	open    []float64 // connections of the caller
+}
+
+const (
+	pollPeriod = time.Second
+	keptMost   = 736 // connections at one instance
+)
+
+func newZone(n int) *zone {
+	z := &zone{missed: make([]int, n), open: make([]float64, n)}
+	for range n {
+		z.routers = append(z.routers, &router{core: New(736), refusal: 150 * time.Microsecond, event: 110 * time.Microsecond})
+	}
+	return z
+}
+
+func (z *zone) pick() int {
+	for i, missed := range z.missed {
+		if missed < 2 {
+			return i
+		}
+	}
+	return 0
+}
+
+// play sends the load of one caller for a time, and gives each instance a load
+// of its own.
+func (z *zone) play(rate, own float64, whole time.Duration) {
+	for at := time.Duration(0); at < whole; at += pollPeriod {
+		picked := z.pick()
+		z.open[picked] = min(z.open[picked]+rate/2, keptMost)
+		all := 0.0
+		for _, open := range z.open {
+			all += open
+		}
+		for i, r := range z.routers {
+			load := own + rate/2*z.open[i]/all
+			if i == picked {
+				load += rate / 2
+			}
+			r.play(load, pollPeriod)
+			if r.core.Resting() {
+				z.missed[i]++
+			} else {
+				z.missed[i] = 0
+			}
+		}
+	}
+}
+
+// TestFloodThroughOneInstance sends the load of an account to a balancer that
+// keeps it at one instance, while another account asks for as much through all
+// of them. There is room for both; the first one gets at least half of what the
+// second one gets.
+func TestFloodThroughOneInstance(t *testing.T) {
+	const (
+		instances = 8
+		rate      = 600 // requests a second of each account
+		whole     = 30 * time.Second
+	)
+	is := is.New(t)
+	z := newZone(instances)
+	z.play(rate, rate/instances, whole)
+	served := 0
+	for _, r := range z.routers {
+		served += r.served
+	}
+	second := rate * whole.Seconds()
+	first := float64(served) - second
+	t.Logf("the first got %.0f, the second %.0f", first, second)
+	is.True(first >= second/2)
+}
+
+// TestRest checks when an instance asks for no new connections.
+func TestRest(t *testing.T) {
+	// samples are given as counts of samples with and without a refusal in turn.
+	samples := func(c *Core, counts ...int) {
+		for i, n := range counts {
+			for range n {
+				c.Observe(Sample{Refused: 1 - i%2})
+			}
+		}
+	}
+	periods := func(d time.Duration) int { return int(d / Period) }
+	tests := map[string]struct {
+		counts  []int
+		resting bool
+	}{
+		"one refusal":                {[]int{1}, false},
+		"refusals go on":             {[]int{periods(restAfter)}, true},
+		"single ones far apart":      {[]int{1, periods(calmAfter), 1, periods(calmAfter), 1, periods(calmAfter), 1}, false},
+		"rests for a while":          {[]int{periods(restAfter), periods(restLeast) - 1}, true},
+		"ends when nothing comes":    {[]int{periods(restAfter), periods(restLeast)}, false},
+		"ends although refusals go":  {[]int{periods(restAfter) + periods(restMost)}, false},
+		"works for a while":          {[]int{periods(restAfter) + periods(restMost) + periods(workLeast) - 1}, false},
+		"rests again when they stay": {[]int{periods(restAfter) + periods(restMost) + periods(workLeast)}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(100)
+			samples(c, test.counts...)
+			is.Equal(c.Resting(), test.resting)
+		})
+	}
+}
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -49,6 +49,7 @@
 // refuseFull refuses a request that has only been read as far as its header.
 func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
+	r.refused.Add(1)
 	r.refusing <- struct{}{}
 	defer func() { <-r.refusing }()
 	if time.Since(arrived) > callerCheckAfter && callerGone(request.Context()) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -80,6 +80,7 @@
 	held     atomic.Int64 // bytes, of Options.Room
 	// abandoned counts those of ended whose callers had gone before they were read.
 	abandoned atomic.Int64
+	refused   atomic.Int64 // of ended, at the limit
 	refusals  refusals
 	refusing  chan struct{} // holds one for each refusal of a full instance that is under way
 	leaving   atomic.Bool
@@ -121,9 +122,12 @@
 // Running returns the number of requests that are being served.
 func (r *Relayer) Running() int64 { return r.running.Load() }
 
-// Ended returns how many requests have ended since the start, and of how many
-// of them the callers had gone before they were read.
-func (r *Relayer) Ended() (all, abandoned int64) { return r.ended.Load(), r.abandoned.Load() }
+// Ended returns how many requests have ended since the start, of how many of
+// them the callers had gone before they were read, and how many were refused
+// since as many as the instance carries were served.
+func (r *Relayer) Ended() (all, abandoned, refused int64) {
+	return r.ended.Load(), r.abandoned.Load(), r.refused.Load()
+}
 
 // Leave closes each connection after its next answer, while requests are still
 // served.
