Count what is refused for the processor as asked

An account of which a router refuses most requests for its processor asked for 8.5 M tokens a second by its callers and for 1.2 M by the books of the fleet, since only Place told the core what is asked. So it counted as an account that gets nearly what it asks: the share of others grew by what it seemed to leave, and forDeprived did not help it.

Two cases of TestDeprivedAccount: the same account with and without refusals for the processor; the second is refused before.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -196,10 +196,10 @@
 }
 
 // Refused implements redwingshunt.Placer.
-func (a *Allocator) Refused(account redwingshunt.AccountID) {
+func (a *Allocator) Refused(account redwingshunt.AccountID, tokens int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.Refused(account)
+	a.core.Refused(a.options.Clock.Now(), account, tokens)
 }
 
 // First implements redwingshunt.Placer.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -196,7 +196,7 @@
 // Place chooses an upstream, or refuses.
 func (c *Core) Place(now time.Time, p *redwingshunt.Placement) (redwingshunt.Placed, *Refusal) {
 	c.expire(now)
-	tokens := p.Tokens() + 2*p.Output
+	tokens := redwingshunt.ServiceTokens(p.Tokens(), p.Output)
 	if p.Attempt <= 1 {
 		c.shares.ask(now, p.Account, tokens)
 		c.requested(now, p.Service)
@@ -223,8 +223,10 @@
 }
 
 // Refused notes a request that was refused before it came to the core, since
-// the router serves as many as it carries.
-func (c *Core) Refused(account redwingshunt.AccountID) {
+// the router serves as many as it carries. Its account has asked for the tokens
+// all the same.
+func (c *Core) Refused(now time.Time, account redwingshunt.AccountID, tokens int64) {
+	c.shares.ask(now, account, tokens)
 	c.shares.of(account).refused.Full++
 }
 
@@ -243,7 +245,7 @@
 		upstream: o.upstream, account: p.Account, placed: now, predicted: o.wait + o.read + o.trip,
 	}
 	if p.Attempt <= 1 {
-		t.tokens = p.Tokens() + 2*p.Output
+		t.tokens = redwingshunt.ServiceTokens(p.Tokens(), p.Output)
 	}
 	if s.model {
 		t.unread, t.memory = o.unread, p.Tokens()+p.Output
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -322,16 +322,19 @@
 		best     uint32 // tokens a second of another account
 		homes    uint32 // unread tokens at both homes
 		others   uint32 // unread tokens at the other engines
+		full     int64  // tokens refused by this router for its processor
 		want     string // where it is placed
 	}{
-		"far below the others":          {20_000, 3_000, 15_000, 90_000, 18_000, "elsewhere"},
-		"near its share":                {20_000, 9_000, 11_000, 90_000, 18_000, "nowhere"},
-		"others far beyond":             {20_000, 9_000, 27_000, 90_000, 18_000, "elsewhere"},
-		"beyond its share, others more": {50_000, 15_000, 40_000, 90_000, 18_000, "elsewhere"},
-		"beyond its share, home in use": {50_000, 15_000, 40_000, 18_000, 18_000, "home"},
-		"beyond its share as others":    {50_000, 20_000, 16_000, 18_000, 18_000, "nowhere"},
-		"gets what it asks":             {30_000, 28_000, 90_000, 90_000, 18_000, "nowhere"},
-		"deprived and all busy":         {20_000, 3_000, 15_000, 90_000, 60_000, "nowhere"},
+		"far below the others":          {20_000, 3_000, 15_000, 90_000, 18_000, 0, "elsewhere"},
+		"near its share":                {20_000, 9_000, 11_000, 90_000, 18_000, 0, "nowhere"},
+		"others far beyond":             {20_000, 9_000, 27_000, 90_000, 18_000, 0, "elsewhere"},
+		"beyond its share, others more": {50_000, 15_000, 40_000, 90_000, 18_000, 0, "elsewhere"},
+		"beyond its share, home in use": {50_000, 15_000, 40_000, 18_000, 18_000, 0, "home"},
+		"beyond its share as others":    {50_000, 20_000, 16_000, 18_000, 18_000, 0, "nowhere"},
+		"gets what it asks":             {30_000, 28_000, 90_000, 90_000, 18_000, 0, "nowhere"},
+		"deprived and all busy":         {20_000, 3_000, 15_000, 90_000, 60_000, 0, "nowhere"},
+		"gets what comes to the core":   {70_000, 70_000, 200_000, 90_000, 18_000, 0, "nowhere"},
+		"refused for the processor":     {70_000, 70_000, 200_000, 90_000, 18_000, 400_000, "elsewhere"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -354,6 +357,7 @@
 				loads.Upstreams = append(loads.Upstreams, &wire.UpstreamLoad{Id: string(u.ID), Service: "s", Unread: unread, Running: 1})
 			}
 			c.Heard(begin, "other", loads)
+			c.Refused(begin, "alpha", test.full)
 			placed, refusal := c.Place(begin, about("x"))
 			got := "elsewhere"
 			switch {
@@ -372,18 +376,19 @@
 	is := is.New(t)
 	c := newCore(1)
 	c.Configure(document(60_000))
-	placed, refusal := c.Place(begin, about("a"))
+	long := about("a")
+	long.Prompt[2].Tokens = 120_000
+	placed, refusal := c.Place(begin, long)
 	is.True(refusal == nil)
-	for range 10 {
-		c.Place(begin, about("b"))
-	}
-	c.Refused("alpha")
+	_, refusal = c.Place(begin, about("b"))
+	is.True(refusal != nil)
+	c.Refused(begin, "alpha", 60_000)
 	c.First(begin, placed.Ticket)
 	states := c.Accounts(begin, 5)
 	is.Equal(len(states), 1)
-	is.Equal(states[0].Refusals.Full, 1)
-	is.True(states[0].Refusals.Wait > 0)
-	is.Equal(states[0].Begun, float64(about("a").Tokens())/rateWindow.Seconds())
-	is.True(states[0].Admitted >= states[0].Begun && states[0].Admitted < states[0].Asked)
+	is.Equal(states[0].Refusals, Refusals{Full: 1, Wait: 1})
+	is.Equal(states[0].Admitted, float64(long.Tokens())/rateWindow.Seconds())
+	is.Equal(states[0].Begun, states[0].Admitted)
+	is.Equal(states[0].Asked, float64(long.Tokens()+about("b").Tokens()+60_000)/rateWindow.Seconds())
 	is.Equal(len(c.Accounts(begin, 5)), 0) // nothing was refused since
 }
--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -35,6 +35,8 @@
 	stale     int             // choices that do not hold, from the first one on
 	asked     int             // choices that were asked about
 	refused   []redwingshunt.AccountID
+
+	refusedTokens int64
 }
 
 func (l *list) Place(p *redwingshunt.Placement) (redwingshunt.Placed, error) {
@@ -50,10 +52,11 @@
 
 func (l *list) First(uint64) {}
 
-func (l *list) Refused(account redwingshunt.AccountID) {
+func (l *list) Refused(account redwingshunt.AccountID, tokens int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refused = append(l.refused, account)
+	l.refusedTokens += tokens
 }
 
 func (l *list) Spare(_ uint64, pause time.Duration) {
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -71,8 +71,9 @@
 	_ = controller.SetReadDeadline(time.Now().Add(bodyRestTimeout)) // not on a recorded response
 	_ = controller.Flush()
 	account := r.accountOf(request)
-	if r.options.Placer != nil {
-		r.options.Placer.Refused(account)
+	if account != "" {
+		input, output := parseCount(request.Header.Get(r.options.Dialect.Count))
+		r.options.Placer.Refused(account, redwingshunt.ServiceTokens(input, output))
 	}
 	r.noteRefusal(arrived, id, account)
 }
--- a/route.go
+++ b/route.go
@@ -88,6 +88,10 @@
 	return total
 }
 
+// ServiceTokens returns what a request counts for in the shares of accounts: each
+// token of its prompt once, and each one generated twice.
+func ServiceTokens(prompt, output int64) int64 { return prompt + 2*output }
+
 // PlacementEnd tells how an attempt ended.
 type PlacementEnd uint8
 
@@ -112,9 +116,9 @@
 // that says not run.
 type Placer interface {
 	Place(p *Placement) (Placed, error)
-	// Refused notes a request of an account that was refused before Place, since
-	// the instance serves as many requests as it carries.
-	Refused(account AccountID)
+	// Refused notes a request of an account, for so many tokens, that was refused
+	// before Place since the instance serves as many requests as it carries.
+	Refused(account AccountID, tokens int64)
 	// First notes that the first byte of the answer, or its first event, came.
 	First(ticket uint64)
 	// End notes the end of an attempt; each Place without an error is followed
