Tell an instance that its network is late, and let it rest for that

A router that refused 1,100 requests a second for their account was late with everything for two seconds (lines of the log written 1.4 s late, connections to upstreams given up after 700 ms, 1,640 requests without an answer in time), while its timers fired 0.5 ms late: the runtime serves timers and new connections before it looks at the ones that are open. So the bound did not fall, and the router did not rest.

- A byte through a pipe tells how long events of the network wait; the greater one of the two latenesses counts.
- An instance rests for each sign that it is full: it refuses at its bound, is late, callers go before they are read, or its door is shut.
- The door waits while 64 connections of the last 50 ms have not been read, so that taking connections does not keep the open ones waiting.
- The bound does not fall below a tenth of that of memory.
It fell to 8, since refusals alone made the instance late, and what was left was not served either.

--- a/daemon/front.go
+++ b/daemon/front.go
@@ -184,6 +184,13 @@
 // callers go before their requests are read.
 func (f *front) govern(ctx context.Context) {
 	core := governor.New(f.bounds.requests)
+	echo, err := newEcho()
+	if err != nil {
+		f.daemon.logger.Error("no pipe to measure the lateness of the network", "error", err.Error())
+		return
+	}
+	defer echo.close()
+	go echo.listen()
 	var endedBefore, abandonedBefore, refusedBefore int64
 	var told time.Time
 	for {
@@ -196,8 +203,8 @@
 		running := int(f.relayer.Running())
 		ended, abandoned, refused := f.relayer.Ended()
 		sample := governor.Sample{
-			Late: time.Since(due), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
-			Refused: int(refused - refusedBefore),
+			Late: max(time.Since(due), echo.late()), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
+			Refused: int(refused - refusedBefore), Shut: f.usher.Shut(),
 		}
 		endedBefore, abandonedBefore, refusedBefore = ended, abandoned, refused
 		change := core.Observe(sample)
@@ -217,7 +224,7 @@
 				told = due
 				f.daemon.logger.Info("requests at once are bounded by the processor", "late", core.Late().String(),
 					"abandoned", core.Abandoned(), "running", running, "limit", core.Limit(), "open", f.usher.Open(),
-					"ended", ended, "opened", f.carrier.Counts().Opened)
+					"taken", f.usher.Taken(), "ended", ended, "opened", f.carrier.Counts().Opened)
 			}
 		}
 	}
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -14,8 +14,9 @@
 //
 // A bound alone leaves callers at an instance that refuses them, while others have
 // room: a balancer that keeps a caller at one instance sends it there again and
-// again. An instance that refuses at its bound therefore rests: it asks the
-// balancer for no new connections. What is open stays and is served. It rests for a
+// again. An instance that is full therefore rests: it refuses at its bound, does
+// not carry its requests or takes no more connections, and asks the balancer for
+// no new ones. What is open stays and is served. It rests for a
 // bounded time and works for a while between two rests, so that a fleet of which
 // all instances are full stays reachable.
 //
@@ -66,9 +67,12 @@
 	// bound rises by promptRise requests in a second besides.
 	latePrompt = 3 * time.Millisecond
 	promptRise = 40
-	// least requests are served in any case.
-	least = 8
-	// restAfter is how long an instance refuses at its bound before it rests.
+	// least requests are served in any case, and leastPart of the bound of memory:
+	// below that the processor is busy with refusals, and fewer requests would not
+	// make it prompt.
+	least     = 8
+	leastPart = 0.1
+	// restAfter is how long an instance is full before it rests.
 	restAfter = 200 * time.Millisecond
 	// restLeast is how long it rests at least; balancers take a moment to notice.
 	restLeast = 2500 * time.Millisecond
@@ -76,7 +80,7 @@
 	restMost = 4 * time.Second
 	// workLeast is how long it takes new connections between two rests.
 	workLeast = time.Second
-	// calmAfter is how long nothing was refused at the bound before a rest ends.
+	// calmAfter is how long it was not full before a rest ends.
 	calmAfter = 500 * time.Millisecond
 )
 
@@ -97,6 +101,7 @@
 	Ended     int           // requests, refused ones included
 	Abandoned int           // of them, whose callers had gone before they were read
 	Refused   int           // of them, at the bound
+	Shut      bool          // as many connections are open as there may be
 }
 
 // Core is the state of one instance. It is used by one goroutine at a time.
@@ -109,8 +114,8 @@
 	fellAgo   time.Duration
 	resting   bool
 	turn      time.Duration // since it began or ended to rest
-	refusing  time.Duration // for which it has refused at its bound
-	calm      time.Duration // since it refused last
+	full      time.Duration // for which it has been full
+	calm      time.Duration // since it was full
 }
 
 // New returns a core with the bound of memory; zero is unlimited.
@@ -124,8 +129,12 @@
 	return c
 }
 
-// unlimited stands for no bound; it is far beyond what an instance can hold.
-const unlimited = 1 << 30
+const (
+	// unlimited stands for no bound; it is far beyond what an instance can hold.
+	unlimited = 1 << 30
+	// mostKnown stands for the bound of memory where there is none.
+	mostKnown = 800
+)
 
 // Limit returns the bound.
 func (c *Core) Limit() int { return int(c.limit) }
@@ -146,19 +155,19 @@
 func (c *Core) Resting() bool { return c.resting }
 
 // rest begins or ends a rest.
-func (c *Core) rest(refused int, elapsed time.Duration) {
+func (c *Core) rest(s Sample, elapsed time.Duration) {
 	c.turn += elapsed
 	c.calm += elapsed
-	if refused > 0 {
+	if s.Refused > 0 || s.Shut || c.troubled() && s.Running >= least {
 		c.calm = 0
-		c.refusing += elapsed
+		c.full += elapsed
 	} else if c.calm >= calmAfter {
-		c.refusing = 0
+		c.full = 0
 	}
-	begins := !c.resting && c.refusing >= restAfter && c.turn >= workLeast
+	begins := !c.resting && c.full >= restAfter && c.turn >= workLeast
 	ends := c.resting && (c.turn >= restMost || c.turn >= restLeast && c.calm >= calmAfter)
 	if begins || ends {
-		c.resting, c.turn, c.refusing = begins, 0, 0
+		c.resting, c.turn, c.full = begins, 0, 0
 	}
 }
 
@@ -171,9 +180,9 @@
 	c.ended += (float64(s.Ended) - c.ended) * weight
 	c.abandoned += (float64(s.Abandoned) - c.abandoned) * weight
 	c.fellAgo += elapsed
-	c.rest(s.Refused, elapsed)
+	c.rest(s, elapsed)
 	switch {
-	case (c.late > lateHigh.Seconds() || c.Abandoned() > abandonedHigh) && c.fellAgo >= fallPause:
+	case c.troubled() && c.fellAgo >= fallPause:
 		return c.lower(s.Running)
 	case c.late < lateLow.Seconds() && c.Abandoned() < abandonedLow && c.limit < c.most:
 		return c.raise(s.Running)
@@ -181,19 +190,25 @@
 	return None
 }
 
+// troubled reports whether the processor does not carry the requests.
+func (c *Core) troubled() bool { return c.late > lateHigh.Seconds() || c.Abandoned() > abandonedHigh }
+
 func (c *Core) lower(running int) Change {
 	if running < least {
 		return None // something else keeps the processor busy
 	}
 	c.fellAgo = 0
 	before := c.limit
-	c.limit = max(min(c.limit, float64(running))*fall, least)
+	c.limit = max(min(c.limit, float64(running))*fall, c.least())
 	if before == c.most && c.limit < c.most {
 		return Lowered
 	}
 	return None
 }
 
+// least returns the bound below which it does not fall.
+func (c *Core) least() float64 { return max(min(c.most, mostKnown)*leastPart, least) }
+
 func (c *Core) raise(running int) Change {
 	if float64(running) < c.limit/2 && c.late < lateLow.Seconds()/2 {
 		// The load is gone; the bound is not what keeps it away.
--- a/usher/usher.go
+++ b/usher/usher.go
@@ -13,7 +13,9 @@
 // A flood of new connections waits at the door: at a ceiling no more are taken
 // from the system, which holds them at little cost, until one ends. Nothing is
 // closed for it, since a request may be on its way on any of them; a caller that
-// is not read soon turns to another instance by itself.
+// is not read soon turns to another instance by itself. Connections also wait
+// there while many have been let in a moment ago and not been read: an instance
+// that only takes connections has no time for the ones that it has.
 //
 // # Usage
 //
@@ -33,6 +35,14 @@
 	"time"
 )
 
+const (
+	// unreadMost connections are let in before a first request of theirs is read.
+	unreadMost = 64
+	// unreadFor is how long a connection counts for that; a caller may take its
+	// time.
+	unreadFor = 50 * time.Millisecond
+)
+
 // Limits bound the time between two requests of a connection, and that until
 // the header of its first one has come; zero is unlimited.
 type Limits struct{ Idle, First time.Duration }
@@ -42,7 +52,8 @@
 	most    int
 	ceiling int
 	open    atomic.Int64
-	left    chan struct{} // holds one: a connection has ended
+	taken   atomic.Int64  // connections since the start
+	left    chan struct{} // holds one: a connection has ended, or its first request was read
 
 	mu    sync.Mutex
 	idle  *queue // no further request has come
@@ -70,12 +81,15 @@
 
 // Accept returns the next connection once there is room for it.
 func (d *door) Accept() (net.Conn, error) {
-	for d.usher.ceiling > 0 && d.usher.Open() >= d.usher.ceiling {
+	for d.usher.Shut() || d.usher.unread(time.Now()) >= unreadMost {
+		wait := time.NewTimer(unreadFor)
 		select {
 		case <-d.usher.left:
+		case <-wait.C:
 		case <-d.closed:
 			return nil, net.ErrClosed
 		}
+		wait.Stop()
 	}
 	return d.Listener.Accept()
 }
@@ -91,17 +105,17 @@
 	switch state {
 	case http.StateNew:
 		u.open.Add(1)
+		u.taken.Add(1)
 	case http.StateHijacked, http.StateClosed:
 		u.open.Add(-1)
-		select {
-		case u.left <- struct{}{}:
-		default:
-		}
+		u.signal()
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.idle.remove(connection)
-	u.fresh.remove(connection)
+	if u.fresh.remove(connection) {
+		u.signal()
+	}
 	switch state {
 	case http.StateIdle:
 		u.idle.add(connection)
@@ -110,9 +124,31 @@
 	}
 }
 
+// signal lets the door look for room.
+func (u *Usher) signal() {
+	select {
+	case u.left <- struct{}{}:
+	default:
+	}
+}
+
+// unread returns how many connections were let in a moment ago of which no
+// request has been read.
+func (u *Usher) unread(now time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.fresh.since(now.Add(-unreadFor))
+}
+
 // Open returns the number of open connections.
 func (u *Usher) Open() int { return int(u.open.Load()) }
 
+// Shut reports whether no more connections are let in.
+func (u *Usher) Shut() bool { return u.ceiling > 0 && u.Open() >= u.ceiling }
+
+// Taken returns the number of connections since the start.
+func (u *Usher) Taken() int { return int(u.taken.Load()) }
+
 // Crowded reports whether connections should be closed after their answers.
 func (u *Usher) Crowded() bool { return u.most > 0 && u.Open() > u.most }
 
@@ -141,11 +177,24 @@
 	q.of[connection] = q.order.PushBack(seat{connection, time.Now()})
 }
 
-func (q *queue) remove(connection net.Conn) {
-	if e := q.of[connection]; e != nil {
-		q.order.Remove(e)
-		delete(q.of, connection)
+// remove reports whether the connection was there.
+func (q *queue) remove(connection net.Conn) bool {
+	e := q.of[connection]
+	if e == nil {
+		return false
+	}
+	q.order.Remove(e)
+	delete(q.of, connection)
+	return true
+}
+
+// since returns how many connections have begun to wait after a time.
+func (q *queue) since(at time.Time) int {
+	n := 0
+	for e := q.order.Back(); e != nil && e.Value.(seat).since.After(at); e = e.Prev() {
+		n++
 	}
+	return n
 }
 
 // closeBefore closes the connections that have waited for longer than a limit.
--- a/usher/usher_test.go
+++ b/usher/usher_test.go
@@ -203,3 +203,26 @@
 	is.True(errors.Is(<-ended, net.ErrClosed))
 	is.True(d.Close() != nil) // the socket is closed already
 }
+
+// TestUnread counts the connections of the last moment of which nothing was
+// read.
+func TestUnread(t *testing.T) {
+	is := is.New(t)
+	u := New(0, 0)
+	var connections []net.Conn
+	for range 3 {
+		connection, other := net.Pipe()
+		defer connection.Close()
+		defer other.Close()
+		connections = append(connections, connection)
+		u.Note(connection, http.StateNew)
+	}
+	now := time.Now()
+	is.Equal(u.unread(now.Add(-unreadFor)), 3)
+	u.Note(connections[0], http.StateActive)
+	is.Equal(u.unread(now.Add(-unreadFor)), 2)
+	is.Equal(len(u.left), 1) // the door looks again
+	is.Equal(u.unread(now.Add(2*unreadFor)), 0)
+	u.Note(connections[1], http.StateClosed)
+	is.Equal(u.unread(now.Add(-unreadFor)), 1)
+}
