Keep places at the bound for accounts that hold few

An account that holds less than an eighth of the bound may enter up to an eighth beyond it. The account is looked up once a request, before the bound.

TestOneAccountAtTheBound (three of its cases were refused before), TestFloodLeavesOthersServed (503 before). Foresee is called Check.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -20,6 +20,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -133,6 +134,9 @@
 	states := a.core.Accounts(a.options.Clock.Now(), mostAccounts)
 	a.mu.Unlock()
 	for _, s := range states {
+		if math.IsInf(s.Share, 1) {
+			s.Share = 0 // nobody is bound by a share
+		}
 		a.options.Logger.Info("requests of an account refused", "account", string(s.Account),
 			"full", s.Refusals.Full, "wait", s.Refusals.Wait, "asked", int64(s.Asked), "admitted", int64(s.Admitted),
 			"begun", int64(s.Begun), "fleet", int64(s.Fleet), "share", int64(s.Share))
@@ -190,10 +194,10 @@
 	return placed, nil
 }
 
-// Foresee implements redwingshunt.Placer.
-func (a *Allocator) Foresee(p *redwingshunt.Placement) error {
+// Check implements redwingshunt.Placer.
+func (a *Allocator) Check(p *redwingshunt.Placement) error {
 	a.mu.Lock()
-	refusal := a.core.Foresee(a.options.Clock.Now(), p)
+	refusal := a.core.Check(a.options.Clock.Now(), p)
 	a.mu.Unlock()
 	if refusal != nil {
 		return outcomeOf(refusal)
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -66,7 +66,7 @@
 func (d *Daemon) running() int64 {
 	running := d.listener.Running()
 	if d.front != nil {
-		running += d.front.relayer.Running()
+		running += int64(d.front.relayer.Running())
 	}
 	return running
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -211,9 +211,9 @@
 	return c.take(now, s, p, o), nil
 }
 
-// Foresee returns the refusal that Place would end with, or nil, and books only
-// a refusal.
-func (c *Core) Foresee(now time.Time, p *redwingshunt.Placement) *Refusal {
+// Check returns the refusal that Place would end with, or nil, and books nothing
+// but a refusal.
+func (c *Core) Check(now time.Time, p *redwingshunt.Placement) *Refusal {
 	_, refusal := c.decide(now, c.services[p.Service], p)
 	if refusal != nil {
 		c.ask(now, p)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -393,21 +393,21 @@
 	is.Equal(len(c.Accounts(begin, 5)), 0) // nothing was refused since
 }
 
-// TestForesee foresees what Place does, and books a refusal alone.
-func TestForesee(t *testing.T) {
+// TestCheck tells what Place would do, and books nothing but a refusal.
+func TestCheck(t *testing.T) {
 	is := is.New(t)
 	c := newCore(1)
 	c.Configure(document(60_000))
 	long := about("a")
 	long.Prompt[2].Tokens = 120_000
 	for range 3 {
-		is.True(c.Foresee(begin, long) == nil)
+		is.True(c.Check(begin, long) == nil)
 	}
 	is.Equal(len(c.Loads(begin).GetAccounts()), 0)
 	_, refusal := c.Place(begin, long)
 	is.True(refusal == nil)
-	foreseen := c.Foresee(begin, about("b"))
-	is.Equal(foreseen.Reason, redwingshunt.ReasonQueueFull)
+	refusal = c.Check(begin, about("b"))
+	is.Equal(refusal.Reason, redwingshunt.ReasonQueueFull)
 	states := c.Accounts(begin, 5)
 	is.Equal(states[0].Refusals, Refusals{Wait: 1})
 	is.Equal(states[0].Asked, float64(long.Tokens()+about("b").Tokens())/rateWindow.Seconds())
--- a/relayer/bench_test.go
+++ b/relayer/bench_test.go
@@ -37,7 +37,7 @@
 	refused   []redwingshunt.AccountID
 
 	refusedTokens int64
-	foreseen      error
+	checked       error
 }
 
 func (l *list) Place(p *redwingshunt.Placement) (redwingshunt.Placed, error) {
@@ -51,10 +51,10 @@
 	return redwingshunt.Placed{}, redwingshunt.NotRun(redwingshunt.ReasonNoUpstream, 503, "none is left").After(time.Second)
 }
 
-func (l *list) Foresee(*redwingshunt.Placement) error {
+func (l *list) Check(*redwingshunt.Placement) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.foreseen
+	return l.checked
 }
 
 func (l *list) First(uint64) {}
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -206,7 +206,7 @@
 	b := newBench(t)
 	b.use(b.plain)
 	b.relayer.options.Limit = func() int { return 1 }
-	b.relayer.running.Store(1)
+	b.relayer.running.enter("alpha", 0)
 	answered := make(chan int, 2*refusedAtOnce)
 	for range cap(answered) {
 		connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", b.server.Listener.Addr().String())
@@ -236,5 +236,5 @@
 		is.Equal(<-answered, 503)
 	}
 	is.Equal(b.ask(t, "/safe/a", nil).status, 503)
-	is.Equal(b.relayer.Running(), int64(1))
+	is.Equal(b.relayer.Running(), 1)
 }
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -24,12 +24,12 @@
 // callerCheckAfter is how long a refusal waits before its caller may have gone.
 const callerCheckAfter = 500 * time.Millisecond
 
-// fullLines and foreseenLines are how many refusals of a full instance, and of
-// those that the placer foresees, have a line of the log in a second; the others
+// fullLines and checkedLines are how many refusals of a full instance, and of the
+// placer before the body is read, have a line of the log in a second; the others
 // are counted.
 const (
-	fullLines     = 10
-	foreseenLines = 100
+	fullLines    = 10
+	checkedLines = 100
 )
 
 var (
@@ -51,7 +51,7 @@
 const refusedAtOnce = 4
 
 // refuseFull refuses a request that has only been read as far as its header.
-func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request) {
+func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request, account redwingshunt.AccountID) {
 	arrived := time.Now()
 	r.refused.Add(1)
 	r.refusing <- struct{}{}
@@ -71,7 +71,6 @@
 	w.WriteHeader(errFull.Status)
 	_, _ = w.Write(fullBody) // a caller that left asks another instance anyway
 	skipBody(w)              // the others wait for that
-	account := r.accountOf(request)
 	if account != "" {
 		input, output := parseCount(request.Header.Get(r.options.Dialect.Count))
 		r.options.Placer.Refused(account, redwingshunt.ServiceTokens(input, output))
@@ -87,13 +86,17 @@
 	_ = controller.Flush()
 }
 
-// accountOf returns the client account of a request, or nothing.
-func (r *Relayer) accountOf(request *http.Request) redwingshunt.AccountID {
+// callerOf returns the client account of a request by its key, or nil.
+func (r *Relayer) callerOf(request *http.Request) *redwingshunt.Account {
 	i := r.indexOf()
 	if i == nil {
-		return ""
+		return nil
 	}
-	account := r.accounts.Find(i.snapshot, request.Header.Get(r.options.Dialect.Key))
+	return r.accounts.Find(i.snapshot, request.Header.Get(r.options.Dialect.Key))
+}
+
+// accountName returns the name of an account, or nothing.
+func accountName(account *redwingshunt.Account) redwingshunt.AccountID {
 	if account == nil {
 		return ""
 	}
@@ -111,7 +114,7 @@
 	}
 	r.options.Logger.Warn("request ended", "request", id, "account", string(account), "outcome", string(errFull.Reason), "status", errFull.Status,
 		"promise", string(errFull.Outcome), "detail", errFull.Detail, "after", errFull.RetryAfter,
-		"running", r.running.Load(), "untold", untold)
+		"running", r.running.all(), "untold", untold)
 }
 
 // refusals decides which refusals have a line of the log.
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -25,7 +25,7 @@
 	log := &logger.Memory{}
 	b.relayer.options.Logger = slog.New(slog.NewJSONHandler(log, nil))
 	b.relayer.options.Limit = func() int { return 1 }
-	b.relayer.running.Add(1) // as many as it carries
+	b.relayer.running.enter("alpha", 0) // as many as it carries
 	is.Equal(b.ask(t, "/safe/a", nil).status, 503)
 	eventually(t, func() bool { return strings.Contains(log.String(), `"account":"alpha"`) }) // after the answer
 	is.Equal(b.placer.refused, []redwingshunt.AccountID{"alpha"})
@@ -48,7 +48,7 @@
 			is := is.New(t)
 			b := newBench(t)
 			b.use(b.plain)
-			b.placer.foreseen = redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable, "busy").After(time.Second)
+			b.placer.checked = redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable, "busy").After(time.Second)
 			connection, err := net.Dial("tcp", b.server.Listener.Addr().String())
 			is.NoErr(err)
 			defer connection.Close()
@@ -71,10 +71,62 @@
 				return
 			}
 			b.placer.mu.Lock()
-			b.placer.foreseen = nil
+			b.placer.checked = nil
 			b.placer.mu.Unlock()
 			is.Equal(ask(length).StatusCode, 200)
 			is.Equal(b.plain[0].Body("r1"), int64(length))
 		})
 	}
 }
+
+// TestOneAccountAtTheBound has one account fill an instance. Another one is still
+// served, up to its part of the places that are kept for such accounts.
+func TestOneAccountAtTheBound(t *testing.T) {
+	const limit = 2 * reservePart
+	tests := map[string]struct {
+		alpha, beta int // requests that are served
+		account     redwingshunt.AccountID
+		enters      bool
+	}{
+		"room for all":              {limit - 1, 0, "alpha", true},
+		"full of its own":           {limit, 0, "alpha", false},
+		"full of another's":         {limit, 0, "beta", true},
+		"another one has some":      {limit, 1, "beta", true},
+		"another one has its part":  {limit, 2, "beta", false},
+		"no place is left":          {limit, 2, "gamma", false},
+		"shared evenly, one is low": {limit / 2, limit / 2, "gamma", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var o occupancy
+			for range test.alpha {
+				is.True(o.enter("alpha", 0))
+			}
+			for range test.beta {
+				is.True(o.enter("beta", 0))
+			}
+			is.Equal(o.enter(test.account, limit), test.enters)
+			if test.enters {
+				o.leave(test.account)
+			}
+			is.Equal(o.all(), test.alpha+test.beta)
+		})
+	}
+}
+
+// TestFloodLeavesOthersServed floods an instance with the requests of one account
+// and has another one ask once.
+func TestFloodLeavesOthersServed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	const limit = reservePart
+	b.relayer.options.Limit = func() int { return limit }
+	for range limit {
+		is.True(b.relayer.running.enter("beta", limit))
+	}
+	is.Equal(b.ask(t, "/safe/a", nil).status, 200) // of account alpha
+	is.Equal(b.ask(t, "/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Key", "unknown") }).status, 401)
+	is.True(!b.relayer.running.enter("beta", limit))
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -75,14 +75,14 @@
 	options  Options
 	accounts *authenticator.Authenticator
 	index    atomic.Pointer[index]
-	running  atomic.Int64
+	running  occupancy
 	ended    atomic.Int64
 	held     atomic.Int64 // bytes, of Options.Room
 	// abandoned counts those of ended whose callers had gone before they were read.
 	abandoned atomic.Int64
 	refused   atomic.Int64  // of ended, at the limit
 	refusals  refusals      // at the limit
-	foreseen  refusals      // before the body was read
+	checked   refusals      // before the body was read
 	refusing  chan struct{} // holds one for each refusal of a full instance that is under way
 	leaving   atomic.Bool
 	stopping  atomic.Bool
@@ -121,7 +121,7 @@
 }
 
 // Running returns the number of requests that are being served.
-func (r *Relayer) Running() int64 { return r.running.Load() }
+func (r *Relayer) Running() int { return r.running.all() }
 
 // Ended returns how many requests have ended since the start, of how many of
 // them the callers had gone before they were read, and how many were refused
@@ -170,18 +170,18 @@
 	if r.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	running := r.running.Add(1)
-	if limit := r.limit(); limit > 0 && running > int64(limit) {
-		r.running.Add(-1)
-		r.refuseFull(w, request)
+	caller := r.callerOf(request)
+	account := accountName(caller)
+	if !r.running.enter(account, r.limit()) {
+		r.refuseFull(w, request, account)
 		return
 	}
-	defer r.running.Add(-1)
+	defer r.running.leave(account)
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(r.base, func() { cancel(context.Cause(r.base)) })
 	defer stop()
-	x := &exchange{relayer: r, writer: w, request: request, arrived: time.Now()}
+	x := &exchange{relayer: r, writer: w, request: request, caller: caller, arrived: time.Now()}
 	defer func() { r.held.Add(-x.held) }()
 	err := x.serve(ctx)
 	x.finish(ctx, err)
@@ -192,6 +192,7 @@
 	relayer *Relayer
 	writer  http.ResponseWriter
 	request *http.Request
+	caller  *redwingshunt.Account // by its key; nil when it is not known
 	arrived time.Time
 
 	id        string
@@ -285,7 +286,7 @@
 	if err := x.readHeader(); err != nil {
 		return err
 	}
-	if err := r.options.Placer.Foresee(x.placement(1)); err != nil {
+	if err := r.options.Placer.Check(x.placement(1)); err != nil {
 		x.unread = true
 		return err
 	}
@@ -300,9 +301,11 @@
 // the document, and public ones, ask for none.
 func (x *exchange) authenticate(i *index) error {
 	dialect := x.relayer.options.Dialect
-	account := x.relayer.accounts.Find(i.snapshot, x.request.Header.Get(dialect.Key))
-	if account != nil {
-		x.account = account.Name
+	if x.caller == nil { // the configuration may have come since
+		x.caller = x.relayer.accounts.Find(i.snapshot, x.request.Header.Get(dialect.Key))
+	}
+	if x.caller != nil {
+		x.account = x.caller.Name
 		return nil
 	}
 	if x.route.Public || len(i.snapshot.Document.Accounts) == 0 {
@@ -362,7 +365,7 @@
 	}
 	line, untold := true, 0
 	if x.unread && told != nil {
-		line, untold = x.relayer.foreseen.note(x.arrived, foreseenLines)
+		line, untold = x.relayer.checked.note(x.arrived, checkedLines)
 	}
 	if line {
 		x.log(ctx, outcome, told, err, untold)
--- a/route.go
+++ b/route.go
@@ -116,9 +116,9 @@
 // that says not run.
 type Placer interface {
 	Place(p *Placement) (Placed, error)
-	// Foresee returns the error that Place would return for the first attempt of
+	// Check returns the error that Place would return for the first attempt of
 	// a request, or nil; a request that is refused so is not placed.
-	Foresee(p *Placement) error
+	Check(p *Placement) error
 	// Refused notes a request of an account, for so many tokens, that was refused
 	// before Place since the instance serves as many requests as it carries.
 	Refused(account AccountID, tokens int64)
