Stay withdrawn for the time that is meant, and longer

Withdrawals of 2.5 to 4 s ended after 0.9 to 1.7 s on a router that was late: the lateness of the network counted as time that had passed, in each sample. It is a measure of its own now (TestWithdrawnWhileLate; "network is late" of TestWithdrawsForEachSign).

They last 6 to 8 s instead of 2.5 to 4: balancers need 2 s to notice, and the flood comes back at once.

The words are those of the field: an overloaded instance withdraws from rotation.

--- a/daemon/echo_test.go
+++ b/daemon/echo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -12,18 +13,20 @@
 	is := is.New(t)
 	e, err := newEcho()
 	is.NoErr(err)
-	is.Equal(e.late(), e.took) // none has come back yet
+	is.Equal(e.late(), time.Duration(0)) // none has come back yet
 	first := e.late()
 	is.True(first > 0)
 	is.True(e.late() > first) // still the same byte
 	done := make(chan struct{})
 	go func() { e.listen(); close(done) }()
-	eventually(t, func() bool {
+	took := func() time.Duration {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		return !e.under && e.took >= first
-	})
-	is.Equal(e.late(), e.took)
+		return e.took
+	}
+	eventually(t, func() bool { return took() >= first })
+	came := took()
+	is.Equal(e.late(), came)
 	e.close()
 	<-done
 }
--- a/daemon/front.go
+++ b/daemon/front.go
@@ -48,7 +48,7 @@
 	upstreams atomic.Bool // some were heard of
 	bounds    bounds
 	limit     atomic.Int64 // of requests at once now, within bounds; zero until it is known
-	resting   atomic.Bool  // the balancer is to send new connections elsewhere
+	withdrawn atomic.Bool  // the balancer is to send new connections elsewhere
 }
 
 func newFront(d *Daemon) *front {
@@ -200,16 +200,16 @@
 		if ctx.Err() != nil {
 			return
 		}
-		running := int(f.relayer.Running())
+		running := f.relayer.Running()
 		ended, abandoned, refused := f.relayer.Ended()
 		sample := governor.Sample{
-			Late: max(time.Since(due), echo.late()), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
+			Late: time.Since(due), Network: echo.late(), Running: running, Ended: int(ended - endedBefore), Abandoned: int(abandoned - abandonedBefore),
 			Refused: int(refused - refusedBefore), Shut: f.usher.Shut(),
 		}
 		endedBefore, abandonedBefore, refusedBefore = ended, abandoned, refused
 		change := core.Observe(sample)
-		if resting := core.Resting(); f.resting.Swap(resting) != resting {
-			f.daemon.logger.Info("readiness for new connections changed", "resting", resting, "late", core.Late().String(),
+		if withdrawn := core.Withdrawn(); f.withdrawn.Swap(withdrawn) != withdrawn {
+			f.daemon.logger.Info("readiness for new connections changed", "ready", !withdrawn, "late", core.Late().String(),
 				"running", running, "limit", core.Limit(), "refused", refused, "open", f.usher.Open())
 		}
 		switch change {
@@ -250,8 +250,8 @@
 // serveReady tells a balancer whether to send connections here.
 func (f *front) serveReady(w http.ResponseWriter, _ *http.Request) {
 	reason := f.daemon.Ready()
-	if reason == "" && f.resting.Load() {
-		reason = "the instance serves as many requests as it carries"
+	if reason == "" && f.withdrawn.Load() {
+		reason = "the instance is overloaded"
 	}
 	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
--- a/daemon/front_test.go
+++ b/daemon/front_test.go
@@ -119,9 +119,9 @@
 	eventually(t, func() bool { return ask() == 503 })
 }
 
-// TestRestsWhileItRefuses asks an instance that serves as many requests as it
+// TestNotReadyWhileOverloaded asks an instance that serves as many requests as it
 // carries whether it is ready, until it refuses nothing any more.
-func TestRestsWhileItRefuses(t *testing.T) {
+func TestNotReadyWhileOverloaded(t *testing.T) {
 	is := is.New(t)
 	dialect := redwingshunt.DefaultDialect()
 	settings := testSettings(0, nil)
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -4,21 +4,20 @@
 // caller's connection and changes of the configuration included, while other
 // instances have room.
 //
-// There are two measures. One is how late the timers of the instance fire, since
-// everything else that it does waits just as long. The other is how many callers
-// had gone before their requests were read: connections wait where no timer
-// shows it. While either is high the bound falls by a part of the requests that
-// run, which leaves time to refuse the others at once; while both are low and
-// the bound is reached it rises slowly. Without trouble the bound is that of
-// memory, and the governor does nothing.
+// There are three measures: how late the timers of the instance fire, how long
+// events of its network wait, and how many callers had gone before their requests
+// were read, since connections wait where neither shows it. While one is high the
+// bound falls by a part of the requests that run, which leaves time to refuse the
+// others at once; while all are low and the bound is reached it rises slowly.
+// Without trouble the bound is that of memory, and the governor does nothing.
 //
 // A bound alone leaves callers at an instance that refuses them, while others have
 // room: a balancer that keeps a caller at one instance sends it there again and
-// again. An instance that is full therefore rests: it refuses at its bound, does
-// not carry its requests or takes no more connections, and asks the balancer for
-// no new ones. What is open stays and is served. It rests for a
-// bounded time and works for a while between two rests, so that a fleet of which
-// all instances are full stays reachable.
+// again. An overloaded instance, which refuses at its bound, does not carry its
+// requests or takes no more connections, therefore withdraws from the balancer's
+// rotation for a while. Open connections are served on. Between two withdrawals it
+// is ready for a moment at least, so that a fleet of which all instances are
+// overloaded stays reachable.
 //
 // The core reads no clock; the shell tells it how late its timer was.
 //
@@ -72,15 +71,16 @@
 	// make it prompt.
 	least     = 8
 	leastPart = 0.1
-	// restAfter is how long an instance is full before it rests.
-	restAfter = 200 * time.Millisecond
-	// restLeast is how long it rests at least; balancers take a moment to notice.
-	restLeast = 2500 * time.Millisecond
-	// restMost bounds a rest.
-	restMost = 4 * time.Second
-	// workLeast is how long it takes new connections between two rests.
-	workLeast = time.Second
-	// calmAfter is how long it was not full before a rest ends.
+	// withdrawAfter is how long an instance is overloaded before it withdraws.
+	withdrawAfter = 200 * time.Millisecond
+	// withdrawnLeast is how long it stays withdrawn at least; balancers take two
+	// seconds to notice, and the next instance is to take callers over meanwhile.
+	withdrawnLeast = 6 * time.Second
+	// withdrawnMost bounds a withdrawal.
+	withdrawnMost = 8 * time.Second
+	// readyLeast is how long it is ready between two withdrawals.
+	readyLeast = time.Second
+	// calmAfter is how long it was not overloaded before a withdrawal ends.
 	calmAfter = 500 * time.Millisecond
 )
 
@@ -97,6 +97,7 @@
 // Sample is what the shell saw since its last one.
 type Sample struct {
 	Late      time.Duration // of the timer
+	Network   time.Duration // that its events wait
 	Running   int           // requests at this moment
 	Ended     int           // requests, refused ones included
 	Abandoned int           // of them, whose callers had gone before they were read
@@ -112,10 +113,10 @@
 	ended     float64 // requests, smoothed
 	abandoned float64 // of ended
 	fellAgo   time.Duration
-	resting   bool
-	turn      time.Duration // since it began or ended to rest
-	full      time.Duration // for which it has been full
-	calm      time.Duration // since it was full
+	withdrawn bool
+	turn      time.Duration // since it withdrew or returned
+	loaded    time.Duration // for which it has been overloaded
+	calm      time.Duration // since it was overloaded
 }
 
 // New returns a core with the bound of memory; zero is unlimited.
@@ -125,7 +126,7 @@
 		c.most = unlimited
 	}
 	c.limit = c.most
-	c.turn = workLeast
+	c.turn = readyLeast
 	return c
 }
 
@@ -151,36 +152,36 @@
 	return c.abandoned / c.ended
 }
 
-// Resting reports whether a balancer should send new connections elsewhere.
-func (c *Core) Resting() bool { return c.resting }
+// Withdrawn reports whether a balancer should send new connections elsewhere.
+func (c *Core) Withdrawn() bool { return c.withdrawn }
 
-// rest begins or ends a rest.
-func (c *Core) rest(s Sample, elapsed time.Duration) {
+// withdraw begins or ends a withdrawal.
+func (c *Core) withdraw(s Sample, elapsed time.Duration) {
 	c.turn += elapsed
 	c.calm += elapsed
 	if s.Refused > 0 || s.Shut || c.troubled() && s.Running >= least {
 		c.calm = 0
-		c.full += elapsed
+		c.loaded += elapsed
 	} else if c.calm >= calmAfter {
-		c.full = 0
+		c.loaded = 0
 	}
-	begins := !c.resting && c.full >= restAfter && c.turn >= workLeast
-	ends := c.resting && (c.turn >= restMost || c.turn >= restLeast && c.calm >= calmAfter)
+	begins := !c.withdrawn && c.loaded >= withdrawAfter && c.turn >= readyLeast
+	ends := c.withdrawn && (c.turn >= withdrawnMost || c.turn >= withdrawnLeast && c.calm >= calmAfter)
 	if begins || ends {
-		c.resting, c.turn, c.full = begins, 0, 0
+		c.withdrawn, c.turn, c.loaded = begins, 0, 0
 	}
 }
 
 // Observe takes a sample.
 func (c *Core) Observe(s Sample) Change {
-	late := min(s.Late, lateMost)
-	elapsed := Period + late
+	late := min(max(s.Late, s.Network), lateMost)
+	elapsed := Period + min(s.Late, lateMost)
 	weight := -math.Expm1(-elapsed.Seconds() / smoothing.Seconds())
 	c.late += (late.Seconds() - c.late) * weight
 	c.ended += (float64(s.Ended) - c.ended) * weight
 	c.abandoned += (float64(s.Abandoned) - c.abandoned) * weight
 	c.fellAgo += elapsed
-	c.rest(s, elapsed)
+	c.withdraw(s, elapsed)
 	switch {
 	case c.troubled() && c.fellAgo >= fallPause:
 		return c.lower(s.Running)
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -245,7 +245,7 @@
 				load += rate / 2
 			}
 			r.play(load, pollPeriod)
-			if r.core.Resting() {
+			if r.core.Withdrawn() {
 				z.missed[i]++
 			} else {
 				z.missed[i] = 0
@@ -277,8 +277,8 @@
 	is.True(first >= second/2)
 }
 
-// TestRest checks when an instance asks for no new connections.
-func TestRest(t *testing.T) {
+// TestWithdrawal checks when an instance withdraws from rotation and returns.
+func TestWithdrawal(t *testing.T) {
 	// samples are given as counts of samples with and without a refusal in turn.
 	samples := func(c *Core, counts ...int) {
 		for i, n := range counts {
@@ -289,37 +289,53 @@
 	}
 	periods := func(d time.Duration) int { return int(d / Period) }
 	tests := map[string]struct {
-		counts  []int
-		resting bool
+		counts    []int
+		withdrawn bool
 	}{
-		"one refusal":                {[]int{1}, false},
-		"refusals go on":             {[]int{periods(restAfter)}, true},
-		"single ones far apart":      {[]int{1, periods(calmAfter), 1, periods(calmAfter), 1, periods(calmAfter), 1}, false},
-		"rests for a while":          {[]int{periods(restAfter), periods(restLeast) - 1}, true},
-		"ends when nothing comes":    {[]int{periods(restAfter), periods(restLeast)}, false},
-		"ends although refusals go":  {[]int{periods(restAfter) + periods(restMost)}, false},
-		"works for a while":          {[]int{periods(restAfter) + periods(restMost) + periods(workLeast) - 1}, false},
-		"rests again when they stay": {[]int{periods(restAfter) + periods(restMost) + periods(workLeast)}, true},
+		"one refusal":               {[]int{1}, false},
+		"refusals go on":            {[]int{periods(withdrawAfter)}, true},
+		"single ones far apart":     {[]int{1, periods(calmAfter), 1, periods(calmAfter), 1, periods(calmAfter), 1}, false},
+		"withdrawn for a while":     {[]int{periods(withdrawAfter), periods(withdrawnLeast) - 1}, true},
+		"ends when nothing comes":   {[]int{periods(withdrawAfter), periods(withdrawnLeast)}, false},
+		"ends although refusals go": {[]int{periods(withdrawAfter) + periods(withdrawnMost)}, false},
+		"ready for a while":         {[]int{periods(withdrawAfter) + periods(withdrawnMost) + periods(readyLeast) - 1}, false},
+		"again when they go on":     {[]int{periods(withdrawAfter) + periods(withdrawnMost) + periods(readyLeast)}, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := New(100)
 			samples(c, test.counts...)
-			is.Equal(c.Resting(), test.resting)
+			is.Equal(c.Withdrawn(), test.withdrawn)
 		})
 	}
 }
 
-// TestRestsUnderEachPressure rests for each sign that an instance is full.
-func TestRestsUnderEachPressure(t *testing.T) {
+// TestWithdrawnWhileLate stays withdrawn for its time, however late the network
+// is meanwhile.
+func TestWithdrawnWhileLate(t *testing.T) {
+	is := is.New(t)
+	c := New(100)
+	late := Sample{Running: 50, Refused: 10, Network: lateMost}
+	for !c.Withdrawn() {
+		c.Observe(late)
+	}
+	for range int(withdrawnLeast/Period) - 1 {
+		c.Observe(late)
+		is.True(c.Withdrawn())
+	}
+}
+
+// TestWithdrawsForEachSign withdraws for each sign of overload.
+func TestWithdrawsForEachSign(t *testing.T) {
 	tests := map[string]struct {
-		sample  Sample
-		resting bool
+		sample    Sample
+		withdrawn bool
 	}{
 		"nothing":         {Sample{Running: 50, Ended: 30}, false},
 		"refuses":         {Sample{Running: 50, Ended: 30, Refused: 10}, true},
 		"timers are late": {Sample{Running: 50, Ended: 30, Late: 200 * time.Millisecond}, true},
+		"network is late": {Sample{Running: 50, Ended: 30, Network: 200 * time.Millisecond}, true},
 		"callers leave":   {Sample{Running: 50, Ended: 30, Abandoned: 3}, true},
 		"door is shut":    {Sample{Running: 50, Ended: 30, Shut: true}, true},
 		"late by itself":  {Sample{Running: 2, Late: 200 * time.Millisecond}, false},
@@ -328,12 +344,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := New(100)
-			rested := false
+			withdrew := false
 			for range 20 {
 				c.Observe(test.sample)
-				rested = rested || c.Resting()
+				withdrew = withdrew || c.Withdrawn()
 			}
-			is.Equal(rested, test.resting)
+			is.Equal(withdrew, test.withdrawn)
 		})
 	}
 }
