Share the places of an instance between accounts by what is free

An eighth kept for accounts that hold few leaves the rest to who came first.

An account may hold at most eight times the free places (dynamic thresholds): one alone holds 8 of 9 places, two that flood 8 of 17 each whatever their rates, and there is always a place for accounts that hold few.

--- a/relayer/occupancy.go
+++ b/relayer/occupancy.go
@@ -8,9 +8,10 @@
 	"github.com/redwingshunt/redwingshunt"
 )
 
-// reservePart is the part of the limit that is kept for accounts that hold less
-// than it: one account that fills an instance does not shut out the others.
-const reservePart = 8
+// freeTimes is how many times the free places an account may hold: one that
+// sends most holds 8 of 9 places, two of them 8 of 17 each, and there is a place
+// for accounts that hold few. (Dynamic thresholds, as of shared buffers.)
+const freeTimes = 8
 
 // occupancy counts the requests that are served, by account.
 type occupancy struct {
@@ -19,13 +20,12 @@
 	total int
 }
 
-// enter takes a place for a request of an account, unless a limit of all places
-// allows none; zero is unlimited.
+// enter takes a place for a request of an account, unless all places of a limit
+// are taken or the account holds too many; zero is unlimited.
 func (o *occupancy) enter(account redwingshunt.AccountID, limit int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	reserve := limit / reservePart
-	if limit > 0 && o.total >= limit && (o.total >= limit+reserve || o.of[account] >= reserve) {
+	if limit > 0 && o.of[account] >= freeTimes*(limit-o.total) {
 		return false
 	}
 	if o.of == nil {
