Send callers of a full instance back when the balancer has turned

A caller that a full instance refused was told to come back after 0.1 s.

Callers are told times from 1 to 2.5 s, 16 of them in turn.

TestReturnTimes: one time for all before.

--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -13,9 +13,14 @@
 	"github.com/redwingshunt/redwingshunt/responder"
 )
 
-// fullAfter is when a caller may come back that met an instance that is full;
-// other instances may serve it at once.
-const fullAfter = 100 * time.Millisecond
+// A caller that met a full instance may come back between fullAfter and
+// fullAfter+fullSpread: a balancer needs so long to send it to another instance,
+// and callers are not to return together.
+const (
+	fullAfter  = time.Second
+	fullSpread = 1500 * time.Millisecond
+	fullSteps  = 16 // times in between
+)
 
 // bodyRestTimeout bounds the rest of the body of a refused request; a connection on
 // which it takes longer is closed after the refusal.
@@ -41,10 +46,23 @@
 		"Content-Length":           {strconv.Itoa(len(fullBody))},
 		redwingshunt.HeaderOutcome: {string(errFull.Outcome)},
 		redwingshunt.HeaderReason:  {string(errFull.Reason)},
-		"Retry-After":              {retryAfter(fullAfter)},
 	}
+	// fullReturns are the values of Retry-After, used in turn.
+	fullReturns = returnTimes()
 )
 
+// returnTimes returns the times at which callers may come back, in an order in
+// which neighbours are apart.
+func returnTimes() [fullSteps][]string {
+	const stride = 7 // has no divisor in common with fullSteps
+	var times [fullSteps][]string
+	for i := range times {
+		step := time.Duration(i * stride % fullSteps)
+		times[i] = []string{retryAfter(fullAfter + step*fullSpread/fullSteps)}
+	}
+	return times
+}
+
 // refusedAtOnce is how many refusals of a full instance are under way at the
 // same moment. The others wait in their order, so that what has been admitted,
 // and the ends of callers, get the processor before them.
@@ -53,7 +71,7 @@
 // refuseFull refuses a request that has only been read as far as its header.
 func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request, account redwingshunt.AccountID) {
 	arrived := time.Now()
-	r.refused.Add(1)
+	number := r.refused.Add(1)
 	r.refusing <- struct{}{}
 	defer func() { <-r.refusing }()
 	if time.Since(arrived) > callerCheckAfter && callerGone(request.Context()) {
@@ -65,6 +83,7 @@
 	for name, value := range fullHeader {
 		header[name] = value
 	}
+	header["Retry-After"] = fullReturns[number%fullSteps]
 	if id != "" {
 		header.Set(r.options.Dialect.Request, id)
 	}
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -152,3 +153,18 @@
 	is.Equal(b.ask(t, "/safe/a", nil).status, 200) // of account alpha
 	is.True(!b.relayer.running.enter("beta", limit))
 }
+
+// TestReturnTimes spreads the times at which refused callers come back.
+func TestReturnTimes(t *testing.T) {
+	is := is.New(t)
+	seen := redwingshunt.NewSet[string]()
+	for _, value := range returnTimes() {
+		is.Equal(len(value), 1)
+		seconds, err := strconv.ParseFloat(value[0], 64)
+		is.NoErr(err)
+		after := time.Duration(seconds * float64(time.Second))
+		is.True(after >= fullAfter && after < fullAfter+fullSpread)
+		seen.Add(value[0])
+	}
+	is.Equal(len(seen), fullSteps)
+}
