--- a/daemon/front.go
+++ b/daemon/front.go
@@ -184,6 +184,7 @@
 // callers go before their requests are read.
 func (f *front) govern(ctx context.Context) {
 	core := governor.New(f.bounds.requests)
+	f.limit.Store(int64(core.Limit()))
 	echo, err := newEcho()
 	if err != nil {
 		f.daemon.logger.Error("no pipe to measure the lateness of the network", "error", err.Error())
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -51,14 +51,20 @@
 	fullReturns = returnTimes()
 )
 
+// returnTime is when a caller may come back, and the header that tells it.
+type returnTime struct {
+	after  time.Duration
+	header []string
+}
+
 // returnTimes returns the times at which callers may come back, in an order in
 // which neighbours are apart.
-func returnTimes() [fullSteps][]string {
+func returnTimes() [fullSteps]returnTime {
 	const stride = 7 // has no divisor in common with fullSteps
-	var times [fullSteps][]string
+	var times [fullSteps]returnTime
 	for i := range times {
-		step := time.Duration(i * stride % fullSteps)
-		times[i] = []string{retryAfter(fullAfter + step*fullSpread/fullSteps)}
+		after := fullAfter + time.Duration(i*stride%fullSteps)*fullSpread/fullSteps
+		times[i] = returnTime{after, []string{retryAfter(after)}}
 	}
 	return times
 }
@@ -71,7 +77,7 @@
 // refuseFull refuses a request that has only been read as far as its header.
 func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request, account redwingshunt.AccountID) {
 	arrived := time.Now()
-	number := r.refused.Add(1)
+	back := &fullReturns[r.refused.Add(1)%fullSteps]
 	r.refusing <- struct{}{}
 	defer func() { <-r.refusing }()
 	if time.Since(arrived) > callerCheckAfter && callerGone(request.Context()) {
@@ -83,7 +89,7 @@
 	for name, value := range fullHeader {
 		header[name] = value
 	}
-	header["Retry-After"] = fullReturns[number%fullSteps]
+	header["Retry-After"] = back.header
 	if id != "" {
 		header.Set(r.options.Dialect.Request, id)
 	}
@@ -94,7 +100,7 @@
 		input, output := parseCount(request.Header.Get(r.options.Dialect.Count))
 		r.options.Placer.Refused(account, redwingshunt.ServiceTokens(input, output))
 	}
-	r.noteRefusal(arrived, id, account)
+	r.noteRefusal(arrived, id, account, back.after)
 }
 
 // skipBody sends the answer to a request of which the body was not read, and
@@ -123,7 +129,7 @@
 }
 
 // noteRefusal counts a refusal and writes its line, if it has one.
-func (r *Relayer) noteRefusal(arrived time.Time, id string, account redwingshunt.AccountID) {
+func (r *Relayer) noteRefusal(arrived time.Time, id string, account redwingshunt.AccountID, after time.Duration) {
 	if r.options.Observe != nil {
 		r.options.Observe(Record{Outcome: string(errFull.Reason), Total: time.Since(arrived)})
 	}
@@ -132,7 +138,7 @@
 		return
 	}
 	r.options.Logger.Warn("request ended", "request", id, "account", string(account), "outcome", string(errFull.Reason), "status", errFull.Status,
-		"promise", string(errFull.Outcome), "detail", errFull.Detail, "after", errFull.RetryAfter,
+		"promise", string(errFull.Outcome), "detail", errFull.Detail, "after", after,
 		"running", r.running.all(), "untold", untold)
 }
 
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -158,13 +157,10 @@
 func TestReturnTimes(t *testing.T) {
 	is := is.New(t)
 	seen := redwingshunt.NewSet[string]()
-	for _, value := range returnTimes() {
-		is.Equal(len(value), 1)
-		seconds, err := strconv.ParseFloat(value[0], 64)
-		is.NoErr(err)
-		after := time.Duration(seconds * float64(time.Second))
-		is.True(after >= fullAfter && after < fullAfter+fullSpread)
-		seen.Add(value[0])
+	for _, back := range returnTimes() {
+		is.True(back.after >= fullAfter && back.after < fullAfter+fullSpread)
+		is.Equal(back.header, []string{retryAfter(back.after)})
+		seen.Add(back.header[0])
 	}
 	is.Equal(len(seen), fullSteps)
 }
