Take admissions that did not begin off the books of an account

An attempt that ends without a first event is taken off, as far as it still counts; each attempt is booked, so that one sent again counts once it begins.

TestUnservedIsNotCounted: five of seven cases fail before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -115,7 +115,7 @@
 type ticket struct {
 	upstream  *upstream
 	account   redwingshunt.AccountID
-	tokens    int64 // that count for the account; zero for a repeat
+	tokens    int64 // that count for the account, taken back unless they begin
 	unread    int64 // prompt tokens until the first event
 	memory    int64
 	placed    time.Time
@@ -205,9 +205,6 @@
 		c.noteRefusal(p, refusal)
 		return redwingshunt.Placed{}, refusal
 	}
-	if p.Attempt <= 1 {
-		c.shares.admit(now, p.Account, tokensOf(p))
-	}
 	return c.take(now, s, p, o), nil
 }
 
@@ -279,11 +276,9 @@
 func (c *Core) take(now time.Time, s *service, p *redwingshunt.Placement, o option) redwingshunt.Placed {
 	c.next++
 	t := &ticket{
-		upstream: o.upstream, account: p.Account, placed: now, predicted: o.wait + o.read + o.trip,
-	}
-	if p.Attempt <= 1 {
-		t.tokens = tokensOf(p)
+		upstream: o.upstream, account: p.Account, tokens: tokensOf(p), placed: now, predicted: o.wait + o.read + o.trip,
 	}
+	c.shares.admit(now, t.account, t.tokens)
 	if s.model {
 		t.unread, t.memory = o.unread, p.Tokens()+p.Output
 		o.upstream.keep(p.Prompt, now, partsLimit(s))
@@ -313,6 +308,13 @@
 		return
 	}
 	delete(c.tickets, number)
+	c.end(now, t, end)
+}
+
+func (c *Core) end(now time.Time, t *ticket, end redwingshunt.PlacementEnd) {
+	if !t.begun {
+		c.shares.withhold(now, t.placed, t.account, t.tokens)
+	}
 	t.upstream.end(t, now, end)
 }
 
@@ -324,7 +326,7 @@
 	for number, t := range c.tickets {
 		if now.Sub(t.placed) > ticketLife {
 			delete(c.tickets, number)
-			t.upstream.end(t, now, redwingshunt.EndLeft)
+			c.end(now, t, redwingshunt.EndLeft)
 		}
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -412,3 +412,43 @@
 	is.Equal(states[0].Refusals, Refusals{Wait: 1})
 	is.Equal(states[0].Asked, float64(long.Tokens()+about("b").Tokens())/rateWindow.Seconds())
 }
+
+// TestUnservedIsNotCounted admits requests of an account that their upstreams do
+// not begin. Once they have ended, the account has had what began, and no more.
+func TestUnservedIsNotCounted(t *testing.T) {
+	tests := map[string]struct {
+		ends   []redwingshunt.PlacementEnd // of the attempts, one after the other
+		begins bool                        // the last one
+		later  time.Duration               // between placing and end
+		want   float64                     // requests
+	}{
+		"refused":                  {[]redwingshunt.PlacementEnd{redwingshunt.EndRefused}, false, 0, 0},
+		"lost after a while":       {[]redwingshunt.PlacementEnd{redwingshunt.EndLost}, false, time.Second, 0},
+		"caller left":              {[]redwingshunt.PlacementEnd{redwingshunt.EndLeft}, false, 100 * time.Millisecond, 0},
+		"begun and broken":         {[]redwingshunt.PlacementEnd{redwingshunt.EndFailed}, true, 0, 1},
+		"refused, then begun":      {[]redwingshunt.PlacementEnd{redwingshunt.EndRefused, redwingshunt.EndComplete}, true, 0, 1},
+		"refused, then lost":       {[]redwingshunt.PlacementEnd{redwingshunt.EndRefused, redwingshunt.EndLost}, false, 0, 0},
+		"lost twice, long between": {[]redwingshunt.PlacementEnd{redwingshunt.EndLost, redwingshunt.EndLost}, false, 3 * time.Second, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(4)
+			now := begin
+			for i, end := range test.ends {
+				p := about("a")
+				p.Attempt = i + 1
+				placed, refusal := c.Place(now, p)
+				is.True(refusal == nil)
+				if test.begins && i == len(test.ends)-1 {
+					c.First(now, placed.Ticket)
+				}
+				now = now.Add(test.later)
+				c.End(now, placed.Ticket, end)
+			}
+			had := c.shares.of("alpha").admitted.get(now)
+			want := test.want * float64(about("a").Tokens()) / rateWindow.Seconds()
+			is.True(had > want-1 && had < want+1)
+		})
+	}
+}
--- a/placer/shares.go
+++ b/placer/shares.go
@@ -30,6 +30,13 @@
 	r.at = now
 }
 
+// take takes off what was added at a time before, as far as it still counts.
+func (r *rate) take(now, added time.Time, tokens int64) {
+	left := math.Exp(-now.Sub(added).Seconds() / rateWindow.Seconds())
+	r.value = max(r.get(now)-float64(tokens)/rateWindow.Seconds()*left, 0)
+	r.at = now
+}
+
 func (r *rate) get(now time.Time) float64 {
 	if r.at.IsZero() {
 		return 0
@@ -85,6 +92,11 @@
 	s.of(account).asked.add(now, tokens)
 }
 
+// withhold takes an admission back that was not served.
+func (s *shares) withhold(now, admitted time.Time, account redwingshunt.AccountID, tokens int64) {
+	s.of(account).admitted.take(now, admitted, tokens)
+}
+
 func (s *shares) begin(now time.Time, account redwingshunt.AccountID, tokens int64) {
 	s.of(account).begun.add(now, tokens)
 }
