Rest before an instance that refuses connections is dialled again

An instance with a message for one that was killed dialled it without a pause: 5,285 times in two seconds on a loopback, as long as the port refused. The message stayed at the head of its queue and came late when the other one was back, the others behind it waited, and the prober was not told.

Cause: the error of opening a stream was built around the cause of the context, which is nil while the context goes on. Wrapping nil is nil, so a refused connection looked like a stream that had ended in order. Ruled out: the backoff itself, which works for streams that break later, and gRPC's own, which ends with each connection of ours.

Found by peers that send bytes that are no protocol without end, where the same happened. TestRefusedConnection and the case of no protocol hang before (nothing is dropped or lost); both pass now. The other cases of TestPeerSendsWithoutEnd pass before and after.

--- /dev/null
+++ b/linker/endless_test.go
@@ -0,0 +1,113 @@
+package linker
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// Frame types and flags of HTTP/2.
+const (
+	frameData         = 0x0
+	frameHeaders      = 0x1
+	frameSettings     = 0x4
+	framePing         = 0x6
+	frameContinuation = 0x9
+)
+
+func frame(kind byte, stream uint32, payload string) string {
+	head := make([]byte, 9)
+	binary.BigEndian.PutUint32(head, uint32(len(payload))<<8|uint32(kind))
+	binary.BigEndian.PutUint32(head[5:], stream)
+	return string(head) + payload
+}
+
+// literal is a header field of HPACK that is not indexed, with a long value.
+func literal() string {
+	return "\x00\x03x-y\x7f\x81\x1e" + strings.Repeat("z", 4000)
+}
+
+var endless = map[string]struct{ first, again string }{
+	"no protocol":       {"", strings.Repeat("x", 4000)},
+	"pings":             {frame(frameSettings, 0, ""), frame(framePing, 0, "12345678")},
+	"settings":          {"", frame(frameSettings, 0, "")},
+	"one header":        {frame(frameSettings, 0, "") + frame(frameHeaders, 1, literal()), frame(frameContinuation, 1, literal())},
+	"data of no stream": {frame(frameSettings, 0, ""), frame(frameData, 7, strings.Repeat("x", 4000))},
+}
+
+// TestPeerSendsWithoutEnd dials a peer that sends bytes without end which
+// acknowledge nothing: the link is given up and its connection closed.
+func TestPeerSendsWithoutEnd(t *testing.T) {
+	for name, test := range endless {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer socket.Close()
+			closed := make(chan struct{}, 1000)
+			go func() {
+				for {
+					connection, err := socket.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						flood(connection, test.first, test.again)
+						closed <- struct{}{}
+					}()
+				}
+			}()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			lost := make(chan redwingshunt.InstanceID, 100)
+			sender := newLinker("a", netip.MustParseAddrPort(socket.Addr().String()), func(id redwingshunt.InstanceID) { lost <- id })
+			sender.Send("b", redwingshunt.Message{Kind: redwingshunt.KindDemand, Payload: []byte("x")})
+			is.Equal(<-lost, redwingshunt.InstanceID("b"))
+			<-closed
+			sender.Close()
+			runtime.ReadMemStats(&after)
+			is.True(after.HeapInuse < before.HeapInuse+16<<20)
+		})
+	}
+}
+
+// flood sends the one text and then the other until the connection is closed.
+func flood(connection net.Conn, first, again string) {
+	defer connection.Close()
+	go func() { // what the other end sends is not of interest
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := connection.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	for text := first; ; text = again {
+		if _, err := connection.Write([]byte(text)); err != nil {
+			return
+		}
+	}
+}
+
+// TestRefusedConnection has nobody listen at the address of a peer: what waits
+// for it is dropped, and the next try comes after a rest.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := netip.MustParseAddrPort(socket.Addr().String())
+	is.NoErr(socket.Close())
+	lost := make(chan redwingshunt.InstanceID, 10)
+	sender := newLinker("a", address, func(id redwingshunt.InstanceID) { lost <- id })
+	defer sender.Close()
+	sender.Send("b", redwingshunt.Message{Kind: redwingshunt.KindDemand, Payload: []byte("x")})
+	is.Equal(<-lost, redwingshunt.InstanceID("b"))
+	is.Equal(sender.Traffic()[0].Dropped, uint64(1))
+}
--- a/linker/peer.go
+++ b/linker/peer.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync/atomic"
@@ -136,7 +137,8 @@
 	s.opening.Store(true)
 	exchange, err := wire.NewInstancesClient(connection).Exchange(ctx)
 	if err != nil {
-		return false, trace.Wrap(context.Cause(ctx), "opening a stream: %v", err)
+		// Without a cause the context has not ended, and the error stands for itself.
+		return false, trace.Wrap(cmp.Or(context.Cause(ctx), err), "opening a stream")
 	}
 	p.linker.wait.Go(func() { s.acknowledgements(exchange) })
 	err = p.pump(ctx, s, exchange)
