Count only new acknowledgements as progress of a link

A peer that repeated an old acknowledgement kept a link alive that carried nothing any more: each one restarted the watchdog. Messages to it waited without end, and no new link was tried.

An acknowledgement restarts it now when it is above the last one and of a frame that was sent. TestRepeatedAcknowledgementIsNoProgress hangs before.

--- a/linker/endless_test.go
+++ b/linker/endless_test.go
@@ -7,10 +7,13 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // Frame types and flags of HTTP/2.
@@ -111,3 +114,41 @@
 	is.Equal(<-lost, redwingshunt.InstanceID("b"))
 	is.Equal(sender.Traffic()[0].Dropped, uint64(1))
 }
+
+// stale acknowledges the first frame again and again, and no other.
+type stale struct {
+	wire.UnimplementedInstancesServer
+}
+
+func (stale) Exchange(stream wire.Instances_ExchangeServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	for stream.Context().Err() == nil {
+		if err := stream.Send(&wire.Acknowledgement{Sequence: first.GetSequence()}); err != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+// TestRepeatedAcknowledgementIsNoProgress has a peer acknowledge the first frame
+// without end, and never the second.
+func TestRepeatedAcknowledgementIsNoProgress(t *testing.T) {
+	is := is.New(t)
+	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := grpc.NewServer()
+	wire.RegisterInstancesServer(server, stale{})
+	go func() { _ = server.Serve(socket) }()
+	defer server.Stop()
+	lost := make(chan redwingshunt.InstanceID, 10)
+	sender := newLinker("a", netip.MustParseAddrPort(socket.Addr().String()), func(id redwingshunt.InstanceID) { lost <- id })
+	defer sender.Close()
+	for range 2 {
+		sender.Send("b", redwingshunt.Message{Kind: redwingshunt.KindDemand, Payload: []byte("x")})
+	}
+	is.Equal(<-lost, redwingshunt.InstanceID("b"))
+}
--- a/linker/peer.go
+++ b/linker/peer.go
@@ -215,7 +215,10 @@
 			s.cancel(trace.Wrap(err, "receiving acknowledgements"))
 			return
 		}
-		s.acked.Store(ack.GetSequence())
-		s.watchdog.Reset(progressDeadline)
+		// Neither a repeated acknowledgement nor one of what was not sent is progress.
+		if n := ack.GetSequence(); n > s.acked.Load() && n <= s.sent.Load() {
+			s.acked.Store(n)
+			s.watchdog.Reset(progressDeadline)
+		}
 	}
 }
