Heed upstreams that say they leave, on requests by service too

An upstream that told with its answers that it takes no new work went on to get some by the fleet's own interface until it left by an announcement or its time to live ended; only routes heeded the header.

Each answer to this request is looked at now, errors and refusals included, and the directory is told as by an announced leave. An answer that names another request counts for nothing. Left: Retry-After of a 503 is heeded on routes alone.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -187,7 +187,7 @@
 	})
 	d.guarantees = newGuarantees(d.log(), d.members, d.linker, d.configured)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
-		Scheduler: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
+		Scheduler: d.scheduling, Directory: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
 	})
 	d.enroller = enroller.New(enroller.Options{
 		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -106,6 +106,7 @@
 	if err := a.checkID(response); err != nil {
 		return err
 	}
+	a.heed(response)
 	if notBegun(response) {
 		return redwingshunt.NotRun(redwingshunt.ReasonUpstreamRefused, http.StatusServiceUnavailable,
 			"the upstream refused the request before it began").After(redwingshunt.RetrySoon)
@@ -116,6 +117,14 @@
 	return a.copyWhole(ctx, response)
 }
 
+// heed tells that the upstream takes no new work, if its answer says so.
+func (a *attempt) heed(response *http.Response) {
+	options := &a.dispatcher.options
+	if options.Directory != nil && redwingshunt.DefaultDialect().SaysLeaving(response.Header) {
+		options.Directory.Leave(a.grant.Upstream.Key())
+	}
+}
+
 func (a *attempt) transport() http.RoundTripper {
 	a.alone = a.exchange.Request.Once || !a.dispatcher.echoes.has(a.grant.Upstream.Address)
 	if a.alone {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,7 +41,8 @@
 // Options configure a Dispatcher.
 type Options struct {
 	Scheduler redwingshunt.Scheduler
-	Suspects  redwingshunt.Suspects // nil when none are remembered
+	Directory redwingshunt.Directory // told of upstreams that leave; may be nil
+	Suspects  redwingshunt.Suspects  // nil when none are remembered
 	Logger    *slog.Logger
 }
 
