Close a refused connection in order when its body comes late

The connection of a refused request was reset when its body was not read within 50 ms: the server closes at once then, and what still comes, or lies unread, makes the system send a reset, which may overtake the refusal. A caller sees a connection that ends without an answer. On an instance that is late by more than 50 ms that also happens to bodies that have come, since the time is looked at before the bytes.

The answer is followed by the end of the stream, and what comes is dropped until the caller closes, a second or 1 MiB at most; no place is held meanwhile.

--- a/relayer/headers.go
+++ b/relayer/headers.go
@@ -81,6 +81,6 @@
 	x.status = err.Status
 	responder.Write(x.writer, err, x.id)
 	if x.unread {
-		skipBody(x.writer)
+		x.partial = !skipBody(x.writer, x.request)
 	}
 }
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -4,6 +4,8 @@
 // brings thousands of them a second, so each costs as little as can be.
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,8 +25,13 @@
 )
 
 // bodyRestTimeout bounds the rest of the body of a refused request; a connection on
-// which it takes longer is closed after the refusal.
-const bodyRestTimeout = 50 * time.Millisecond
+// which it takes longer is closed after the refusal, once the caller has closed it
+// or after lingerTime or lingerMost bytes.
+const (
+	bodyRestTimeout = 50 * time.Millisecond
+	lingerTime      = time.Second
+	lingerMost      = 1 << 20 // bytes
+)
 
 // callerCheckAfter is how long a refusal waits before its caller may have gone.
 const callerCheckAfter = 500 * time.Millisecond
@@ -74,8 +81,9 @@
 // and the ends of callers, get the processor before them.
 const refusedAtOnce = 4
 
-// refuseFull refuses a request that has only been read as far as its header.
-func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request, account redwingshunt.AccountID) {
+// refuseFull refuses a request that has only been read as far as its header. It
+// reports whether the rest was read.
+func (r *Relayer) refuseFull(w http.ResponseWriter, request *http.Request, account redwingshunt.AccountID) bool {
 	arrived := time.Now()
 	back := &fullReturns[r.refused.Add(1)%fullSteps]
 	r.refusing <- struct{}{}
@@ -94,21 +102,39 @@
 		header.Set(r.options.Dialect.Request, id)
 	}
 	w.WriteHeader(errFull.Status)
-	_, _ = w.Write(fullBody) // a caller that left asks another instance anyway
-	skipBody(w)              // the others wait for that
+	_, _ = w.Write(fullBody)      // a caller that left asks another instance anyway
+	whole := skipBody(w, request) // the others wait for that
 	if account != "" {
 		input, output := parseCount(request.Header.Get(r.options.Dialect.Count))
 		r.options.Placer.Refused(account, redwingshunt.ServiceTokens(input, output))
 	}
 	r.noteRefusal(arrived, id, account, back.after)
+	return whole
 }
 
 // skipBody sends the answer to a request of which the body was not read, and
-// reads what is left of it.
-func skipBody(w http.ResponseWriter) {
+// reads what is left of it. It reports whether that was all.
+func skipBody(w http.ResponseWriter, request *http.Request) bool {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyRestTimeout)) // not on a recorded response
 	_ = controller.Flush()
+	_, err := request.Body.Read(make([]byte, 1))
+	return err == io.EOF || err == http.ErrBodyReadAfterClose // the server closes a body that it has read
+}
+
+// linger ends the answer on a connection that is about to be closed and drops what
+// comes until the caller closes it too. Closed at once, a connection on which more
+// comes is reset, and the answer may be lost.
+func linger(request *http.Request) {
+	connection, ok := request.Context().Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	if half, ok := connection.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = connection.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, connection, lingerMost)
 }
 
 // callerOf returns the client account of a request by its key, or nil.
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -79,6 +79,51 @@
 	}
 }
 
+// TestRefusalIsNotReset refuses requests of which the rest of the body comes after
+// the refusal. The connection ends in order, since a reset may overtake the answer.
+func TestRefusalIsNotReset(t *testing.T) {
+	const length = 64 << 10
+	withLength := fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
+	tests := map[string]struct {
+		full        bool // the instance, or else the engines
+		first, rest string
+	}{
+		"full instance, with length":  {true, withLength + strings.Repeat("x", length/2), strings.Repeat("x", length/2)},
+		"full instance, no byte yet":  {true, withLength, strings.Repeat("x", length)},
+		"full instance, in chunks":    {true, "Transfer-Encoding: chunked\r\n\r\n4\r\nxx", "xx\r\n0\r\n\r\n"},
+		"engines busy, with length":   {false, withLength + strings.Repeat("x", length/2), strings.Repeat("x", length/2)},
+		"engines busy, with no chunk": {false, "Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n0\r\n\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.use(b.plain)
+			if test.full {
+				b.relayer.options.Limit = func() int { return 1 }
+				b.relayer.running.enter("alpha", 0)
+			} else {
+				b.placer.checked = redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable, "busy")
+			}
+			connection, err := net.Dial("tcp", b.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer connection.Close()
+			fmt.Fprintf(connection, "POST /safe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nRedwingshunt-Key: %s\r\n%s", key, test.first)
+			reader := bufio.NewReader(connection)
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, 503)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			_, err = io.WriteString(connection, test.rest)
+			is.NoErr(err)
+			is.NoErr(connection.(*net.TCPConn).CloseWrite())
+			_, err = reader.ReadByte()
+			is.Equal(err, io.EOF) // and no reset
+		})
+	}
+}
+
 // TestPlacesOfAccounts fills an instance with the requests of some accounts.
 func TestPlacesOfAccounts(t *testing.T) {
 	const limit = 90
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -173,15 +173,22 @@
 	caller := r.callerOf(request)
 	account := accountName(caller)
 	if !r.running.enter(account, r.limit()) {
-		r.refuseFull(w, request, account)
+		if !r.refuseFull(w, request, account) {
+			linger(request)
+		}
 		return
 	}
+	x := &exchange{relayer: r, writer: w, request: request, caller: caller, arrived: time.Now()}
+	defer func() { // without a place
+		if x.partial {
+			linger(request)
+		}
+	}()
 	defer r.running.leave(account)
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(r.base, func() { cancel(context.Cause(r.base)) })
 	defer stop()
-	x := &exchange{relayer: r, writer: w, request: request, caller: caller, arrived: time.Now()}
 	defer func() { r.held.Add(-x.held) }()
 	err := x.serve(ctx)
 	x.finish(ctx, err)
@@ -217,6 +224,7 @@
 	status    int           // that the caller saw
 	held      int64         // bytes, of Options.Room
 	unread    bool          // refused before the body was read
+	partial   bool          // the rest of the body did not come at once
 	events    stream
 }
 
