--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -4,6 +4,7 @@
 // brings thousands of them a second, so each costs as little as can be.
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -119,7 +120,7 @@
 	_ = controller.SetReadDeadline(time.Now().Add(bodyRestTimeout)) // not on a recorded response
 	_ = controller.Flush()
 	_, err := request.Body.Read(make([]byte, 1))
-	return err == io.EOF || err == http.ErrBodyReadAfterClose // the server closes a body that it has read
+	return errors.Is(err, io.EOF) || errors.Is(err, http.ErrBodyReadAfterClose) // the server closes a body that it has read
 }
 
 // linger ends the answer on a connection that is about to be closed and drops what
