Give back grants that came while a router was stopped

A router of the fleet's own interface that was stopped for seconds used the grants that lay unread on its links when it went on. Its owner had taken it for dead and given the slots to others, so an upstream got more than its slots, or new work after it had left.

A queue notices by its ticks that more than 1.5 s are missing. Grants of other instances that it reads before the next tick, and for 300 ms after it, are given back unused once these have passed; the requests keep their places. An instance takes its own grants as before, since it was stopped as their owner as well. TestGrantAfterStop: two of its four cases fail before. Left: a stop between the use of a grant and the first byte, while a connection is opened, is not looked at on this interface.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -48,7 +48,10 @@
 	describe bool // the next full state describes what runs
 	due      bool // a full state is due at once
 	released []*wire.Released
-	unacked  bool // grants arrived since the last state
+	declined []*wire.Released // to be given back once the router has settled
+	ticked   time.Time        // last
+	resumed  time.Time        // when it went on after a stop
+	unacked  bool             // grants arrived since the last state
 	full     time.Time
 	earliest time.Time // no deadline passes before; zero when there is none
 	actions  []Action
@@ -79,6 +82,14 @@
 	told     redwingshunt.Cost
 }
 
+const (
+	// stopLimit is how long the router may go without a tick; beyond it, it was
+	// stopped, and others may have taken it for dead.
+	stopLimit = 1500 * time.Millisecond
+	// settleTime is how long what came during a stop may take to be read after it.
+	settleTime = 300 * time.Millisecond
+)
+
 // defaultPeriod is the time between full states of a small fleet.
 const defaultPeriod = time.Second
 
@@ -120,6 +131,7 @@
 	case Owned:
 		q.own(e.ID)
 	case Ticked:
+		q.tick(now)
 		q.expire(now)
 	}
 	q.report(now)
@@ -230,6 +242,28 @@
 	}
 }
 
+// tick notices that the router was stopped, and gives back what it was granted
+// meanwhile.
+func (q *Queue) tick(now time.Time) {
+	if q.stopped(now) {
+		q.resumed = now
+	}
+	q.ticked = now
+	if len(q.declined) > 0 && !q.settling(now) {
+		q.released = append(q.released, q.declined...)
+		q.declined = nil
+	}
+}
+
+func (q *Queue) stopped(now time.Time) bool {
+	return !q.ticked.IsZero() && redwingshunt.Elapsed(q.ticked, now) > stopLimit
+}
+
+// settling reports whether grants that are read now may have come during a stop.
+func (q *Queue) settling(now time.Time) bool {
+	return q.stopped(now) || !q.resumed.IsZero() && now.Sub(q.resumed) < settleTime
+}
+
 // grant takes slots from the owner.
 func (q *Queue) grant(now time.Time, e Granted) {
 	m := e.Grants
@@ -251,6 +285,10 @@
 		}
 		q.seen = id
 		q.unacked = true
+		if e.From != q.options.Self && q.settling(now) {
+			q.declined = append(q.declined, &wire.Released{Id: id, Term: m.Term, Unused: true})
+			continue
+		}
 		q.bind(now, e.From, grantKey{term: m.Term, id: id}, granted)
 	}
 	if m.Empty {
--- a/scheduler/queue_test.go
+++ b/scheduler/queue_test.go
@@ -216,3 +216,44 @@
 	// What it had received before stands in the column of the former owner.
 	is.Equal(p.owner.Standings(1)[0].Virtual, int64(20*1024))
 }
+
+// TestGrantAfterStop stops a router for a while. A grant that came meanwhile is
+// given back, since its slot may be another one's by now, and a later one is used.
+func TestGrantAfterStop(t *testing.T) {
+	tests := map[string]struct {
+		stopped time.Duration // before the grant is read
+		ticked  bool          // between the end of the stop and the grant
+		used    bool
+	}{
+		"not stopped":                {0, false, true},
+		"late":                       {stopLimit / 2, false, true},
+		"stopped":                    {stopLimit + time.Second, false, false},
+		"stopped, and a tick passed": {stopLimit + time.Second, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(nil)
+			p.pass(time.Second)
+			p.drop = true
+			p.announce("u", 1)
+			p.arrive(1, "a")
+			p.drop = false
+			grants := &wire.Grants{
+				Incarnation: 1, Term: 1, First: 1,
+				Grants: []*wire.Granted{{Account: "a", Upstream: "u"}},
+			}
+			p.now = p.now.Add(test.stopped)
+			if test.ticked {
+				p.toQueue(Ticked{})
+			}
+			p.mute = true
+			p.toQueue(Granted{From: "o", Grants: grants})
+			is.Equal(p.assigned[1] == "u", test.used)
+			p.mute = false
+			p.pass(3 * time.Second) // in which the slot is given back and granted anew
+			is.Equal(p.assigned[1], redwingshunt.UpstreamID("u"))
+			is.Equal(p.owner.Taken(), 1)
+		})
+	}
+}
