Share the room for long bodies between client accounts

Long and chunked bodies share a quarter of the memory of an instance. It was given by total: an account whose callers send such bodies slowly could hold all of it, and the long requests of others were refused (503) until one of its own ended.

The room is given as places at the limit are: an account may hold eight times what is free. occupancy counts amounts now, so that both are one mechanism. Answers that are held take room by total as before, since they have run. TestLongBodiesOfFloodLeaveRoom gets 503 with room by total.

--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -104,7 +104,7 @@
 			is.Equal(got.status, test.status)
 			is.Equal(got.err != nil, test.broken)
 			eventually(t, func() bool { return f.closed.Load() == f.begun.Load() })
-			eventually(t, func() bool { return b.relayer.held.Load() == 0 })
+			eventually(t, func() bool { return b.relayer.held.all() == 0 })
 			is.True(b.placer.ends[0] != redwingshunt.EndComplete)
 		})
 	}
@@ -151,7 +151,7 @@
 	tests := map[string]struct {
 		size   int
 		length bool // told, else in chunks
-		held   int64
+		held   int
 		status int
 	}{
 		"short":              {100, true, 1 << 20, 200},
@@ -166,7 +166,7 @@
 			b := newBench(t)
 			b.use(b.plain)
 			b.relayer.options.Room = 1 << 20
-			b.relayer.held.Store(test.held)
+			b.relayer.held.exceed("", test.held, 0)
 			got := b.ask(t, "/safe/a", func(r *http.Request) {
 				text := strings.Repeat("z", test.size)
 				r.Body, r.ContentLength = io.NopCloser(strings.NewReader(text)), int64(test.size)
@@ -175,11 +175,29 @@
 				}
 			})
 			is.Equal(got.status, test.status)
-			is.Equal(b.relayer.held.Load(), test.held)
+			is.Equal(b.relayer.held.all(), test.held)
 		})
 	}
 }
 
+// TestLongBodiesOfFloodLeaveRoom has one account hold as much room as it can get
+// for its bodies. Another one's long request is still taken.
+func TestLongBodiesOfFloodLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.use(b.plain)
+	b.relayer.options.Room = 4 << 20
+	b.relayer.options.Configuration.Current().Document.Limits.Body = 100 << 10
+	flood := &exchange{relayer: b.relayer, account: "flood"}
+	for flood.holdBody(100 << 10) {
+	}
+	is.True(flood.held > 2<<20) // it uses what nobody else does
+	got := b.ask(t, "/safe/a", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader("z")), -1
+	})
+	is.Equal(got.status, 200)
+}
+
 // TestRefusalLines writes a few lines a second however many are refused, and
 // counts the others.
 func TestRefusalLines(t *testing.T) {
@@ -206,7 +224,7 @@
 	b := newBench(t)
 	b.use(b.plain)
 	b.relayer.options.Limit = func() int { return 1 }
-	b.relayer.running.enter("alpha", 0)
+	b.relayer.running.enter("alpha", 1, 0)
 	answered := make(chan int, 2*refusedAtOnce)
 	for range cap(answered) {
 		connection, err := new(net.Dialer).DialContext(t.Context(), "tcp", b.server.Listener.Addr().String())
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -124,7 +124,7 @@
 	if length < 0 {
 		length = limit // in chunks
 	}
-	if length > freeBody && !x.hold(int(min(length, limit))) {
+	if length > freeBody && !x.holdBody(int(min(length, limit))) {
 		return redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable,
 			"this instance holds as many long requests as it carries; use another").After(fullAfter)
 	}
--- a/relayer/refusal_test.go
+++ b/relayer/refusal_test.go
@@ -25,7 +25,7 @@
 	log := &logger.Memory{}
 	b.relayer.options.Logger = slog.New(slog.NewJSONHandler(log, nil))
 	b.relayer.options.Limit = func() int { return 1 }
-	b.relayer.running.enter("alpha", 0) // as many as it carries
+	b.relayer.running.enter("alpha", 1, 0) // as many as it carries
 	is.Equal(b.ask(t, "/safe/a", nil).status, 503)
 	eventually(t, func() bool { return strings.Contains(log.String(), `"account":"alpha"`) }) // after the answer
 	is.Equal(b.placer.refused, []redwingshunt.AccountID{"alpha"})
@@ -101,7 +101,7 @@
 			b.use(b.plain)
 			if test.full {
 				b.relayer.options.Limit = func() int { return 1 }
-				b.relayer.running.enter("alpha", 0)
+				b.relayer.running.enter("alpha", 1, 0)
 			} else {
 				b.placer.checked = redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable, "busy")
 			}
@@ -146,14 +146,14 @@
 			is := is.New(t)
 			var o occupancy
 			for range test.alpha {
-				is.True(o.enter("alpha", 0))
+				is.True(o.enter("alpha", 1, 0))
 			}
 			for range test.beta {
-				is.True(o.enter("beta", 0))
+				is.True(o.enter("beta", 1, 0))
 			}
-			is.Equal(o.enter(test.account, limit), test.enters)
+			is.Equal(o.enter(test.account, 1, limit), test.enters)
 			if test.enters {
-				o.leave(test.account)
+				o.leave(test.account, 1)
 			}
 			is.Equal(o.all(), test.alpha+test.beta)
 		})
@@ -169,16 +169,16 @@
 	)
 	is := is.New(t)
 	var o occupancy
-	for o.enter("alpha", limit) {
+	for o.enter("alpha", 1, limit) {
 	}
 	for range 1000 {
-		o.leave("alpha") // one request ends
+		o.leave("alpha", 1) // one request ends
 		for range 20 {
-			o.enter("beta", limit)
+			o.enter("beta", 1, limit)
 		}
-		o.enter("alpha", limit)
+		o.enter("alpha", 1, limit)
 		if o.of["beta"] > even {
-			o.leave("beta")
+			o.leave("beta", 1)
 		}
 	}
 	is.True(o.of["alpha"] >= even-freeTimes && o.of["beta"] >= even-freeTimes)
@@ -192,10 +192,10 @@
 	b.use(b.plain)
 	const limit = 18
 	b.relayer.options.Limit = func() int { return limit }
-	for b.relayer.running.enter("beta", limit) {
+	for b.relayer.running.enter("beta", 1, limit) {
 	}
 	is.Equal(b.ask(t, "/safe/a", nil).status, 200) // of account alpha
-	is.True(!b.relayer.running.enter("beta", limit))
+	is.True(!b.relayer.running.enter("beta", 1, limit))
 }
 
 // TestReturnTimes spreads the times at which refused callers come back.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -77,7 +77,7 @@
 	index    atomic.Pointer[index]
 	running  occupancy
 	ended    atomic.Int64
-	held     atomic.Int64 // bytes, of Options.Room
+	held     occupancy // in bytes, of Options.Room
 	// abandoned counts those of ended whose callers had gone before they were read.
 	abandoned atomic.Int64
 	refused   atomic.Int64  // of ended, at the limit
@@ -172,7 +172,7 @@
 	}
 	caller := r.callerOf(request)
 	account := accountName(caller)
-	if !r.running.enter(account, r.limit()) {
+	if !r.running.enter(account, 1, r.limit()) {
 		if !r.refuseFull(w, request, account) {
 			linger(request)
 		}
@@ -184,12 +184,12 @@
 			linger(request)
 		}
 	}()
-	defer r.running.leave(account)
+	defer r.running.leave(account, 1)
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(r.base, func() { cancel(context.Cause(r.base)) })
 	defer stop()
-	defer func() { r.held.Add(-x.held) }()
+	defer func() { r.held.leave(x.account, x.held) }()
 	err := x.serve(ctx)
 	x.finish(ctx, err)
 }
@@ -222,19 +222,27 @@
 	predicted time.Duration // until the first event, at the last attempt
 	started   bool          // a byte of the answer went to the caller
 	status    int           // that the caller saw
-	held      int64         // bytes, of Options.Room
+	held      int           // bytes, of Options.Room
 	unread    bool          // refused before the body was read
 	partial   bool          // the rest of the body did not come at once
 	events    stream
 }
 
-// hold takes room for so many bytes until the end of the request. It reports
-// whether there was room.
+// hold takes room for so many bytes of an answer until the end of the request. It
+// reports whether there was room.
 func (x *exchange) hold(bytes int) bool {
-	x.held += int64(bytes)
-	total := x.relayer.held.Add(int64(bytes))
-	room := x.relayer.options.Room
-	return room == 0 || total <= room
+	x.held += bytes
+	return !x.relayer.held.exceed(x.account, bytes, int(x.relayer.options.Room))
+}
+
+// holdBody takes room for so many bytes of the body until the end of the request,
+// unless there is none or the client account holds too much.
+func (x *exchange) holdBody(bytes int) bool {
+	if !x.relayer.held.enter(x.account, bytes, int(x.relayer.options.Room)) {
+		return false
+	}
+	x.held += bytes
+	return true
 }
 
 // errBroken ends a request whose caller has got a part of the answer.
