Share the scripted upstream of tests

The accept loop of upstreams that give answers no sound server gives stood in the tests of three packages. mimic.Scripted takes its place; no check changed.

--- a/dispatcher/echoes_test.go
+++ b/dispatcher/echoes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/dispatcher"
+	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
 // TestSecondCopy has an upstream send a second copy of each answer, late, where
@@ -49,25 +50,15 @@
 // and sends the answer before once more when the next request has come.
 func startCopier(t *testing.T, echo bool) netip.AddrPort {
 	t.Helper()
-	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	upstream, err := mimic.StartScripted(func(connection net.Conn) { copyAnswers(connection, echo) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { socket.Close() })
-	go func() {
-		for {
-			connection, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go copyAnswers(connection, echo)
-		}
-	}()
-	return socket.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(upstream.Stop)
+	return upstream.Address()
 }
 
 func copyAnswers(connection net.Conn, echo bool) {
-	defer connection.Close()
 	reader := bufio.NewReader(connection)
 	before := ""
 	for {
--- a/linker/endless_test.go
+++ b/linker/endless_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
@@ -51,26 +52,17 @@
 	for name, test := range endless {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer socket.Close()
 			closed := make(chan struct{}, 1000)
-			go func() {
-				for {
-					connection, err := socket.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						flood(connection, test.first, test.again)
-						closed <- struct{}{}
-					}()
-				}
-			}()
+			other, err := mimic.StartScripted(func(connection net.Conn) {
+				flood(connection, test.first, test.again)
+				closed <- struct{}{}
+			})
+			is.NoErr(err)
+			defer other.Stop()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			lost := make(chan redwingshunt.InstanceID, 100)
-			sender := newLinker("a", netip.MustParseAddrPort(socket.Addr().String()), func(id redwingshunt.InstanceID) { lost <- id })
+			sender := newLinker("a", other.Address(), func(id redwingshunt.InstanceID) { lost <- id })
 			sender.Send("b", redwingshunt.Message{Kind: redwingshunt.KindDemand, Payload: []byte("x")})
 			is.Equal(<-lost, redwingshunt.InstanceID("b"))
 			<-closed
@@ -83,7 +75,6 @@
 
 // flood sends the one text and then the other until the connection is closed.
 func flood(connection net.Conn, first, again string) {
-	defer connection.Close()
 	go func() { // what the other end sends is not of interest
 		buffer := make([]byte, 4096)
 		for {
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,37 +15,29 @@
 	"github.com/matryer/is"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
 // flooder is an upstream that sends a head and then a text without end.
 type flooder struct {
-	socket net.Listener
-	begun  atomic.Int64 // requests
-	closed atomic.Int64 // connections, by their callers
+	address netip.AddrPort
+	begun   atomic.Int64 // requests
+	closed  atomic.Int64 // connections, by their callers
 }
 
 func newFlooder(t *testing.T, header, again string, pause time.Duration) *flooder {
 	t.Helper()
-	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	f := &flooder{}
+	upstream, err := mimic.StartScripted(func(connection net.Conn) { f.serve(connection, header, again, pause) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { socket.Close() })
-	f := &flooder{socket: socket}
-	go func() {
-		for {
-			connection, err := socket.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(connection, header, again, pause)
-		}
-	}()
+	t.Cleanup(upstream.Stop)
+	f.address = upstream.Address()
 	return f
 }
 
 func (f *flooder) serve(connection net.Conn, header, again string, pause time.Duration) {
-	defer connection.Close()
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
 		return
@@ -60,7 +53,7 @@
 }
 
 func (f *flooder) upstream() redwingshunt.Upstream {
-	return redwingshunt.Upstream{ID: "w0", Service: "s", Address: f.socket.Addr().(*net.TCPAddr).AddrPort(), Slots: 8}
+	return redwingshunt.Upstream{ID: "w0", Service: "s", Address: f.address, Slots: 8}
 }
 
 // TestEndlessBodies has the first upstream send a body that does not end, fast
@@ -117,15 +110,7 @@
 	b := newBench(t)
 	b.use(b.streaming)
 	var text strings.Builder
-	socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { socket.Close() })
-	go func() {
-		connection, err := socket.Accept()
-		if err != nil {
-			return
-		}
-		defer connection.Close()
+	upstream, err := mimic.StartScripted(func(connection net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
 			return
 		}
@@ -134,11 +119,13 @@
 			time.Sleep(150 * time.Millisecond) // three times the pause on time
 			fmt.Fprintf(connection, "id: %d\ndata: x\n\n", i+1)
 		}
-	}()
+	})
+	is.NoErr(err)
+	t.Cleanup(upstream.Stop)
 	for i := range 12 {
 		fmt.Fprintf(&text, "id: %d\ndata: x\n\n", i+1)
 	}
-	b.placer.upstreams[0].Address = socket.Addr().(*net.TCPAddr).AddrPort()
+	b.placer.upstreams[0].Address = upstream.Address()
 	got := b.ask(t, "/resumable/a", nil)
 	is.NoErr(got.err)
 	is.Equal(got.body, text.String())
