Leave connections on which a request waits to be read

Callers saw the connection end without an answer.

TestSweepLeavesRequestThatWaits: both cases fail before.

--- a/carrier/socket.go
+++ b/carrier/socket.go
@@ -31,6 +31,16 @@
 	return err == nil && n == 0 || err != nil && !errors.Is(err, unix.EAGAIN) && !errors.Is(err, errNoSocket)
 }
 
+// Waiting reports whether bytes have come on a connection that nobody has read,
+// below its encryption if it has one. It does not wait.
+func Waiting(socket net.Conn) bool {
+	if encrypted, ok := socket.(interface{ NetConn() net.Conn }); ok {
+		socket = encrypted.NetConn()
+	}
+	n, err := peek(socket)
+	return err == nil && n > 0
+}
+
 // errNoSocket means that a connection cannot be looked at, as in tests over
 // pipes.
 var errNoSocket = errors.New("the connection has no socket")
--- a/usher/usher.go
+++ b/usher/usher.go
@@ -33,6 +33,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/redwingshunt/redwingshunt/carrier"
 )
 
 const (
@@ -197,14 +199,19 @@
 	return n
 }
 
-// closeBefore closes the connections that have waited for longer than a limit.
+// closeBefore closes the connections that have waited for longer than a limit, but
+// for those on which a request has come that the server has had no time to read.
 func (q *queue) closeBefore(now time.Time, limit time.Duration) int {
 	closed := 0
-	for e := q.order.Front(); e != nil && limit > 0; e = q.order.Front() {
+	for e := q.order.Front(); e != nil && limit > 0; {
 		longest := e.Value.(seat)
 		if now.Sub(longest.since) <= limit {
 			break
 		}
+		e = e.Next()
+		if carrier.Waiting(longest.connection) {
+			continue
+		}
 		q.remove(longest.connection)
 		_ = longest.connection.Close() // the server hears of it by its next read
 		closed++
--- a/usher/usher_test.go
+++ b/usher/usher_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt/carrier"
 )
 
 // caller is a connection of a caller that keeps it.
@@ -226,3 +228,32 @@
 	u.Note(connections[1], http.StateClosed)
 	is.Equal(u.unread(now.Add(-unreadFor)), 1)
 }
+
+// TestSweepLeavesRequestThatWaits sweeps connections beyond their limits on which
+// a request has come and was not read yet.
+func TestSweepLeavesRequestThatWaits(t *testing.T) {
+	for name, state := range map[string]http.ConnState{"kept connection": http.StateIdle, "new connection": http.StateNew} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			socket, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer socket.Close()
+			caller, err := net.Dial("tcp", socket.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			connection, err := socket.Accept()
+			is.NoErr(err)
+			defer connection.Close()
+			_, err = caller.Write([]byte("G"))
+			is.NoErr(err)
+			eventually(t, "nothing has come", func() bool { return carrier.Waiting(connection) })
+			u := New(0, 0)
+			u.Note(connection, state)
+			late, limits := time.Now().Add(time.Minute), Limits{Idle: time.Second, First: time.Second}
+			is.Equal(u.Sweep(late, limits), 0)
+			_, err = connection.Read(make([]byte, 1))
+			is.NoErr(err)
+			is.Equal(u.Sweep(late, limits), 1)
+		})
+	}
+}
