Log the account that is furthest behind, and loads that are too old

Logs could not tell how far an account was behind before a rule of a caller broke, nor when a router lost the loads of all others.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -124,9 +124,12 @@
 		}
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.core.SetRouters(routers)
-	a.core.ExpireRemoteLoads(a.options.Clock.Now())
+	expired, from := a.core.ExpireRemoteLoads(a.options.Clock.Now()), a.gatherer
+	a.mu.Unlock()
+	if expired {
+		a.options.Logger.Warn("loads of other routers are too old", "gatherer", string(from))
+	}
 }
 
 // report logs the accounts whose requests were refused.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -38,6 +38,7 @@
 type Core struct {
 	routers   map[redwingshunt.InstanceID]report
 	gatherers map[redwingshunt.InstanceID]report
+	history   history
 }
 
 // New returns a core without loads.
@@ -98,14 +99,7 @@
 // Others returns, for each router of this gatherer, the sum over all other routers
 // of the fleet.
 func (c *Core) Others(now time.Time) map[redwingshunt.InstanceID]*wire.Loads {
-	c.expire(now)
-	s := newSum()
-	for _, n := range c.routers {
-		s.add(n.loads, 1)
-	}
-	for _, n := range c.gatherers {
-		s.add(n.loads, 1)
-	}
+	s := c.total(now)
 	others := make(map[redwingshunt.InstanceID]*wire.Loads, len(c.routers))
 	for id, n := range c.routers {
 		s.add(n.loads, -1)
@@ -115,6 +109,18 @@
 	return others
 }
 
+// total returns the sum over all routers of the fleet.
+func (c *Core) total(now time.Time) *sum {
+	c.expire(now)
+	s := newSum()
+	for _, reports := range []map[redwingshunt.InstanceID]report{c.routers, c.gatherers} {
+		for _, n := range reports {
+			s.add(n.loads, 1)
+		}
+	}
+	return s
+}
+
 // sum accumulates loads.
 type sum struct {
 	upstreams map[redwingshunt.UpstreamKey]*[3]int64 // unread, running, memory
--- a/gatherer/relay.go
+++ b/gatherer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -83,7 +84,13 @@
 	own := r.core.Own(now)
 	r.sequence = max(r.sequence+1, uint64(now.UnixNano()))
 	sequence := r.sequence
+	shortfall, behind := r.core.Shortfall(now)
 	r.mu.Unlock()
+	if behind {
+		r.options.Logger.Info("an account is behind", "account", string(shortfall.Account), "asked", shortfall.Asked,
+			"admitted", shortfall.Admitted, "best", string(shortfall.Best), "highest", shortfall.Highest,
+			"ratio", math.Round(shortfall.Ratio()*100)/100)
+	}
 	for id, loads := range others {
 		loads.Sequence = sequence
 		r.send(id, redwingshunt.KindLoadSum, loads)
--- a/placer/remote.go
+++ b/placer/remote.go
@@ -28,12 +28,15 @@
 	c.applyRemote()
 }
 
-// ExpireRemoteLoads drops the loads of other routers once they are too old to be used.
-func (c *Core) ExpireRemoteLoads(now time.Time) {
-	if c.remoteLoads.loads != nil && now.Sub(c.remoteLoads.at) > maxLoadAge {
-		c.remoteLoads = remoteLoads{}
-		c.applyRemote()
+// ExpireRemoteLoads drops the loads of other routers once they are too old to be
+// used, and reports whether it has.
+func (c *Core) ExpireRemoteLoads(now time.Time) bool {
+	if c.remoteLoads.loads == nil || now.Sub(c.remoteLoads.at) <= maxLoadAge {
+		return false
 	}
+	c.remoteLoads = remoteLoads{}
+	c.applyRemote()
+	return true
 }
 
 // applyRemote copies the loads of other routers to the upstreams and accounts.
