Raise the limit of concurrent requests by the delay that is left

Cause: the stall, a quarter of the upstreams crashed, lowered the limit three times within 0.6 s, since the average stays high for a quarter of a second after it; the limit then rose by a tenth a second unless the delay was under 3 ms. Streams on the remaining upstreams took twice as long, so the same limit carried half of the requests.

Now a sample that is on time ends the reductions, the average follows such samples faster, and the limit rises by a tenth a second at 15 ms of delay and doubles in a second without any.

--- a/governor/governor.go
+++ b/governor/governor.go
@@ -9,8 +9,10 @@
 // disconnected before the requests were read. The last one covers connections that
 // queue where neither delay shows it. While a measure is high, the limit is reduced
 // to a fraction of the running requests, which leaves processor time to refuse the
-// others at once. While all are low, the limit rises slowly. Without overload the
-// limit is the one given by memory, and the governor has no effect.
+// others at once. While all are low, the limit rises, faster the lower the delay: how
+// many requests the processor can handle depends on how long they take, which
+// changes with the upstreams. Without overload the limit is the one given by
+// memory, and the governor has no effect.
 //
 // A limit alone is not enough: a balancer with caller affinity sends a caller back
 // to an instance that refuses it although others have capacity. An instance that
@@ -56,19 +58,19 @@
 	// averageTimeConstant is the time constant of the moving averages: a single late
 	// timer, as caused by garbage collection, is no overload.
 	averageTimeConstant = 250 * time.Millisecond
+	// onTimeConstant is the time constant of the average delay while timers and
+	// network events are on time. It is shorter, so that the limit does not stay low
+	// after a stall.
+	onTimeConstant = 100 * time.Millisecond
 	// reductionFactor is the factor by which one reduction multiplies the limit.
 	reductionFactor = 0.85
 	// minReductionInterval is the minimum time between two reductions. Running
 	// requests continue, so a reduction takes effect only when some have ended.
 	minReductionInterval = 4 * Period
-	// riseFraction is the fraction of the limit that is added per second without
-	// overload.
-	riseFraction = 0.1
-	// minimalDelay is the average delay below which there is ample capacity, and the
-	// limit rises faster.
-	minimalDelay = 3 * time.Millisecond
-	// fastRisePerSecond is the number of requests that are then added per second.
-	fastRisePerSecond = 40
+	// minRise and maxRise are the fractions of the limit that are added per second
+	// without overload: minRise at an average delay of lowDelay, maxRise without delay.
+	minRise = 0.1
+	maxRise = 1.0
 	// minLimit is the lowest limit in requests, and minLimitFraction the lowest one
 	// as a fraction of the memory limit. Below them refusals keep the processor
 	// busy, and fewer requests would not reduce the delay.
@@ -180,14 +182,18 @@
 func (c *Core) Observe(s Sample) Change {
 	delay := min(max(s.Delay, s.NetworkDelay), maxDelay)
 	elapsed := Period + min(s.Delay, maxDelay)
-	weight := -math.Expm1(-elapsed.Seconds() / averageTimeConstant.Seconds())
-	c.delay += (delay.Seconds() - c.delay) * weight
+	weight := weightOf(elapsed, averageTimeConstant)
+	if delay < lowDelay {
+		c.delay += (delay.Seconds() - c.delay) * weightOf(elapsed, onTimeConstant)
+	} else {
+		c.delay += (delay.Seconds() - c.delay) * weight
+	}
 	c.ended += (float64(s.Ended) - c.ended) * weight
 	c.abandoned += (float64(s.Abandoned) - c.abandoned) * weight
 	c.sinceReduction += elapsed
 	c.updateWithdrawal(s, elapsed)
 	switch {
-	case c.saturated() && c.sinceReduction >= minReductionInterval:
+	case c.saturated() && c.sinceReduction >= minReductionInterval && !c.stallEnded(delay):
 		return c.reduceLimit(s.Running)
 	case c.delay < lowDelay.Seconds() && c.Abandoned() < lowAbandonedFraction && c.limit < c.memoryLimit:
 		return c.raiseLimit(s.Running)
@@ -195,11 +201,22 @@
 	return None
 }
 
+// weightOf returns the weight of a sample in a moving average.
+func weightOf(elapsed, timeConstant time.Duration) float64 {
+	return -math.Expm1(-elapsed.Seconds() / timeConstant.Seconds())
+}
+
 // saturated reports whether the processor is saturated.
 func (c *Core) saturated() bool {
 	return c.delay > highDelay.Seconds() || c.Abandoned() > highAbandonedFraction
 }
 
+// stallEnded reports whether a sample is on time although the averages are high: the
+// instance stalled, and the processor is not saturated any more.
+func (c *Core) stallEnded(delay time.Duration) bool {
+	return delay < lowDelay && c.Abandoned() <= highAbandonedFraction
+}
+
 func (c *Core) reduceLimit(running int) Change {
 	if running < minLimit {
 		return None // the load is not caused by requests
@@ -223,11 +240,9 @@
 		// The load has fallen, and not because of the limit.
 		c.limit = min(c.limit*2, c.memoryLimit)
 	} else {
-		step := c.limit*riseFraction*Period.Seconds() + riseFraction
-		if c.delay < minimalDelay.Seconds() {
-			step += fastRisePerSecond * Period.Seconds()
-		}
-		c.limit = min(c.limit+step, c.memoryLimit)
+		idle := 1 - c.delay/lowDelay.Seconds()
+		rise := minRise + (maxRise-minRise)*idle*idle
+		c.limit = min(c.limit*(1+rise*Period.Seconds()), c.memoryLimit)
 	}
 	if c.limit == c.memoryLimit {
 		return Restored
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -14,7 +15,10 @@
 	refusal  time.Duration // processor time of a refusal
 	event    time.Duration // processor time of an event
 	backlog  time.Duration // queued processor time
+	pause    time.Duration // between two events of a stream; zero is defaultPause
+	steps    int           // since the last events
 	running  []int         // remaining events of each stream
+	admitted int
 	refused  int
 	reported int // refusals that the core was told of
 	served   int
@@ -22,15 +26,15 @@
 }
 
 const (
-	step   = 10 * time.Millisecond
-	events = 25                    // per stream
-	pause  = 60 * time.Millisecond // between two events of a stream
+	step         = 10 * time.Millisecond
+	events       = 25 // per stream
+	defaultPause = 60 * time.Millisecond
 )
 
 // run simulates requests at a rate per second for a time.
 func (r *router) run(rate float64, duration time.Duration) {
 	due, pending := Period, 0.0
-	steps := 0
+	pause := cmp.Or(r.pause, defaultPause)
 	for at := time.Duration(0); at < duration; at += step {
 		for pending += rate * step.Seconds(); pending >= 1; pending-- {
 			if r.core != nil && len(r.running) >= r.core.Limit() {
@@ -40,9 +44,10 @@
 			}
 			r.backlog += 2 * r.refusal // to read, place and send the request
 			r.running = append(r.running, events)
+			r.admitted++
 		}
-		if steps++; steps == int(pause/step) {
-			steps = 0
+		if r.steps++; r.steps >= int(pause/step) {
+			r.steps = 0
 			remaining := r.running[:0]
 			for _, n := range r.running {
 				r.backlog += r.event
@@ -102,6 +107,42 @@
 	}
 }
 
+// TestStallUnderFlood guards against refusing a flood although the processor has
+// time: the instance stalls once, as when many upstreams crash, and the streams on
+// the remaining upstreams take longer. In the six seconds after the stall at least
+// 0.7 of what the processor can serve must be admitted.
+func TestStallUnderFlood(t *testing.T) {
+	const (
+		rate   = 200 // requests per second, 0.6 of the processor
+		usual  = 150 // before the stall, the rest is refused elsewhere
+		within = 6 * time.Second
+	)
+	tests := map[string]struct {
+		stall time.Duration
+		pause time.Duration // after the stall
+	}{
+		"none":                              {0, defaultPause},
+		"short":                             {150 * time.Millisecond, defaultPause},
+		"long":                              {400 * time.Millisecond, defaultPause},
+		"short, streams take twice as long": {150 * time.Millisecond, 2 * defaultPause},
+		"long, streams take twice as long":  {400 * time.Millisecond, 2 * defaultPause},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &router{core: New(736), refusal: 150 * time.Microsecond, event: 110 * time.Microsecond}
+			r.run(usual, 5*time.Second)
+			is.Equal(r.refused, 0)
+			before := r.admitted
+			r.backlog += test.stall
+			r.pause = test.pause
+			r.run(rate, within)
+			t.Logf("admitted %d, refused %d, limit %d", r.admitted-before, r.refused, r.core.Limit())
+			is.True(float64(r.admitted-before) > 0.7*rate*within.Seconds())
+		})
+	}
+}
+
 // TestNoOverload checks that nothing is refused without overload.
 func TestNoOverload(t *testing.T) {
 	is := is.New(t)
