Replace a gatherer that does not reply

Ruled out: lost messages, as sums came again with the first message of the next gatherer.

A router now leaves a gatherer after six messages without a reply, 0.6 s, for 4 s. It tells the former one that it has no loads, so that none is counted twice, and applies the sums of its own gatherer alone. On the code before, TestLoadsOfOthersSurviveGatherer stays with the lost gatherer and TestOtherGatherersAreIgnored applies foreign sums. TestGathererChanges now expects the message to the former gatherer as well.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -28,6 +28,7 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/gatherer"
 	"github.com/redwingshunt/redwingshunt/placer"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 const (
@@ -56,8 +57,8 @@
 	mu       sync.Mutex
 	core     *placer.Core
 	sequence uint64
-	gatherer redwingshunt.InstanceID // that the last loads were for
-	idle     bool                    // the last loads were empty
+	chooser  gatherer.Chooser
+	idle     bool // the last loads were empty
 }
 
 var _ redwingshunt.Placer = (*Allocator)(nil)
@@ -125,10 +126,10 @@
 	}
 	a.mu.Lock()
 	a.core.SetRouters(routers)
-	expired, from := a.core.ExpireRemoteLoads(a.options.Clock.Now()), a.gatherer
+	expired := a.core.ExpireRemoteLoads(a.options.Clock.Now())
 	a.mu.Unlock()
 	if expired {
-		a.options.Logger.Warn("loads of other routers are too old", "gatherer", string(from))
+		a.options.Logger.Warn("loads of other routers are too old")
 	}
 }
 
@@ -151,21 +152,31 @@
 func (a *Allocator) send() {
 	now := a.options.Clock.Now()
 	live := a.options.Members.Live()
-	to := gatherer.Of(a.options.Members.Self(), live)
 	a.mu.Lock()
-	before := a.gatherer
-	a.gatherer = to
+	to, before := a.chooser.Choose(now, a.options.Members.Self(), live)
 	loads := a.core.Loads(now)
 	empty := len(loads.GetUpstreams()) == 0 && len(loads.GetAccounts()) == 0
 	skip := empty && a.idle
 	a.idle = empty
 	a.sequence = max(a.sequence+1, uint64(now.UnixNano()))
 	loads.Sequence = a.sequence
+	if !empty {
+		a.chooser.Sent()
+	}
 	a.mu.Unlock()
 	if before != to {
 		a.options.Logger.Info("gatherer of loads changed", "before", string(before), "gatherer", string(to), "live", len(live))
+		// Otherwise both gatherers count the loads of this router for a while.
+		a.sendTo(before, &wire.Loads{Sequence: loads.GetSequence()})
+	}
+	if !skip {
+		a.sendTo(to, loads)
 	}
-	if skip || to == "" {
+}
+
+// sendTo sends loads to a gatherer, or nothing if there is none.
+func (a *Allocator) sendTo(to redwingshunt.InstanceID, loads *wire.Loads) {
+	if to == "" {
 		return
 	}
 	message, err := gatherer.Encode(redwingshunt.KindLoad, loads)
@@ -176,6 +187,7 @@
 	a.options.Link.Send(to, message)
 }
 
+// receive applies the loads of other routers that this router's gatherer sent.
 func (a *Allocator) receive(from redwingshunt.InstanceID, payload []byte) {
 	loads, err := gatherer.Decode(payload)
 	if err != nil {
@@ -184,7 +196,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.SetRemoteLoads(a.options.Clock.Now(), from, loads)
+	if a.chooser.Replied(from) {
+		a.core.SetRemoteLoads(a.options.Clock.Now(), from, loads)
+	}
 }
 
 // Place implements redwingshunt.Placer.
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -8,19 +8,23 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/gatherer"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // fakeFleet fakes the fleet as seen by a router and records what it sent.
 type fakeFleet struct {
 	live []redwingshunt.Instance
 	sent []redwingshunt.InstanceID
+	now  time.Time
 }
 
 func (s *fakeFleet) Self() redwingshunt.Instance   { return s.live[0] }
 func (s *fakeFleet) Live() []redwingshunt.Instance { return s.live }
-func (s *fakeFleet) Now() time.Time                { return time.Unix(1000, 0) }
+func (s *fakeFleet) Now() time.Time                { return s.now }
 
 func (s *fakeFleet) Send(to redwingshunt.InstanceID, _ redwingshunt.Message) {
 	s.sent = append(s.sent, to)
@@ -35,7 +39,7 @@
 	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
 	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
 	far := redwingshunt.Instance{ID: "k2", Region: "south", Zone: "b", Voter: true}
-	s := &fakeFleet{live: []redwingshunt.Instance{router, near, far}}
+	s := &fakeFleet{live: []redwingshunt.Instance{router, near, far}, now: time.Unix(1000, 0)}
 	var log bytes.Buffer
 	a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
 	a.send()
@@ -44,5 +48,67 @@
 	a.send()
 	is.Equal(strings.Count(log.String(), "gatherer of loads changed"), 2)
 	is.True(strings.Contains(log.String(), "before=k1 gatherer=k2 live=2"))
-	is.Equal(s.sent, []redwingshunt.InstanceID{"k1"}) // empty loads are sent once
+	is.Equal(s.sent, []redwingshunt.InstanceID{"k1", "k1"}) // empty loads are sent once, and on a change
+}
+
+// TestLoadsOfOthersSurviveGatherer guards against a router that takes the fleet for
+// idle, since its gatherer is gone and not detected yet.
+func TestLoadsOfOthersSurviveGatherer(t *testing.T) {
+	const detection = 4 * time.Second // by membership
+	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
+	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
+	far := redwingshunt.Instance{ID: "k2", Region: "south", Zone: "b", Voter: true}
+	tests := map[string]struct {
+		gone redwingshunt.InstanceID // gatherer that does not reply
+		want redwingshunt.InstanceID // gatherer at the end
+	}{
+		"none":         {"", "k1"},
+		"near":         {"k1", "k2"},
+		"one not used": {"k2", "k1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &fakeFleet{live: []redwingshunt.Instance{router, near, far}, now: time.Unix(1000, 0)}
+			var log bytes.Buffer
+			a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+			for elapsed := time.Duration(0); elapsed < time.Second+detection; elapsed += gatherer.Period {
+				s.now = s.now.Add(gatherer.Period)
+				a.Refused("alpha", 1_000_000)
+				a.send()
+				if to := s.sent[len(s.sent)-1]; to != test.gone || elapsed < time.Second {
+					payload, err := proto.Marshal(&wire.Loads{Sum: true, Sequence: uint64(s.now.UnixNano())})
+					is.NoErr(err)
+					a.receive(to, payload)
+				}
+				a.expire()
+			}
+			is.Equal(s.sent[len(s.sent)-1], test.want)
+			is.Equal(strings.Count(log.String(), "too old"), 0)
+		})
+	}
+}
+
+// TestOtherGatherersAreIgnored checks that only the sums of the router's gatherer
+// are applied.
+func TestOtherGatherersAreIgnored(t *testing.T) {
+	is := is.New(t)
+	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
+	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
+	s := &fakeFleet{live: []redwingshunt.Instance{router, near}, now: time.Unix(1000, 0)}
+	var log bytes.Buffer
+	a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	a.send()
+	payload, err := proto.Marshal(&wire.Loads{Sum: true, Sequence: 1, Accounts: []*wire.AccountLoad{{Account: "alpha", Admitted: 500}}})
+	is.NoErr(err)
+	for _, test := range []struct {
+		from redwingshunt.InstanceID
+		want string
+	}{{"k2", "fleet=0"}, {"k1", "fleet=500"}} {
+		log.Reset()
+		a.receive(test.from, payload)
+		a.Refused("alpha", 1000)
+		a.report()
+		is.True(strings.Contains(log.String(), test.want))
+	}
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -182,26 +182,45 @@
 }
 
 // Of returns the gatherer of an instance: the nearest live voter, or the first live
-// instance when there is no voter. A leaving instance is used only when there is no
-// other one.
-func Of(self redwingshunt.Instance, live []redwingshunt.Instance) redwingshunt.InstanceID {
-	best, distance := redwingshunt.InstanceID(""), 0
+// instance when there is no voter. A silent voter is used when all voters are, and a
+// leaving instance only when there is no other one.
+func Of(
+	self redwingshunt.Instance, live []redwingshunt.Instance, silent redwingshunt.Set[redwingshunt.InstanceID],
+) redwingshunt.InstanceID {
+	best, lowest := redwingshunt.InstanceID(""), 0
 	for _, instance := range live { // ordered by ID
-		d := 3
-		switch {
-		case !instance.Voter:
-			d = 4
-		case instance.Region == self.Region && instance.Zone == self.Zone:
-			d = 1
-		case instance.Region == self.Region:
-			d = 2
-		}
-		if instance.Leaving {
-			d += 4
-		}
-		if best == "" || d < distance {
-			best, distance = instance.ID, d
+		if p := penaltyOf(self, instance, silent.Has(instance.ID)); best == "" || p < lowest {
+			best, lowest = instance.ID, p
 		}
 	}
 	return best
 }
+
+// The penalties by which gatherers are compared; the lowest sum wins.
+const (
+	sameZone      = 1
+	sameRegion    = 2
+	otherRegion   = 3
+	silentPenalty = 3
+	notVoter      = 7
+	leavePenalty  = 7
+)
+
+func penaltyOf(self, instance redwingshunt.Instance, silent bool) int {
+	penalty := otherRegion
+	switch {
+	case !instance.Voter:
+		penalty = notVoter
+	case instance.Region == self.Region && instance.Zone == self.Zone:
+		penalty = sameZone
+	case instance.Region == self.Region:
+		penalty = sameRegion
+	}
+	if silent && instance.Voter {
+		penalty += silentPenalty
+	}
+	if instance.Leaving {
+		penalty += leavePenalty
+	}
+	return penalty
+}
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -63,18 +63,24 @@
 			ID: redwingshunt.InstanceID(id), Region: redwingshunt.RegionID(region), Zone: redwingshunt.ZoneID(zone), Voter: voter,
 		}
 	}
+	ids := redwingshunt.NewSet[redwingshunt.InstanceID]
 	self := instance("r1", "north", "a", false)
 	fleet := []redwingshunt.Instance{
 		instance("k0", "south", "c", true), instance("k1", "north", "b", true), instance("k2", "north", "a", true), self,
 	}
 	tests := map[string]struct {
-		gone redwingshunt.Set[redwingshunt.InstanceID]
-		want redwingshunt.InstanceID
+		gone   redwingshunt.Set[redwingshunt.InstanceID]
+		silent redwingshunt.Set[redwingshunt.InstanceID]
+		want   redwingshunt.InstanceID
 	}{
-		"own zone":   {nil, "k2"},
-		"own region": {redwingshunt.NewSet[redwingshunt.InstanceID]("k2"), "k1"},
-		"elsewhere":  {redwingshunt.NewSet[redwingshunt.InstanceID]("k1", "k2"), "k0"},
-		"none":       {redwingshunt.NewSet[redwingshunt.InstanceID]("k0", "k1", "k2"), "r1"},
+		"own zone":             {nil, nil, "k2"},
+		"own region":           {ids("k2"), nil, "k1"},
+		"elsewhere":            {ids("k1", "k2"), nil, "k0"},
+		"none":                 {ids("k0", "k1", "k2"), nil, "r1"},
+		"silent in own zone":   {nil, ids("k2"), "k1"},
+		"silent in own region": {nil, ids("k1", "k2"), "k0"},
+		"all silent":           {nil, ids("k0", "k1", "k2"), "k2"},
+		"others gone":          {ids("k0", "k1"), ids("k2"), "k2"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -85,7 +91,7 @@
 					live = append(live, i)
 				}
 			}
-			is.Equal(Of(self, live), test.want)
+			is.Equal(Of(self, live, test.silent), test.want)
 		})
 	}
 }
