Send notices of suspects at most ten times a second

Notices are still sent at once after a silence, and then collected for 100 ms, which with the way between regions is less than the 250 ms that the caller waits for them. TestLossesInSuccession: 64 losses 8 ms apart cause at most seven messages to an instance, each known within 250 ms; on the code before, the bound is exceeded.

--- a/notifier/notifier.go
+++ b/notifier/notifier.go
@@ -4,7 +4,8 @@
 //
 // Each change of a suspect is sent to every other instance at once. Notices are
 // collected for batchDelay, so that an upstream that dies with many requests
-// causes one message. An instance that has just started is sent all suspects by
+// causes one message, and sent at most once per minSendInterval, so that many
+// upstreams that die one after the other do not occupy the processor. An instance that has just started is sent all suspects by
 // the first other instance of its region, by identifier, or the first of the
 // fleet when its region has no other.
 //
@@ -33,6 +34,9 @@
 const (
 	// batchDelay is how long notices are collected for one message.
 	batchDelay = 5 * time.Millisecond
+	// minSendInterval is the minimum time between two messages to the same instance.
+	// With the way between regions it is shorter than quarantiner.NoticeDelay.
+	minSendInterval = 100 * time.Millisecond
 	// tickInterval is the interval at which suspects are renewed and new instances
 	// are looked for.
 	tickInterval = time.Second
@@ -130,6 +134,7 @@
 func (n *Notifier) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var sent time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,11 +145,13 @@
 			n.mu.Unlock()
 			n.syncNewInstances()
 		case <-n.wake:
-			if wait(ctx, batchDelay) != nil {
+			if wait(ctx, max(batchDelay, minSendInterval-time.Since(sent))) != nil {
 				return
 			}
 		}
-		n.flush()
+		if n.flush() {
+			sent = time.Now()
+		}
 	}
 }
 
@@ -156,13 +163,14 @@
 	}
 }
 
-// flush sends the queued notices to every other instance.
-func (n *Notifier) flush() {
+// flush sends the queued notices to every other instance and reports whether there
+// were any.
+func (n *Notifier) flush() bool {
 	n.mu.Lock()
 	notices := n.core.Notices()
 	n.mu.Unlock()
 	if len(notices) == 0 {
-		return
+		return false
 	}
 	self := n.members.Self().ID
 	for _, i := range n.members.Live() {
@@ -170,6 +178,7 @@
 			n.send(i.ID, notices)
 		}
 	}
+	return true
 }
 
 // syncNewInstances sends all suspects to each new instance for which this instance is
--- a/notifier/notifier_test.go
+++ b/notifier/notifier_test.go
@@ -27,6 +27,22 @@
 	mu       sync.Mutex
 	live     []redwingshunt.Instance
 	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
+	sent     map[redwingshunt.InstanceID]int // messages by receiver
+}
+
+func newShared() *shared {
+	return &shared{
+		handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)),
+		sent:     make(map[redwingshunt.InstanceID]int),
+	}
+}
+
+// start starts a notifier whose suspects are refused after one loss.
+func (s *shared) start(ctx context.Context, id redwingshunt.InstanceID) *Notifier {
+	n := &network{self: redwingshunt.Instance{ID: id, Incarnation: 1}, shared: s}
+	notifier := New(n, n, n, n, quarantiner.New(id, 1, rand.New(rand.NewPCG(6, uint64(id[0])))))
+	go notifier.Run(ctx)
+	return notifier
 }
 
 func (*network) Now() time.Time                  { return time.Now() }
@@ -50,6 +66,7 @@
 func (n *network) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
 	n.mu.Lock()
 	receive := n.handlers[to]
+	n.sent[to]++
 	n.mu.Unlock()
 	receive(n.self.ID, m.Payload)
 }
@@ -65,21 +82,15 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		all := &shared{handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte))}
-		start := func(id redwingshunt.InstanceID) *Notifier {
-			n := &network{self: redwingshunt.Instance{ID: id, Incarnation: 1}, shared: all}
-			notifier := New(n, n, n, n, quarantiner.New(id, 1, rand.New(rand.NewPCG(6, uint64(id[0])))))
-			go notifier.Run(ctx)
-			return notifier
-		}
+		all := newShared()
 		f := redwingshunt.Fingerprint{1}
 
-		for _, n := range []*Notifier{start("a"), start("b")} {
+		for _, n := range []*Notifier{all.start(ctx, "a"), all.start(ctx, "b")} {
 			is.NoErr(n.Admit(ctx, f))
 			n.Lost(f, redwingshunt.UpstreamKey{Service: "desk", ID: redwingshunt.UpstreamID(n.members.Self().ID)})
 			time.Sleep(time.Second)
 		}
-		third := start("c")
+		third := all.start(ctx, "c")
 		time.Sleep(2 * time.Second)
 		err := third.Admit(ctx, f)
 		var outcome *redwingshunt.OutcomeError
@@ -89,3 +100,35 @@
 		is.NoErr(third.Admit(ctx, redwingshunt.Fingerprint{2}))
 	})
 }
+
+// TestLossesInSuccession guards against an instance that is occupied with notices
+// while many upstreams die: each other instance gets a message per minSendInterval
+// and still knows each loss within quarantiner.NoticeDelay.
+func TestLossesInSuccession(t *testing.T) {
+	const (
+		losses   = 64
+		interval = 8 * time.Millisecond // between two losses
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		all := newShared()
+		first, second := all.start(ctx, "a"), all.start(ctx, "b")
+		for i := range losses {
+			f := redwingshunt.Fingerprint{byte(i)}
+			is.NoErr(first.Admit(ctx, f))
+			first.Lost(f, redwingshunt.UpstreamKey{Service: "desk", ID: redwingshunt.UpstreamID(f[:1])})
+			go func() {
+				time.Sleep(quarantiner.NoticeDelay)
+				second.mu.Lock()
+				defer second.mu.Unlock()
+				is.Equal(second.core.Losses(time.Now(), f), 1)
+			}()
+			time.Sleep(interval)
+		}
+		time.Sleep(quarantiner.NoticeDelay)
+		synctest.Wait()
+		is.True(all.sent["b"] <= int(losses*interval/minSendInterval)+2)
+	})
+}
