Compare the service of accounts second by second

What an account asks for now counts in each second up to what the best one got, and only accounts that asked for more than they got in each of the seconds.

--- a/gatherer/shortfall.go
+++ b/gatherer/shortfall.go
@@ -22,19 +22,18 @@
 type Shortfall struct {
 	Account  redwingshunt.AccountID
 	Asked    int64 // tokens in the window
+	Owed     int64 // tokens that it asked for, at each sample at most what the best account got
 	Admitted int64 // tokens in the window
 	Best     redwingshunt.AccountID
 	Highest  int64 // tokens admitted for the best account
 }
 
-// Ratio returns what the account got divided by what it asked for or by what the best
-// account got, whichever is less.
+// Ratio returns what the account got divided by what it is owed.
 func (s Shortfall) Ratio() float64 {
-	owed := min(s.Asked, s.Highest)
-	if owed == 0 {
+	if s.Owed == 0 {
 		return 1
 	}
-	return float64(s.Admitted) / float64(owed)
+	return float64(s.Admitted) / float64(s.Owed)
 }
 
 // history holds the rates of accounts at the last samples.
@@ -65,33 +64,54 @@
 	if len(h.samples) < int(shortfallWindow/samplePeriod) {
 		return Shortfall{}, false
 	}
-	accounts := make(map[redwingshunt.AccountID]*Shortfall)
+	accounts := make(map[redwingshunt.AccountID][]*wire.AccountLoad)
 	for _, sample := range h.samples {
 		for _, load := range sample.GetAccounts() {
 			id := redwingshunt.AccountID(load.GetAccount())
-			if accounts[id] == nil {
-				accounts[id] = &Shortfall{Account: id}
-			}
-			accounts[id].Asked += int64(load.GetAsked())
-			accounts[id].Admitted += int64(load.GetAdmitted())
+			accounts[id] = append(accounts[id], load)
 		}
 	}
-	best := Shortfall{}
-	for _, a := range accounts {
-		if a.Admitted > best.Admitted || a.Admitted == best.Admitted && a.Account < best.Account {
-			best = *a
+	var best redwingshunt.AccountID
+	highest := int64(0)
+	for id, loads := range accounts {
+		if admitted := admittedBy(loads); admitted > highest || admitted == highest && id < best {
+			best, highest = id, admitted
 		}
 	}
 	lowest := Shortfall{}
-	for _, a := range accounts {
-		a.Best, a.Highest = best.Account, best.Admitted
-		if lowest.Account == "" || a.Ratio() < lowest.Ratio() || a.Ratio() == lowest.Ratio() && a.Account < lowest.Account {
-			lowest = *a
+	for id, loads := range accounts {
+		s := Shortfall{Account: id, Admitted: admittedBy(loads), Best: best, Highest: highest}
+		if len(loads) < len(h.samples) || len(accounts[best]) < len(h.samples) || !s.addSamples(loads, accounts[best]) {
+			continue
+		}
+		if lowest.Account == "" || s.Ratio() < lowest.Ratio() || s.Ratio() == lowest.Ratio() && id < lowest.Account {
+			lowest = s
 		}
 	}
 	return lowest, lowest.Account != "" && lowest.Ratio() < reportedRatio
 }
 
+func admittedBy(loads []*wire.AccountLoad) int64 {
+	admitted := int64(0)
+	for _, load := range loads {
+		admitted += int64(load.GetAdmitted())
+	}
+	return admitted
+}
+
+// addSamples adds what the account asked for and is owed, and reports whether it
+// asked for more than it got in each sample.
+func (s *Shortfall) addSamples(loads, best []*wire.AccountLoad) bool {
+	for i, load := range loads {
+		if load.GetAsked() <= load.GetAdmitted() {
+			return false
+		}
+		s.Asked += int64(load.GetAsked())
+		s.Owed += int64(min(load.GetAsked(), best[i].GetAdmitted()))
+	}
+	return true
+}
+
 // Shortfall samples the rates of accounts, at most once per samplePeriod, and returns
 // the account that is furthest behind over the window. It returns false if none is,
 // or if no sample is due.
--- a/gatherer/shortfall_test.go
+++ b/gatherer/shortfall_test.go
@@ -25,6 +25,7 @@
 		"nobody asks":           {rates{}, 0, "", 0, false},
 		"all get what they ask": {rates{"a": {10, 10}, "b": {900, 900}}, 0, "", 0, false},
 		"both limited alike":    {rates{"a": {500, 100}, "b": {900, 100}}, 0, "", 0, false},
+		"gets more than asked":  {rates{"a": {20, 30}, "b": {900, 100}}, 0, "", 0, false},
 		"behind the best":       {rates{"a": {500, 30}, "b": {900, 100}}, 0, "a", 0.3, true},
 		"small and refused":     {rates{"a": {20, 10}, "b": {900, 100}}, 0, "a", 0.5, true},
 		"window not full":       {rates{"a": {500, 30}, "b": {900, 100}}, 3 * samplePeriod, "", 0, false},
@@ -58,3 +59,22 @@
 		})
 	}
 }
+
+// TestShortfallBySecond checks that what an account asks for counts only up to what
+// the best one got in the same second.
+func TestShortfallBySecond(t *testing.T) {
+	is := is.New(t)
+	var h history
+	for i := range uint32(shortfallWindow / samplePeriod) {
+		asked, admitted := uint32(900), uint32(80)
+		if i >= 3 { // the flood is over
+			asked, admitted = 21, 20
+		}
+		h.add(start.Add(time.Duration(i)*samplePeriod), &wire.Loads{Accounts: []*wire.AccountLoad{
+			{Account: "a", Asked: asked, Admitted: admitted}, {Account: "b", Asked: 900, Admitted: 100},
+		}})
+	}
+	got, behind := h.shortfall()
+	is.True(behind)
+	is.Equal(got, Shortfall{Account: "a", Asked: 3*900 + 3*21, Owed: 3*100 + 3*21, Admitted: 3*80 + 3*20, Best: "b", Highest: 600})
+}
