Detect an overload whose delay comes and goes

A stall was any late sample after one that is on time, so an instance that is late in every other sample, as with a processor quota that ends within each period, was never overloaded.

--- a/governor/governor.go
+++ b/governor/governor.go
@@ -118,6 +118,7 @@
 	limit          float64       // requests
 	delay          float64       // moving average, in seconds
 	lastDelay      time.Duration // of the previous sample
+	onTime         time.Duration // since the last late sample
 	ended          float64       // moving average of requests per sample
 	abandoned      float64       // moving average of abandoned requests per sample
 	sinceReduction time.Duration
@@ -135,6 +136,7 @@
 	}
 	c.limit = c.memoryLimit
 	c.sinceChange = minReady
+	c.onTime = minReductionInterval
 	return c
 }
 
@@ -196,6 +198,10 @@
 	c.sinceReduction += elapsed
 	overloaded := c.saturated() && !c.stalled(delay)
 	c.lastDelay = delay
+	c.onTime += elapsed
+	if delay >= lowDelay {
+		c.onTime = 0
+	}
 	c.updateWithdrawal(s, overloaded, elapsed)
 	switch {
 	case overloaded && c.sinceReduction >= minReductionInterval:
@@ -217,11 +223,11 @@
 }
 
 // stalled reports whether a high average delay may come from a single stall: the
-// delay has only just risen, or falls by itself. The delay of an overloaded
-// instance lasts.
+// sample is on time, or is the first late one, or the delay falls by itself. The
+// delay of an overloaded instance lasts.
 func (c *Core) stalled(delay time.Duration) bool {
-	return c.Abandoned() <= highAbandonedFraction &&
-		(c.lastDelay < lowDelay || float64(delay) < recedingFactor*float64(c.lastDelay))
+	recedes := float64(delay) < recedingFactor*float64(c.lastDelay)
+	return c.Abandoned() <= highAbandonedFraction && (delay < lowDelay || c.onTime >= minReductionInterval || recedes)
 }
 
 func (c *Core) reduceLimit(running int) Change {
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -259,6 +259,19 @@
 	}
 }
 
+// TestDelayThatComesAndGoes guards against taking each late sample for a stall of its
+// own: the limit falls although every other sample is on time.
+func TestDelayThatComesAndGoes(t *testing.T) {
+	is := is.New(t)
+	c := New(736)
+	for range 20 {
+		c.Observe(Sample{Delay: 200 * time.Millisecond, Running: 200, Ended: 30})
+		c.Observe(Sample{Running: 200, Ended: 30})
+	}
+	is.True(c.Limit() < 200)
+	is.True(c.Withdrawn())
+}
+
 // zone models instances behind a balancer that sends the new connections of a caller
 // to the first instance that has not failed two consecutive health polls. Half of
 // the requests use open connections.
