--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -127,8 +127,9 @@
 	a.mu.Lock()
 	a.core.SetRouters(routers)
 	expired := a.core.ExpireRemoteLoads(a.options.Clock.Now())
+	idle := a.idle
 	a.mu.Unlock()
-	if expired {
+	if expired && !idle { // a gatherer sends nothing to an idle router
 		a.options.Logger.Warn("loads of other routers are too old")
 	}
 }
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -112,3 +112,33 @@
 		is.True(strings.Contains(log.String(), test.want))
 	}
 }
+
+// TestIdleRouterDoesNotWarn checks that a router without load does not report that it
+// hears nothing of others.
+func TestIdleRouterDoesNotWarn(t *testing.T) {
+	tests := map[string]struct {
+		idle  bool
+		lines int
+	}{"idle": {true, 0}, "busy": {false, 1}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
+			near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
+			s := &fakeFleet{live: []redwingshunt.Instance{router, near}, now: time.Unix(1000, 0)}
+			var log bytes.Buffer
+			a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+			a.send()
+			payload, err := proto.Marshal(&wire.Loads{Sum: true, Sequence: 1})
+			is.NoErr(err)
+			a.receive(near.ID, payload)
+			s.now = s.now.Add(time.Minute)
+			if !test.idle {
+				a.Refused("alpha", 1000)
+			}
+			a.send()
+			a.expire()
+			is.Equal(strings.Count(log.String(), "too old"), test.lines)
+		})
+	}
+}
