--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -32,16 +32,25 @@
 
 func (s *fakeFleet) Handle(redwingshunt.MessageKind, func(redwingshunt.InstanceID, []byte)) {}
 
+var (
+	router = redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
+	near   = redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
+	far    = redwingshunt.Instance{ID: "k2", Region: "south", Zone: "b", Voter: true}
+)
+
+// newRouter returns an allocator in a fleet, the first instance of which is its own,
+// and its log.
+func newRouter(live ...redwingshunt.Instance) (*fakeFleet, *Allocator, *bytes.Buffer) {
+	s := &fakeFleet{live: live, now: time.Unix(1000, 0)}
+	log := new(bytes.Buffer)
+	return s, New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(log, nil))}), log
+}
+
 // TestGathererChanges checks that loads go to the current gatherer, and that each
 // change of it is logged once.
 func TestGathererChanges(t *testing.T) {
 	is := is.New(t)
-	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
-	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
-	far := redwingshunt.Instance{ID: "k2", Region: "south", Zone: "b", Voter: true}
-	s := &fakeFleet{live: []redwingshunt.Instance{router, near, far}, now: time.Unix(1000, 0)}
-	var log bytes.Buffer
-	a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	s, a, log := newRouter(router, near, far)
 	a.send()
 	a.send()
 	s.live = []redwingshunt.Instance{router, far}
@@ -55,9 +64,6 @@
 // idle, since its gatherer is gone and not detected yet.
 func TestLoadsOfOthersSurviveGatherer(t *testing.T) {
 	const detection = 4 * time.Second // by membership
-	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
-	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
-	far := redwingshunt.Instance{ID: "k2", Region: "south", Zone: "b", Voter: true}
 	tests := map[string]struct {
 		gone redwingshunt.InstanceID // gatherer that does not reply
 		want redwingshunt.InstanceID // gatherer at the end
@@ -69,9 +75,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &fakeFleet{live: []redwingshunt.Instance{router, near, far}, now: time.Unix(1000, 0)}
-			var log bytes.Buffer
-			a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+			s, a, log := newRouter(router, near, far)
 			for elapsed := time.Duration(0); elapsed < time.Second+detection; elapsed += gatherer.Period {
 				s.now = s.now.Add(gatherer.Period)
 				a.Refused("alpha", 1_000_000)
@@ -93,11 +97,7 @@
 // are applied.
 func TestOtherGatherersAreIgnored(t *testing.T) {
 	is := is.New(t)
-	router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
-	near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
-	s := &fakeFleet{live: []redwingshunt.Instance{router, near}, now: time.Unix(1000, 0)}
-	var log bytes.Buffer
-	a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+	_, a, log := newRouter(router, near)
 	a.send()
 	payload, err := proto.Marshal(&wire.Loads{Sum: true, Sequence: 1, Accounts: []*wire.AccountLoad{{Account: "alpha", Admitted: 500}}})
 	is.NoErr(err)
@@ -123,11 +123,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			router := redwingshunt.Instance{ID: "r", Region: "north", Zone: "a"}
-			near := redwingshunt.Instance{ID: "k1", Region: "north", Zone: "a", Voter: true}
-			s := &fakeFleet{live: []redwingshunt.Instance{router, near}, now: time.Unix(1000, 0)}
-			var log bytes.Buffer
-			a := New(Options{Members: s, Link: s, Clock: s, Logger: slog.New(slog.NewTextHandler(&log, nil))})
+			s, a, log := newRouter(router, near)
 			a.send()
 			payload, err := proto.Marshal(&wire.Loads{Sum: true, Sequence: 1})
 			is.NoErr(err)
--- a/gatherer/chooser.go
+++ b/gatherer/chooser.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// The choice of a gatherer by a router, which replaces one that does not reply before
+// membership detects its loss.
+
 import (
 	"time"
 
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -7,7 +7,8 @@
 // the sum over all other routers. The messages of a router thus do not grow with the
 // fleet, and only sums are sent between regions.
 //
-// Core computes the sums; it reads no clock and sends nothing. Relay drives it.
+// Core computes the sums, and Chooser chooses the gatherer of a router; they read no
+// clock and send nothing. Relay drives a Core, package allocator a Chooser.
 //
 // # Usage
 //
--- a/gatherer/shortfall.go
+++ b/gatherer/shortfall.go
@@ -1,5 +1,8 @@
 package gatherer
 
+// The comparison of the service of client accounts, for the log. A gatherer is the
+// only instance that knows the sums of the whole fleet.
+
 import (
 	"time"
 
