Say in the line of a lost upstream how far the response was and which parts the prompt shares

The lines could not tell which of the requests that ran on an upstream had ended it: neither the parts of its prompt nor the progress of its response was named. No decision changes.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -175,7 +175,7 @@
 		if errors.As(err, &failure) && !failure.Sent {
 			return attemptResult{end: lostOrLeft(ctx), err: err}
 		}
-		x.reportLoss(ctx, placed)
+		x.reportLoss(ctx, placed, noResponse)
 		return attemptResult{end: lostOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 	}
 	defer reply.Close()
@@ -255,9 +255,19 @@
 	return redwingshunt.EndLost
 }
 
+// responseProgress is how much of a response had arrived when its upstream died. Its
+// values appear in logs.
+type responseProgress string
+
+const (
+	noResponse     responseProgress = "none"
+	headerReceived responseProgress = "header"
+	eventsReceived responseProgress = "events" // at least one complete event, or a part of another body
+)
+
 // reportLoss reports that an upstream died while it ran the request. An upstream
 // that still accepts connections has not died.
-func (x *exchange) reportLoss(ctx context.Context, placed redwingshunt.Placed) {
+func (x *exchange) reportLoss(ctx context.Context, placed redwingshunt.Placed, progress responseProgress) {
 	suspects := x.relayer.options.Suspects
 	if suspects == nil || !x.admitted || ctx.Err() != nil || x.relayer.options.Carrier.Alive(ctx, placed.Upstream.Address) {
 		return
@@ -265,7 +275,18 @@
 	x.relayer.options.Carrier.CloseIdle(placed.Upstream.Address)
 	x.admitted = false
 	suspects.Lost(x.fingerprint, placed.Upstream.Key())
-	x.relayer.options.Logger.Warn("upstream died with a request", "request", x.id, "upstream", string(placed.Upstream.ID))
+	x.relayer.options.Logger.Warn("upstream died with a request", "request", x.id, "upstream", string(placed.Upstream.ID),
+		"account", string(x.account), "attempt", x.tries, "response", string(progress), "parts", x.sharedParts())
+}
+
+// sharedParts returns the identifiers of the prompt parts that other requests may
+// have, too: all but the last one.
+func (x *exchange) sharedParts() []string {
+	var shared []string
+	for _, part := range x.prompt[:max(len(x.prompt)-1, 0)] {
+		shared = append(shared, part.ID)
+	}
+	return shared
 }
 
 // relayBuffered buffers a response completely before the caller sees any of it.
@@ -273,7 +294,11 @@
 	x.relayer.options.Placer.First(placed.Ticket)
 	body, err := x.readResponse(reply)
 	if err != nil {
-		x.reportLoss(ctx, placed)
+		progress := headerReceived
+		if len(body) > 0 {
+			progress = eventsReceived
+		}
+		x.reportLoss(ctx, placed, progress)
 		return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true, err: err}
 	}
 	response := &bufferedResponse{status: reply.Status, header: reply.Header, body: body}
@@ -290,7 +315,8 @@
 	return v
 }
 
-// readResponse reads the body of a response to its end.
+// readResponse reads the body of a response to its end. With an error of the upstream
+// it returns the part that arrived.
 func (x *exchange) readResponse(reply *carrier.Reply) ([]byte, error) {
 	body := make([]byte, 0, min(max(reply.Length, 0)+1, responseChunkBytes))
 	for {
@@ -300,7 +326,7 @@
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
-			return nil, err
+			return body, err
 		case len(body) > maxResponseBytes:
 			return nil, errResponseTooLong
 		case len(body) == cap(body):
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -104,7 +104,11 @@
 			}
 			return attemptResult{end: redwingshunt.EndComplete, sent: true, mayHaveBegun: true, done: true}
 		case err != nil:
-			x.reportLoss(ctx, placed)
+			progress := headerReceived
+			if begun {
+				progress = eventsReceived
+			}
+			x.reportLoss(ctx, placed, progress)
 			return attemptResult{end: failedOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 		}
 	}
