Refuse requests with the prompt part that upstreams die with

Cause: losses of upstreams were counted by the fingerprint of a whole request. Requests that share one deadly part are all different, so nothing ever added up, and each attempt went to the next upstream. The class: evidence keyed by something the cause does not repeat.

Ruled out: that the fingerprints were equal (13 of thousands of requests ended as suspect), and a popular part (the first part of the kind is in most losses too, and is answered all the time).

Each instance reports what ran on a lost upstream, and how far the response was, to two collectors. They look for the part that the losses of three different requests have in common and that no answered request has, ask all instances for objections, and refuse it for its account for ten minutes. Losses that a refused part explains accuse no other part.

--- /dev/null
+++ b/accuser/accuser.go
@@ -0,0 +1,328 @@
+// Package accuser exchanges between instances what package attributor needs to find
+// prompt parts with which upstreams die. It implements redwingshunt.PartGuard.
+//
+// Losses of upstreams and contradicting answers are sent to the collectors: the first
+// two live voters by identifier, so that the evidence outlives one of them. Their
+// verdicts are sent to all instances. A message thus goes to all instances only when
+// the state of a part changes, however many requests an upstream dies with.
+//
+// An instance that has just started gets the refused parts from the collectors.
+//
+// # Usage
+//
+//	a := accuser.New(accuser.Options{Clock: clock, Members: members, Link: link, Logger: logger})
+//	go a.Run(ctx)
+//	if err := a.Check(prompt); err != nil {
+//		return err // its outcome is not run
+//	}
+package accuser
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/attributor"
+	"github.com/redwingshunt/redwingshunt/wire"
+)
+
+const (
+	// collectors is the number of instances that attribute losses.
+	collectors = 2
+	// minSendInterval is the minimum time between two messages to the same instance.
+	minSendInterval = 100 * time.Millisecond
+	// syncInterval is the interval at which new instances are looked for.
+	syncInterval = time.Second
+	// maxQueued bounds the losses and the answers that wait to be sent.
+	maxQueued = 1024
+	// maxNotices bounds the losses, answers and verdicts of one message, each.
+	maxNotices = 128
+)
+
+// Options configure an Accuser.
+type Options struct {
+	Clock   redwingshunt.Clock
+	Members redwingshunt.Members
+	Link    redwingshunt.Link
+	Logger  *slog.Logger
+}
+
+// Accuser exchanges losses and verdicts. It is safe for concurrent use.
+type Accuser struct {
+	options Options
+	wake    chan struct{}
+
+	mu        sync.Mutex
+	guard     *attributor.Guard
+	collector *attributor.Collector
+	queued    notices
+	known     map[redwingshunt.InstanceID]redwingshunt.Incarnation // live instances at the last sync
+}
+
+var _ redwingshunt.PartGuard = (*Accuser)(nil)
+
+// notices are the contents of messages.
+type notices struct {
+	losses   []attributor.Loss
+	answers  []attributor.Answered
+	verdicts []attributor.Verdict
+}
+
+// New returns an Accuser and registers it as the handler of KindParts messages.
+func New(options Options) *Accuser {
+	a := &Accuser{
+		options: options, wake: make(chan struct{}, 1),
+		guard: attributor.NewGuard(), collector: attributor.NewCollector(),
+		known: make(map[redwingshunt.InstanceID]redwingshunt.Incarnation),
+	}
+	options.Link.Handle(redwingshunt.KindParts, a.receive)
+	return a
+}
+
+// Check implements redwingshunt.PartGuard.
+func (a *Accuser) Check(p redwingshunt.SharedPrompt) error {
+	now := a.options.Clock.Now()
+	a.mu.Lock()
+	v := a.guard.Check(now, p)
+	a.mu.Unlock()
+	if v.State != attributor.Refused {
+		return nil
+	}
+	left := v.Expires.Sub(now)
+	detail := fmt.Sprintf("%d upstreams died with requests that have the prompt part %q; it is refused for %s",
+		v.Upstreams, v.Key.Part, left.Round(time.Second))
+	return redwingshunt.NotRun(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, detail).After(left)
+}
+
+// PartsLost implements redwingshunt.PartGuard.
+func (a *Accuser) PartsLost(
+	p redwingshunt.SharedPrompt, f redwingshunt.Fingerprint, u redwingshunt.UpstreamKey, progress redwingshunt.LossProgress,
+) {
+	if len(p.Parts) == 0 {
+		return
+	}
+	a.mu.Lock()
+	if len(a.queued.losses) < maxQueued {
+		a.queued.losses = append(a.queued.losses, attributor.Loss{
+			Upstream: u, Request: f, Prompt: p, Progress: progress, Answered: a.guard.Known(p), At: a.options.Clock.Now(),
+		})
+	}
+	a.mu.Unlock()
+	a.signal()
+}
+
+// PartsAnswered implements redwingshunt.PartGuard.
+func (a *Accuser) PartsAnswered(p redwingshunt.SharedPrompt, began time.Time) {
+	if len(p.Parts) == 0 {
+		return
+	}
+	a.mu.Lock()
+	reports := a.guard.Answered(a.options.Clock.Now(), p, began)
+	a.queueAnswers(reports)
+	a.mu.Unlock()
+	if len(reports) > 0 {
+		a.signal()
+	}
+}
+
+// queueAnswers queues answers for the collectors. The lock is held.
+func (a *Accuser) queueAnswers(answers []attributor.Answered) {
+	a.queued.answers = append(a.queued.answers, answers...)
+	a.queued.answers = a.queued.answers[:min(len(a.queued.answers), maxQueued)]
+}
+
+// Run sends notices and judges losses until ctx ends.
+func (a *Accuser) Run(ctx context.Context) {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	judge := time.NewTimer(syncInterval)
+	defer judge.Stop()
+	var sent time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.syncNewInstances()
+			continue
+		case <-judge.C:
+		case <-a.wake:
+			redwingshunt.Pause(ctx, minSendInterval-time.Since(sent))
+		}
+		a.judge()
+		if a.flush() {
+			sent = time.Now()
+		}
+		now := a.options.Clock.Now()
+		a.mu.Lock()
+		next, needed := a.collector.Next(now)
+		a.mu.Unlock()
+		if needed {
+			judge.Reset(next.Sub(now))
+		}
+	}
+}
+
+// signal wakes Run.
+func (a *Accuser) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// judge applies and queues the verdicts that have changed.
+func (a *Accuser) judge() {
+	now := a.options.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, v := range a.collector.Judge(now) {
+		a.queueAnswers(a.guard.Apply(now, v))
+		a.queued.verdicts = append(a.queued.verdicts, v)
+		a.logVerdict(v)
+	}
+}
+
+// logVerdict writes the decision of this instance as a collector.
+func (a *Accuser) logVerdict(v attributor.Verdict) {
+	a.options.Logger.Warn("verdict on a prompt part", "state", v.State.String(), "service", string(v.Key.Service),
+		"account", string(v.Key.Account), "part", v.Key.Part, "upstreams", v.Upstreams, "requests", v.Requests)
+}
+
+// flush sends the queued notices and reports whether there were any.
+func (a *Accuser) flush() bool {
+	live, self := a.options.Members.Live(), a.options.Members.Self().ID
+	to := collectorsOf(live)
+	a.mu.Lock()
+	queued := a.queued
+	a.queued = notices{}
+	if to.Has(self) {
+		a.collect(a.options.Clock.Now(), queued)
+	}
+	a.mu.Unlock()
+	if len(queued.losses)+len(queued.answers)+len(queued.verdicts) == 0 {
+		return false
+	}
+	for _, i := range live {
+		if i.ID == self {
+			continue
+		}
+		n := notices{verdicts: queued.verdicts}
+		if to.Has(i.ID) {
+			n = queued
+		}
+		a.send(i.ID, n)
+	}
+	if to.Has(self) {
+		a.signal() // what was just collected is judged
+	}
+	return true
+}
+
+// collect passes losses and answers to the collector. The lock is held.
+func (a *Accuser) collect(now time.Time, n notices) {
+	for _, l := range n.losses {
+		a.collector.Lost(now, l)
+	}
+	for _, answered := range n.answers {
+		a.collector.Answered(answered)
+	}
+}
+
+// collectorsOf returns the first live voters, or the first instances if there is none.
+// A leaving instance is used only if there is no other.
+func collectorsOf(live []redwingshunt.Instance) redwingshunt.Set[redwingshunt.InstanceID] {
+	chosen := redwingshunt.NewSet[redwingshunt.InstanceID]()
+	accepts := []func(redwingshunt.Instance) bool{
+		func(i redwingshunt.Instance) bool { return i.Voter && !i.Leaving },
+		func(i redwingshunt.Instance) bool { return !i.Leaving },
+		func(redwingshunt.Instance) bool { return true },
+	}
+	for _, accept := range accepts {
+		for _, i := range live { // ordered by ID
+			if len(chosen) < collectors && accept(i) {
+				chosen.Add(i.ID)
+			}
+		}
+		if len(chosen) > 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// syncNewInstances sends the refused parts to each new instance, if this instance is a
+// collector.
+func (a *Accuser) syncNewInstances() {
+	live, self := a.options.Members.Live(), a.options.Members.Self().ID
+	collects := collectorsOf(live).Has(self)
+	a.mu.Lock()
+	refused := a.guard.Refused(a.options.Clock.Now())
+	a.mu.Unlock()
+	known := make(map[redwingshunt.InstanceID]redwingshunt.Incarnation, len(live))
+	for _, i := range live {
+		known[i.ID] = i.Incarnation
+		if collects && len(refused) > 0 && i.ID != self && a.known[i.ID] != i.Incarnation {
+			a.send(i.ID, notices{verdicts: refused})
+		}
+	}
+	a.known = known
+}
+
+// send sends notices to one instance, at most maxNotices of each sort in a message.
+func (a *Accuser) send(to redwingshunt.InstanceID, n notices) {
+	now := a.options.Clock.Now()
+	for len(n.losses)+len(n.answers)+len(n.verdicts) > 0 {
+		losses, answers, verdicts := min(maxNotices, len(n.losses)), min(maxNotices, len(n.answers)), min(maxNotices, len(n.verdicts))
+		payload, err := proto.Marshal(encode(now, notices{n.losses[:losses], n.answers[:answers], n.verdicts[:verdicts]}))
+		if err != nil {
+			a.options.Logger.Error("cannot encode what upstreams died with", "error", err.Error())
+			return
+		}
+		a.options.Link.Send(to, redwingshunt.Message{Kind: redwingshunt.KindParts, Payload: payload})
+		n = notices{n.losses[losses:], n.answers[answers:], n.verdicts[verdicts:]}
+	}
+}
+
+// receive handles a message from another instance.
+func (a *Accuser) receive(_ redwingshunt.InstanceID, payload []byte) {
+	m := &wire.PartNotices{}
+	if proto.Unmarshal(payload, m) != nil {
+		return
+	}
+	now := a.options.Clock.Now()
+	n := decode(now, m)
+	a.mu.Lock()
+	a.collect(now, n)
+	for _, v := range n.verdicts {
+		a.collector.Adopt(now, v)
+		a.queueAnswers(a.guard.Apply(now, v))
+	}
+	wake := len(n.losses)+len(n.answers)+len(a.queued.answers) > 0
+	a.mu.Unlock()
+	if wake {
+		a.signal()
+	}
+}
+
+// state is the result of Dump.
+type state struct {
+	Refused []string `json:"refused"` // account and part
+}
+
+// Dump implements redwingshunt.Dumper.
+func (a *Accuser) Dump() any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := state{Refused: []string{}}
+	for _, v := range a.guard.Refused(a.options.Clock.Now()) {
+		s.Refused = append(s.Refused, string(v.Key.Account)+" "+v.Key.Part)
+	}
+	return s
+}
--- /dev/null
+++ b/accuser/accuser_test.go
@@ -0,0 +1,182 @@
+package accuser
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// network is a fake network that connects accusers, as seen by one of them.
+type network struct {
+	self redwingshunt.Instance
+	*shared
+}
+
+// shared is the state that all accusers have in common.
+type shared struct {
+	mu       sync.Mutex
+	live     []redwingshunt.Instance
+	handlers map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)
+	sent     map[redwingshunt.InstanceID]int // messages by receiver
+}
+
+func (*network) Now() time.Time                { return time.Now() }
+func (n *network) Self() redwingshunt.Instance { return n.self }
+
+func (n *network) Live() []redwingshunt.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.live)
+}
+
+func (n *network) Handle(_ redwingshunt.MessageKind, f func(redwingshunt.InstanceID, []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[n.self.ID] = f
+}
+
+func (n *network) Send(to redwingshunt.InstanceID, m redwingshunt.Message) {
+	n.mu.Lock()
+	receive := n.handlers[to]
+	n.sent[to]++
+	n.mu.Unlock()
+	if receive != nil {
+		receive(n.self.ID, m.Payload)
+	}
+}
+
+// start adds an instance.
+func (s *shared) start(ctx context.Context, id redwingshunt.InstanceID, voter bool) *Accuser {
+	n := &network{self: redwingshunt.Instance{ID: id, Incarnation: 1, Voter: voter}, shared: s}
+	a := New(Options{Clock: n, Members: n, Link: n, Logger: slog.New(slog.DiscardHandler)})
+	s.mu.Lock()
+	s.live = append(s.live, n.self)
+	slices.SortFunc(s.live, func(a, b redwingshunt.Instance) int { return compareIDs(a.ID, b.ID) })
+	s.mu.Unlock()
+	go a.Run(ctx)
+	return a
+}
+
+func compareIDs(a, b redwingshunt.InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// remove takes an instance out of the membership and drops its messages.
+func (s *shared) remove(id redwingshunt.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.live = slices.DeleteFunc(s.live, func(i redwingshunt.Instance) bool { return i.ID == id })
+	delete(s.handlers, id)
+}
+
+// lose reports an upstream lost to a request that nobody sent before.
+func lose(a *Accuser, number int, parts ...string) {
+	var f redwingshunt.Fingerprint
+	binary.BigEndian.PutUint64(f[:], uint64(number))
+	u := redwingshunt.UpstreamKey{Service: "s", ID: redwingshunt.UpstreamID(fmt.Sprint("u", number))}
+	a.PartsLost(prompt(parts...), f, u, redwingshunt.LostAfterHeader)
+}
+
+func prompt(parts ...string) redwingshunt.SharedPrompt {
+	return redwingshunt.SharedPrompt{Service: "s", Account: "a", Parts: parts}
+}
+
+func refuses(a *Accuser, parts ...string) bool { return a.Check(prompt(parts...)) != nil }
+
+// TestVerdictReachesAllInstances loses upstreams through several instances, one
+// collector among them, which is lost on the way in one case.
+func TestVerdictReachesAllInstances(t *testing.T) {
+	tests := map[string]struct {
+		voters int
+		lost   redwingshunt.InstanceID // after two of five losses
+	}{
+		"two of three voters collect": {voters: 3},
+		"a collector is lost":         {voters: 3, lost: "i0"},
+		"no voter":                    {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := &shared{
+					handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)),
+					sent:     make(map[redwingshunt.InstanceID]int),
+				}
+				var all []*Accuser
+				for i := range 8 {
+					all = append(all, s.start(ctx, redwingshunt.InstanceID(fmt.Sprint("i", i)), i < test.voters))
+				}
+				for i := range 5 {
+					lose(all[(3+i)%8], i, "kind", "bad")
+					time.Sleep(500 * time.Millisecond)
+					all[7].PartsAnswered(prompt("kind", "good"), time.Now())
+					if i == 1 && test.lost != "" {
+						s.remove(test.lost)
+						all = all[1:]
+						all = append(all, s.start(ctx, "i9", false))
+					}
+				}
+				time.Sleep(3 * time.Second)
+				late := s.start(ctx, "j0", false)
+				time.Sleep(2 * syncInterval)
+				for _, a := range append(all, late) {
+					is.True(refuses(a, "kind", "bad"))
+					is.True(!refuses(a, "kind", "good"))
+				}
+				err := late.Check(prompt("kind", "bad"))
+				var outcome *redwingshunt.OutcomeError
+				is.True(errors.As(err, &outcome))
+				is.Equal(outcome.Outcome, redwingshunt.OutcomeNotRun)
+				is.Equal(outcome.Status, http.StatusServiceUnavailable)
+				is.True(outcome.RetryAfter > 9*time.Minute)
+				cancel()
+			})
+		})
+	}
+}
+
+// TestMessagesDoNotGrowWithRequests ends one upstream that ran many requests. Only
+// collectors may hear of it.
+func TestMessagesDoNotGrowWithRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &shared{
+			handlers: make(map[redwingshunt.InstanceID]func(redwingshunt.InstanceID, []byte)),
+			sent:     make(map[redwingshunt.InstanceID]int),
+		}
+		var all []*Accuser
+		for i := range 6 {
+			all = append(all, s.start(ctx, redwingshunt.InstanceID(fmt.Sprint("i", i)), i < 3))
+		}
+		for i := range 100 {
+			var f redwingshunt.Fingerprint
+			f[0] = byte(i)
+			all[5].PartsLost(prompt("kind", fmt.Sprint("p", i)), f, redwingshunt.UpstreamKey{Service: "s", ID: "u"}, redwingshunt.LostBeforeHeader)
+		}
+		time.Sleep(time.Second)
+		is.Equal(s.sent, map[redwingshunt.InstanceID]int{"i0": 1, "i1": 1})
+		cancel()
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -189,7 +189,7 @@
 		Logger:        d.logger,
 		Metrics:       d.metrics.scope,
 	})
-	d.guarantees = newGuarantees(d.log(), d.members, d.linker, d.configuration)
+	d.guarantees = newGuarantees(d.log(), d.members, d.linker, d.configuration, d.logger)
 	d.dispatcher = dispatcher.New(dispatcher.Options{
 		Scheduler: d.scheduling, Directory: d.scheduling, Suspects: d.guarantees.notifier, Logger: d.logger,
 	})
--- a/daemon/guarantees.go
+++ b/daemon/guarantees.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/accuser"
 	"github.com/redwingshunt/redwingshunt/guarantor"
 	"github.com/redwingshunt/redwingshunt/keeper"
 	"github.com/redwingshunt/redwingshunt/notifier"
@@ -21,6 +23,7 @@
 	keeper    *keeper.Keeper
 	guarantor *guarantor.Guarantor
 	notifier  *notifier.Notifier
+	accuser   *accuser.Accuser
 }
 
 // newGuarantees connects the components to the log, the members and the links.
@@ -29,12 +32,14 @@
 	members redwingshunt.Members,
 	link redwingshunt.Link,
 	config redwingshunt.Configuration,
+	logger *slog.Logger,
 ) *guarantees {
 	g := &guarantees{keeper: keeper.New(wallClock{}, members, link, config)}
 	g.guarantor = guarantor.New(wallClock{}, log, members, config, g.keeper)
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := quarantiner.New(members.Self().ID, 1, source)
 	g.notifier = notifier.New(wallClock{}, members, link, config, core)
+	g.accuser = accuser.New(accuser.Options{Clock: wallClock{}, Members: members, Link: link, Logger: logger})
 	return g
 }
 
@@ -43,6 +48,7 @@
 	var group errgroup.Group
 	group.Go(func() error { g.guarantor.Run(ctx); return nil })
 	group.Go(func() error { g.notifier.Run(ctx); return nil })
+	group.Go(func() error { g.accuser.Run(ctx); return nil })
 	return group.Wait()
 }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -43,6 +43,7 @@
 	KindRoll                              // announced upstreams, to all instances
 	KindLoad                              // work that a router has outstanding at upstreams
 	KindLoadSum                           // sum of the loads of all other routers
+	KindParts                             // prompt parts with which upstreams die
 	KindEnd                               // number of kinds plus one; not a kind itself
 )
 
@@ -51,7 +52,7 @@
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
 		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
-		"roll", "load", "load-sum",
+		"roll", "load", "load-sum", "parts",
 	}
 	if int(k) >= len(names) {
 		return names[0]
@@ -234,6 +235,39 @@
 	Ended(f Fingerprint)
 }
 
+// LossProgress is how much of the response had arrived when an upstream died with a
+// request.
+type LossProgress int
+
+// The values of LossProgress.
+const (
+	LostBeforeHeader LossProgress = iota // no byte of the response had arrived
+	LostAfterEvent                       // its first event had arrived just before
+	LostAfterHeader                      // its header and no event had arrived
+)
+
+// String returns the name of a progress in logs.
+func (p LossProgress) String() string {
+	names := [...]string{"none", "event", "header"}
+	if p < 0 || int(p) >= len(names) {
+		return "unknown"
+	}
+	return names[p]
+}
+
+// PartGuard refuses requests with a prompt part with which upstreams die.
+type PartGuard interface {
+	// Check returns an OutcomeError with OutcomeNotRun if a part of the prompt is
+	// refused, or nil.
+	Check(p SharedPrompt) error
+	// PartsLost records that an upstream died as it ran a request, before or just
+	// after it began to respond.
+	PartsLost(p SharedPrompt, f Fingerprint, u UpstreamKey, progress LossProgress)
+	// PartsAnswered records that the response to a request began at a time and that
+	// its upstream did not die of it.
+	PartsAnswered(p SharedPrompt, began time.Time)
+}
+
 // Dumper is a component that can export its state for diagnostics.
 type Dumper interface {
 	// Dump returns a value of bounded size that encoding/json can encode.
--- a/mimic/upstream.go
+++ b/mimic/upstream.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,7 @@
 	Events  int           // per stream; zero serves plain responses
 	Pause   time.Duration // before each event, or before a plain response
 	Slots   int           // concurrent requests, further ones are refused as not run; zero is unlimited
+	Deadly  string        // part of a prompt, not the last, with which the upstream stops as it begins to respond
 }
 
 // Misbehaviour is a fault that an Upstream injects into its next requests.
@@ -122,12 +125,18 @@
 }
 
 // Total returns the number of runs of all requests.
-func (u *Upstream) Total() int {
+func (u *Upstream) Total() int { return u.TotalOf("") }
+
+// TotalOf returns the number of runs of the requests whose identifiers begin with a
+// prefix.
+func (u *Upstream) TotalOf(prefix string) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	total := 0
-	for _, n := range u.runs {
-		total += n
+	for id, n := range u.runs {
+		if strings.HasPrefix(id, prefix) {
+			total += n
+		}
 	}
 	return total
 }
@@ -240,6 +249,12 @@
 	if fault != Unsigned {
 		w.Header().Set(u.options.Dialect.Signature, string(u.options.ID)+"."+id)
 	}
+	if u.isDeadly(r) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush() // the caller may have disconnected
+		u.Stop()
+		panic(http.ErrAbortHandler)
+	}
 	switch fault {
 	case Hang:
 		<-r.Context().Done()
@@ -265,6 +280,14 @@
 	fmt.Fprintf(w, "answer of %s to %s", u.options.ID, id)
 }
 
+// isDeadly reports whether a part of the prompt but the last one is the deadly one.
+func (u *Upstream) isDeadly(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get(u.options.Dialect.Prompt), ",")
+	return u.options.Deadly != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		return strings.HasPrefix(part, u.options.Deadly+":")
+	})
+}
+
 // answerLate writes a response to an earlier request and then the correct one.
 func (u *Upstream) answerLate(w http.ResponseWriter, id string) {
 	hijacker, ok := w.(http.Hijacker)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -54,7 +55,10 @@
 			}
 			return x.giveUp(ctx, last, nil)
 		}
-		err := x.admitSuspect(ctx)
+		err := x.checkParts()
+		if err == nil {
+			err = x.admitSuspect(ctx)
+		}
 		var placed redwingshunt.Placed
 		if err == nil {
 			placed, err = x.place()
@@ -175,7 +179,7 @@
 		if errors.As(err, &failure) && !failure.Sent {
 			return attemptResult{end: lostOrLeft(ctx), err: err}
 		}
-		x.reportLoss(ctx, placed, noResponse)
+		x.reportLoss(ctx, placed, loss{progress: redwingshunt.LostBeforeHeader, silent: stall.hasExpired() || isTimeout(err)})
 		return attemptResult{end: lostOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 	}
 	defer reply.Close()
@@ -214,6 +218,7 @@
 type stallTimer struct {
 	timer        *time.Timer
 	eventTimeout time.Duration // timeout after the first progress
+	expired      atomic.Bool
 	cancel       context.CancelCauseFunc
 }
 
@@ -225,13 +230,17 @@
 		return ctx, nil
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	return attemptCtx, &stallTimer{
-		timer:        time.AfterFunc(placed.Predicted+x.route.Aim+firstByteSlack, func() { cancel(errStalled) }),
-		eventTimeout: max(eventPauseFactor*x.route.Pause, minEventTimeout),
-		cancel:       cancel,
-	}
+	stall := &stallTimer{eventTimeout: max(eventPauseFactor*x.route.Pause, minEventTimeout), cancel: cancel}
+	stall.timer = time.AfterFunc(placed.Predicted+x.route.Aim+firstByteSlack, func() {
+		stall.expired.Store(true)
+		cancel(errStalled)
+	})
+	return attemptCtx, stall
 }
 
+// hasExpired reports whether the attempt was canceled.
+func (t *stallTimer) hasExpired() bool { return t != nil && t.expired.Load() }
+
 // reset restarts the timeout after progress.
 func (t *stallTimer) reset() {
 	if t != nil {
@@ -255,54 +264,20 @@
 	return redwingshunt.EndLost
 }
 
-// responseProgress is how much of a response had arrived when its upstream died. Its
-// values appear in logs.
-type responseProgress string
-
-const (
-	noResponse     responseProgress = "none"
-	headerReceived responseProgress = "header"
-	eventsReceived responseProgress = "events" // at least one complete event, or a part of another body
-)
-
-// reportLoss reports that an upstream died while it ran the request. An upstream
-// that still accepts connections has not died.
-func (x *exchange) reportLoss(ctx context.Context, placed redwingshunt.Placed, progress responseProgress) {
-	suspects := x.relayer.options.Suspects
-	if suspects == nil || !x.admitted || ctx.Err() != nil || x.relayer.options.Carrier.Alive(ctx, placed.Upstream.Address) {
-		return
-	}
-	x.relayer.options.Carrier.CloseIdle(placed.Upstream.Address)
-	x.admitted = false
-	suspects.Lost(x.fingerprint, placed.Upstream.Key())
-	x.relayer.options.Logger.Warn("upstream died with a request", "request", x.id, "upstream", string(placed.Upstream.ID),
-		"account", string(x.account), "attempt", x.tries, "response", string(progress), "parts", x.sharedParts())
-}
-
-// sharedParts returns the identifiers of the prompt parts that other requests may
-// have, too: all but the last one.
-func (x *exchange) sharedParts() []string {
-	var shared []string
-	for _, part := range x.prompt[:max(len(x.prompt)-1, 0)] {
-		shared = append(shared, part.ID)
-	}
-	return shared
-}
-
 // relayBuffered buffers a response completely before the caller sees any of it.
 func (x *exchange) relayBuffered(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply) attemptResult {
 	x.relayer.options.Placer.First(placed.Ticket)
+	began := time.Now()
 	body, err := x.readResponse(reply)
 	if err != nil {
-		progress := headerReceived
-		if len(body) > 0 {
-			progress = eventsReceived
-		}
-		x.reportLoss(ctx, placed, progress)
+		x.reportLoss(ctx, placed, loss{progress: redwingshunt.LostAfterHeader, answered: len(body) > 0, silent: isTimeout(err)})
 		return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true, err: err}
 	}
 	response := &bufferedResponse{status: reply.Status, header: reply.Header, body: body}
 	if reply.Status < http.StatusInternalServerError && !meansNotRun(reply.Status) {
+		if reply.Status < http.StatusMultipleChoices {
+			x.reportAnswered(began)
+		}
 		if err := x.writeBuffered(response); err != nil {
 			return attemptResult{end: redwingshunt.EndLeft, sent: true, mayHaveBegun: true, err: err}
 		}
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -116,6 +116,35 @@
 
 func (s *lossCounter) Ended(redwingshunt.Fingerprint) {}
 
+// partRecorder is a PartGuard that records its calls.
+type partRecorder struct {
+	mu       sync.Mutex
+	refuse   bool
+	lost     []redwingshunt.LossProgress
+	answered []redwingshunt.SharedPrompt
+}
+
+func (p *partRecorder) Check(redwingshunt.SharedPrompt) error {
+	if p.refuse {
+		return redwingshunt.NotRun(redwingshunt.ReasonSuspect, 503, "part").After(time.Minute)
+	}
+	return nil
+}
+
+func (p *partRecorder) PartsLost(
+	_ redwingshunt.SharedPrompt, _ redwingshunt.Fingerprint, _ redwingshunt.UpstreamKey, progress redwingshunt.LossProgress,
+) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = append(p.lost, progress)
+}
+
+func (p *partRecorder) PartsAnswered(prompt redwingshunt.SharedPrompt, _ time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = append(p.answered, prompt)
+}
+
 // routes returns the routes of the tests, one or more of each kind.
 func routes() []redwingshunt.Route {
 	target := []redwingshunt.Target{{Service: "s", Weight: 1}}
@@ -137,6 +166,7 @@
 	relayer   *Relayer
 	placer    *listPlacer
 	suspects  *lossCounter
+	parts     *partRecorder
 	plain     [2]*mimic.Upstream
 	streaming [2]*mimic.Upstream
 }
@@ -152,7 +182,7 @@
 		Routes: routes(), Limits: redwingshunt.RequestLimits{Body: 64 << 10},
 		Accounts: []redwingshunt.Account{{Name: "alpha", Keys: []redwingshunt.KeyHash{authenticator.HashKey(key)}}},
 	}
-	f := &fixture{placer: &listPlacer{budget: 10}, suspects: &lossCounter{}}
+	f := &fixture{placer: &listPlacer{budget: 10}, suspects: &lossCounter{}, parts: &partRecorder{}}
 	for i := range 2 {
 		id := redwingshunt.UpstreamID(fmt.Sprint("w", i))
 		f.plain[i] = mimic.NewUpstream(mimic.UpstreamOptions{ID: id, Dialect: dialect, Slots: 8})
@@ -166,7 +196,7 @@
 	}
 	f.relayer = New(Options{
 		Configuration: fixedConfiguration{&redwingshunt.Snapshot{Revision: 1, Document: document}},
-		Placer:        f.placer, Suspects: f.suspects,
+		Placer:        f.placer, Suspects: f.suspects, Parts: f.parts,
 		Carrier: carrier.New(carrier.Options{Header: dialect.Request}),
 		Dialect: dialect, Logger: slog.New(slog.DiscardHandler),
 	})
--- /dev/null
+++ b/relayer/loss.go
@@ -0,0 +1,65 @@
+package relayer
+
+// What a relayer reports of upstreams that die with a request, and of requests that
+// were answered.
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// answeredAfter is how long after its first event a stream shows that its upstream
+// does not die of the request.
+const answeredAfter = 250 * time.Millisecond
+
+// loss describes an attempt that its upstream ended.
+type loss struct {
+	progress redwingshunt.LossProgress
+	answered bool // the response had begun long enough before
+	silent   bool // the upstream fell silent, the connection did not end
+}
+
+// isTimeout reports whether an error says that an upstream did not respond.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// checkParts returns an error if upstreams die with a part of the prompt.
+func (x *exchange) checkParts() error {
+	guard := x.relayer.options.Parts
+	if guard == nil || len(x.shared.Parts) == 0 {
+		return nil
+	}
+	return guard.Check(x.shared)
+}
+
+// reportAnswered reports that the response began at a time and that the upstream did
+// not die of the request.
+func (x *exchange) reportAnswered(began time.Time) {
+	if guard := x.relayer.options.Parts; guard != nil && len(x.shared.Parts) > 0 {
+		guard.PartsAnswered(x.shared, began)
+	}
+}
+
+// reportLoss reports that an upstream died while it ran the request. An upstream
+// that still accepts connections has not died.
+func (x *exchange) reportLoss(ctx context.Context, placed redwingshunt.Placed, l loss) {
+	suspects := x.relayer.options.Suspects
+	if suspects == nil || !x.admitted || ctx.Err() != nil || x.relayer.options.Carrier.Alive(ctx, placed.Upstream.Address) {
+		return
+	}
+	x.relayer.options.Carrier.CloseIdle(placed.Upstream.Address)
+	x.admitted = false
+	suspects.Lost(x.fingerprint, placed.Upstream.Key())
+	if guard := x.relayer.options.Parts; guard != nil && !l.answered && !l.silent {
+		guard.PartsLost(x.shared, x.fingerprint, placed.Upstream.Key(), l.progress)
+	}
+	x.relayer.options.Logger.Warn("upstream died with a request", "request", x.id, "upstream", string(placed.Upstream.ID),
+		"account", string(x.account), "attempt", x.tries, "progress", l.progress.String(), "answered", l.answered,
+		"silent", l.silent, "parts", x.shared.Parts)
+}
--- /dev/null
+++ b/relayer/loss_test.go
@@ -0,0 +1,60 @@
+package relayer
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// TestLossNamesParts checks what is reported of the parts of a prompt when its
+// upstream dies, and when it does not.
+func TestLossNamesParts(t *testing.T) {
+	shared := redwingshunt.SharedPrompt{Service: "s", Account: "alpha", Parts: []string{"kind", "bad"}}
+	tests := map[string]struct {
+		deadly   bool // the first upstream
+		fault    mimic.Misbehaviour
+		lost     []redwingshunt.LossProgress
+		answered []redwingshunt.SharedPrompt
+	}{
+		"upstream dies as it begins":     {deadly: true, lost: []redwingshunt.LossProgress{redwingshunt.LostAfterHeader}, answered: []redwingshunt.SharedPrompt{shared}},
+		"upstream cuts and goes on":      {fault: mimic.CutHeader, answered: []redwingshunt.SharedPrompt{shared}},
+		"upstream is silent and goes on": {fault: mimic.Hang, answered: []redwingshunt.SharedPrompt{shared}},
+		"answered":                       {answered: []redwingshunt.SharedPrompt{shared}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			if test.deadly {
+				dialect := redwingshunt.DefaultDialect()
+				f.streaming[0] = mimic.NewUpstream(mimic.UpstreamOptions{ID: "w0", Dialect: dialect, Slots: 8, Events: 5, Deadly: "bad"})
+				is.NoErr(f.streaming[0].Start())
+				t.Cleanup(f.streaming[0].Stop)
+			}
+			f.streaming[0].Misbehave(test.fault, 1)
+			f.setUpstreams(f.streaming)
+			got := f.send(t, "/resumable/a", func(r *http.Request) { r.Header.Set(redwingshunt.DefaultDialect().Prompt, "kind:10,bad:5,own:1") })
+			is.Equal(got.body, events())
+			is.Equal(f.parts.lost, test.lost)
+			is.Equal(f.parts.answered, test.answered)
+		})
+	}
+}
+
+// TestRefusedPart checks that a request with a refused part reaches no upstream, and
+// that other requests do not mind.
+func TestRefusedPart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setUpstreams(f.streaming)
+	f.parts.refuse = true
+	got := f.send(t, "/resumable/a", func(r *http.Request) { r.Header.Set(redwingshunt.DefaultDialect().Prompt, "kind:10,bad:5,own:1") })
+	is.Equal(got.status, 503)
+	is.Equal(got.header.Get("Retry-After"), "60.000")
+	is.Equal(f.streaming[0].Total(), 0)
+	is.Equal(f.send(t, "/resumable/a", nil).status, 200)
+}
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -69,6 +69,10 @@
 	x.prompt = parsePrompt(header.Get(dialect.Prompt))
 	input, output := parseCount(header.Get(dialect.Count))
 	x.output = output
+	x.shared = redwingshunt.SharedPrompt{Service: x.service, Account: x.account}
+	for _, part := range x.prompt[:max(len(x.prompt)-1, 0)] {
+		x.shared.Parts = append(x.shared.Parts, part.ID)
+	}
 	if len(x.prompt) == 0 && input > 0 {
 		x.prompt = []redwingshunt.Part{{ID: x.id, Tokens: input}}
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,8 +45,9 @@
 type Options struct {
 	Configuration redwingshunt.Configuration
 	Placer        redwingshunt.Placer
-	Suspects      redwingshunt.Suspects // may be nil
-	Roll          redwingshunt.Roll     // receives upstreams that leave; may be nil
+	Suspects      redwingshunt.Suspects  // may be nil
+	Parts         redwingshunt.PartGuard // may be nil
+	Roll          redwingshunt.Roll      // receives upstreams that leave; may be nil
 	Carrier       *carrier.Carrier
 	Dialect       redwingshunt.Dialect
 	Logger        *slog.Logger
@@ -212,6 +213,7 @@
 	body        []byte
 	deadline    time.Time
 	fingerprint redwingshunt.Fingerprint
+	shared      redwingshunt.SharedPrompt
 	admitted    bool // by Options.Suspects, and its end not yet reported
 
 	tries          int  // upstreams chosen
@@ -306,7 +308,11 @@
 	if err := x.readHeader(); err != nil {
 		return err
 	}
-	if err := r.options.Placer.Check(x.placement(1)); err != nil {
+	err := x.checkParts()
+	if err == nil {
+		err = r.options.Placer.Check(x.placement(1))
+	}
+	if err != nil {
 		x.bodyUnread = true
 		return err
 	}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/carrier"
@@ -69,7 +70,8 @@
 	if x.events.last == 0 {
 		x.events.last = x.lastEventID()
 	}
-	begun := false
+	var began time.Time // arrival of the first event of this attempt
+	answered := false
 	chunk := make([]byte, streamChunkBytes)
 	reserved := eventReserveBytes // reserved for the event that is incomplete
 	for {
@@ -85,10 +87,14 @@
 			if splitter.HasData(complete) {
 				stall.reset()
 			}
-			if !begun {
-				begun = true
+			if began.IsZero() {
+				began = time.Now()
 				x.relayer.options.Placer.First(placed.Ticket)
 			}
+			if !answered && time.Since(began) >= answeredAfter {
+				answered = true
+				x.reportAnswered(began)
+			}
 			if !x.forward(reply, complete) {
 				return attemptResult{end: redwingshunt.EndLeft, sent: true, mayHaveBegun: true, err: errResponseCut}
 			}
@@ -102,13 +108,16 @@
 			if !x.started {
 				x.forward(reply, nil)
 			}
+			if !answered && !began.IsZero() {
+				x.reportAnswered(began)
+			}
 			return attemptResult{end: redwingshunt.EndComplete, sent: true, mayHaveBegun: true, done: true}
 		case err != nil:
-			progress := headerReceived
-			if begun {
-				progress = eventsReceived
+			progress := redwingshunt.LostAfterHeader
+			if !began.IsZero() {
+				progress = redwingshunt.LostAfterEvent
 			}
-			x.reportLoss(ctx, placed, progress)
+			x.reportLoss(ctx, placed, loss{progress: progress, answered: answered, silent: stall.hasExpired() || isTimeout(err)})
 			return attemptResult{end: failedOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 		}
 	}
--- a/route.go
+++ b/route.go
@@ -79,6 +79,14 @@
 	Avoid    Set[UpstreamID]
 }
 
+// SharedPrompt names those parts of a prompt that other requests may have, too: all
+// but the last one.
+type SharedPrompt struct {
+	Service ServiceID
+	Account AccountID
+	Parts   []string // in order
+}
+
 // Tokens returns the length of the prompt in tokens.
 func (p *Placement) Tokens() int64 {
 	total := int64(0)
