Refuse announcements with values that no upstream can have

Here nesting, ports and numbers that do not fit were refused already. But an identifier that is not UTF-8 (percent-encoded in the path) was taken, and the message with all upstreams that holds it cannot be encoded: an instance that starts asked for the roll and got an empty one, and renewals were lost. A start in the far future or a sequence of 64 bits outranked each real announcement of that upstream or address for two minutes. Slots above 32 bits were cut.

One Validate in the root package, asked where announcements come in and where instances hear of them; the announcer's own checks went there.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -36,8 +36,6 @@
 	minTTL               = time.Second
 	maxTTL               = time.Minute
 	defaultTTL           = 6 * time.Second
-	maxSlots             = 4096
-	maxNameBytes         = 128
 )
 
 // Announcement is the JSON body of POST /v1/upstreams.
@@ -99,15 +97,19 @@
 		refuse(w, http.StatusBadRequest, problem)
 		return
 	}
+	upstream := redwingshunt.Upstream{
+		ID: a.ID, Service: a.Service, Region: a.Region, Zone: a.Zone,
+		Address: a.Address, Slots: a.Slots, Version: a.Version,
+	}
+	if err := (redwingshunt.UpstreamState{Upstream: upstream}).Validate(h.options.Now()); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
 	if status, problem := h.authorize(r, a.Service); status != http.StatusOK {
 		refuse(w, status, problem)
 		return
 	}
 	ttl := time.Duration(a.TTL) * time.Millisecond
-	upstream := redwingshunt.Upstream{
-		ID: a.ID, Service: a.Service, Region: a.Region, Zone: a.Zone,
-		Address: a.Address, Slots: a.Slots, Version: a.Version,
-	}
 	h.options.Directory.Announce(upstream, redwingshunt.LoadReport{
 		Running: a.Load.Running, Waiting: a.Load.Waiting, At: h.options.Now(),
 	}, ttl)
@@ -143,14 +145,6 @@
 		a.TTL = defaultTTL.Milliseconds()
 	}
 	switch {
-	case a.ID == "" || len(a.ID) > maxNameBytes:
-		return "id is a name of at most 128 bytes"
-	case max(len(a.Region), len(a.Zone), len(a.Version)) > maxNameBytes:
-		return "region, zone and version have at most 128 bytes"
-	case !a.Address.IsValid() || a.Address.Addr().IsUnspecified() || a.Address.Port() == 0:
-		return "address is an IP number and a port, as in 10.0.0.7:8000"
-	case a.Slots < 1 || a.Slots > maxSlots:
-		return "slots is from 1 to 4096"
 	case a.TTL < minTTL.Milliseconds() || a.TTL > maxTTL.Milliseconds():
 		return "ttl is from 1000 to 60000 milliseconds"
 	case a.Load.Running < 0 || a.Load.Waiting < 0:
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -97,6 +97,10 @@
 // change to all others.
 func (e *Enroller) Enroll(s redwingshunt.UpstreamState) {
 	now := e.options.Clock.Now()
+	if err := s.Validate(now); err != nil {
+		e.options.Logger.Warn("invalid announcement ignored", "upstream", string(s.ID), "error", err.Error())
+		return
+	}
 	e.mu.Lock()
 	newer, changed := e.table.Enroll(s, now)
 	if newer {
@@ -310,6 +314,9 @@
 	e.mu.Lock()
 	for _, record := range roll.GetEntries() {
 		state, age, err := decode(record)
+		if err == nil {
+			err = state.Validate(now)
+		}
 		if err != nil {
 			e.options.Logger.Warn("cannot decode roll entry", "from", string(from), "error", err.Error())
 			continue
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -274,3 +275,41 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestOddAnnouncementLeavesRoll announces a valid upstream among values with which an
+// upstream cannot be used, and starts an instance that requests the roll.
+func TestOddAnnouncementLeavesRoll(t *testing.T) {
+	tests := map[string]func(*redwingshunt.UpstreamState){
+		"id that is not UTF-8":   func(s *redwingshunt.UpstreamState) { s.ID = "odd\xff" },
+		"text that is not UTF-8": func(s *redwingshunt.UpstreamState) { s.Version = "v\xff" },
+		"start in the far future, at the address of another": func(s *redwingshunt.UpstreamState) {
+			s.Address, s.Born = announcement{}.state().Address, time.UnixMilli(1<<62)
+		},
+		"start in the far future, as another": func(s *redwingshunt.UpstreamState) { s.ID, s.Born = "u", time.UnixMilli(1<<62) },
+		"sequence too large, as another":      func(s *redwingshunt.UpstreamState) { s.ID, s.Sequence, s.Leaving = "u", 1<<63, true },
+		"slots too many":                      func(s *redwingshunt.UpstreamState) { s.Slots = 1 << 40 },
+		"no port":                             func(s *redwingshunt.UpstreamState) { s.Address = netip.AddrPortFrom(s.Address.Addr(), 0) },
+		"unspecified address":                 func(s *redwingshunt.UpstreamState) { s.Address = netip.AddrPortFrom(netip.IPv4Unspecified(), 80) },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork()
+			a := n.start(t, "a")
+			good := announcement{id: "u", sequence: 1}.state()
+			good.Born = time.Now()
+			odd := announcement{id: "odd", sequence: 1, host: 9}.state()
+			odd.Born = good.Born
+			change(&odd)
+			a.Enroll(good)
+			a.Enroll(odd)
+			good.Sequence++
+			a.Enroll(good)
+			b := n.start(t, "b") // requests the roll
+			await(t, func() bool { return len(b.Usable()) > 0 })
+			is.Equal(len(b.Usable()), 1)
+			is.Equal(b.Usable()[0].ID, good.ID)
+			is.Equal(b.Usable()[0].Born.UnixMilli(), good.Born.UnixMilli())
+		})
+	}
+}
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -160,7 +160,9 @@
 		return redwingshunt.UpstreamState{}, false, false // an older incarnation left
 	}
 	if e == nil {
-		t.dismissed[id] = now // an announcement in transit must not add it
+		if len(t.dismissed) < maxEntries {
+			t.dismissed[id] = now // an announcement in transit must not add it
+		}
 		return redwingshunt.UpstreamState{}, false, false
 	}
 	newlyLeft = !e.state.Leaving
