Continue a stream only with the rest of it, and verify ends without a length

Reported from other systems: a stream had begun and broke off, and the error of the next upstream stood in its middle, or ended it as if it were complete; a faulty upstream wrote an earlier refusal once more on a kept connection.

Here the first could happen: an answer below 500 to the rest of a stream (400, 404, 302), or text, or a whole response within a stream, was passed on, with its body ended in good order. The next upstream's answer must now have the status and type of the first, and each event must be made of fields; else the attempt has failed and the next one, or a visible cut, follows. Events without a number were repeated from the first by the next upstream; such a stream is cut now.

An answer with neither length nor chunks ended as complete when its upstream died between two events: only the end of the connection marks its end. Its upstream is asked once more then whether it listens; if not, the attempt has failed.

The second does not happen here: an answer without the identifier of the request is passed over, and the end of a connection after it means that the request may have run.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -35,6 +35,7 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -437,13 +438,23 @@
 
 // Alive reports whether an address accepts a new connection.
 func (c *Carrier) Alive(ctx context.Context, address netip.AddrPort) bool {
+	return c.probe(ctx, address) == nil
+}
+
+// Ended reports whether nothing listens at an address any more.
+func (c *Carrier) Ended(ctx context.Context, address netip.AddrPort) bool {
+	return errors.Is(c.probe(ctx, address), syscall.ECONNREFUSED)
+}
+
+// probe opens a connection to an address and closes it.
+func (c *Carrier) probe(ctx context.Context, address netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
 	defer cancel()
 	socket, err := c.dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
-		return false
+		return err
 	}
 	c.opened.Add(1)
 	_ = socket.Close()
-	return true
+	return nil
 }
--- a/carrier/reply.go
+++ b/carrier/reply.go
@@ -34,6 +34,12 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether only the end of the connection marks the end of
+// the body. An upstream that dies ends it, too.
+func (r *Reply) EndsWithConnection() bool {
+	return r.Length < 0 && len(r.response.TransferEncoding) == 0 && r.response.Body != http.NoBody
+}
+
 // Buffered returns the number of bytes that can be read without waiting; more may
 // be available.
 func (r *Reply) Buffered() int { return r.connection.reader.Buffered() }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -113,6 +113,9 @@
 	if ctx.Err() != nil {
 		return "the caller left or the deadline passed"
 	}
+	if x.started && x.events.partial {
+		return "the caller has events without a number"
+	}
 	obstacle := retrier.Progress{
 		Idempotent: x.route.Idempotent(), Resumable: x.route.Resumable, MayHaveRun: x.mayHaveRun, Started: x.started,
 		Tries: x.tries, Sent: x.sent, Attempts: x.route.Attempts, Remaining: time.Until(x.deadline),
@@ -190,6 +193,9 @@
 	case reply.Status == http.StatusMisdirectedRequest, notRun && reply.Status != http.StatusBadRequest:
 		reply.Drain()
 		return attemptResult{end: redwingshunt.EndRefused, sent: true, err: errors.New("the upstream has not begun, status " + strconv.Itoa(reply.Status))}
+	case x.started && !x.continues(reply):
+		return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true,
+			err: errors.New("the answer does not continue the stream, status " + strconv.Itoa(reply.Status))}
 	case reply.Status >= 200 && reply.Status < 300 && (reply.Header.Get(dialect.Signature) == "" || reply.Header.Get("Content-Encoding") != ""):
 		return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true, err: errors.New("the answer is not of the upstream")}
 	case x.route.Kind == redwingshunt.RouteStream && reply.Status >= 200 && reply.Status < 300:
@@ -269,6 +275,9 @@
 	x.relayer.options.Placer.First(placed.Ticket)
 	began := time.Now()
 	body, err := x.readResponse(reply)
+	if err == nil {
+		err = x.verifyEnd(ctx, placed, reply)
+	}
 	if err != nil {
 		x.reportLoss(ctx, placed, loss{progress: redwingshunt.LostAfterHeader, answered: len(body) > 0, silent: isTimeout(err)})
 		return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true, err: err}
--- a/relayer/loss.go
+++ b/relayer/loss.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/carrier"
 )
 
 // answeredAfter is how long after its first event a stream shows that its upstream
@@ -29,6 +30,18 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// errEndedWithUpstream means that an upstream died while it sent an answer whose end is
+// that of the connection.
+var errEndedWithUpstream = errors.New("the upstream ended with the answer, which may lack its end")
+
+// verifyEnd returns an error if an answer that has been read to its end may lack a part.
+func (x *exchange) verifyEnd(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply) error {
+	if reply.EndsWithConnection() && x.relayer.options.Carrier.Ended(ctx, placed.Upstream.Address) {
+		return errEndedWithUpstream
+	}
+	return nil
+}
+
 // checkParts returns an error if upstreams die with a part of the prompt.
 func (x *exchange) checkParts() error {
 	guard := x.relayer.options.Parts
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +28,7 @@
 
 var (
 	errEventOrder     = errors.New("an event is missing or came twice")
+	errNoEvent        = errors.New("a part of the stream is no event")
 	errEventTooLong   = errors.New("an event does not end")
 	errEventTruncated = errors.New("the stream ended within an event")
 )
@@ -35,6 +38,8 @@
 type eventSplitter struct {
 	last    uint64 // number of the last complete event; zero before the first
 	pending []byte // bytes of an incomplete event
+	lenient bool   // lines may have any form
+	partial bool   // an event with data has no number, so the stream cannot be resumed
 }
 
 // push appends bytes and returns all events that are complete now. The result is
@@ -47,11 +52,16 @@
 		if size == 0 {
 			break
 		}
+		if !s.lenient && !splitter.IsEvent(s.pending[end:end+size]) {
+			return s.pending[:end], errNoEvent
+		}
 		if number, ok := splitter.Number(s.pending[end : end+size]); ok {
 			if s.last != 0 && number != s.last+1 {
 				return s.pending[:end], errEventOrder
 			}
 			s.last = number
+		} else if splitter.HasData(s.pending[end : end+size]) {
+			s.partial = true
 		}
 		end += size
 	}
@@ -67,6 +77,7 @@
 // first upstream, also when another one continues the stream.
 func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, stall *stallTimer) attemptResult {
 	x.events.pending = nil
+	x.events.lenient = !isEventStream(reply.Header)
 	if x.events.last == 0 {
 		x.events.last = x.lastEventID()
 	}
@@ -76,6 +87,9 @@
 	reserved := eventReserveBytes // reserved for the event that is incomplete
 	for {
 		n, err := reply.Read(chunk)
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(x.verifyEnd(ctx, placed, reply), err)
+		}
 		complete, streamErr := x.events.push(chunk[:n])
 		if rest := len(x.events.pending); rest > reserved {
 			if !x.reserveResponse(eventReserveBytes) {
@@ -123,6 +137,17 @@
 	}
 }
 
+// continues reports whether an answer may hold the rest of the stream that the caller
+// has a part of.
+func (x *exchange) continues(reply *carrier.Reply) bool {
+	return reply.Status == x.status && isEventStream(reply.Header) == isEventStream(x.writer.Header())
+}
+
+func isEventStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 // failedOrLeft returns EndFailed, or EndLeft if the request itself has ended.
 func failedOrLeft(ctx context.Context) redwingshunt.PlacementEnd {
 	if ctx.Err() != nil {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -55,6 +55,22 @@
 	return nil, false
 }
 
+// IsEvent reports whether each line of an event is a field or a comment. The name of a
+// field has no spaces, and only a field that the format defines may lack its colon.
+func IsEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, ok := bytes.Cut(line, []byte{':'})
+		switch {
+		case len(line) == 0, ok && !bytes.ContainsAny(name, " \t{}[]\"<>"):
+		case string(line) == "data", string(line) == "event", string(line) == "id", string(line) == "retry":
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // HasData reports whether any of the complete events contains data. Comments that
 // only keep the connection alive contain none.
 func HasData(events []byte) bool {
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -39,3 +39,27 @@
 	_, ok = Field(event, "retry")
 	is.True(!ok)
 }
+
+func TestIsEvent(t *testing.T) {
+	tests := map[string]struct {
+		event string
+		want  bool
+	}{
+		"event":               {"id: 1\ndata: {\"a\": 1}\n\n", true},
+		"comment":             {": ping\n\n", true},
+		"field of the sender": {"x-weight-versions: 3\nid: 1\ndata: a\n\n", true},
+		"field without value": {"id: 1\ndata\n\n", true},
+		"carriage returns":    {"id: 1\r\ndata: a\r\n\r\n", true},
+		"last event":          {"data: [DONE]\n\n", true},
+		"text":                {"internal server error\n\n", false},
+		"status line":         {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\n", false},
+		"object":              {"{\"error\": \"overloaded\"}\n\n", false},
+		"page":                {"<p class=\"a:b\">wrong</p>\n\n", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(IsEvent([]byte(test.event)), test.want)
+		})
+	}
+}
