Keep answers and prompt parts that are not UTF-8

An answer whose header has a byte that is not UTF-8 was not kept, so a resend of its request got not-kept instead of the answer (TestAnswer failed before, in three cases). The part of a prompt is sent as bytes, and a long one by its digest, so that neither escapes the collectors and none takes others' losses with it. Losses of one upstream are collected for 10 ms: without that the number of messages depended on the scheduler (TestMessagesDoNotGrowWithRequests, once under the race detector).

--- a/accuser/accuser.go
+++ b/accuser/accuser.go
@@ -35,6 +35,9 @@
 const (
 	// collectors is the number of instances that attribute losses.
 	collectors = 2
+	// batchDelay is how long notices are collected for one message, so that an upstream
+	// that dies with many requests causes one.
+	batchDelay = 10 * time.Millisecond
 	// minSendInterval is the minimum time between two messages to the same instance.
 	minSendInterval = 100 * time.Millisecond
 	// syncInterval is the interval at which new instances are looked for.
@@ -153,7 +156,7 @@
 			continue
 		case <-judge.C:
 		case <-a.wake:
-			redwingshunt.Pause(ctx, minSendInterval-time.Since(sent))
+			redwingshunt.Pause(ctx, max(batchDelay, minSendInterval-time.Since(sent)))
 		}
 		a.judge()
 		if a.flush() {
--- a/accuser/codec.go
+++ b/accuser/codec.go
@@ -18,9 +18,12 @@
 	for _, l := range n.losses {
 		w := &wire.PartLoss{
 			Service: string(l.Upstream.Service), Account: string(l.Prompt.Account), Upstream: string(l.Upstream.ID),
-			Request: l.Request[:], Parts: l.Prompt.Parts, Progress: wire.PartProgress(l.Progress + 1),
+			Request: l.Request[:], Progress: wire.PartProgress(l.Progress + 1),
 			AgeMs: now.Sub(l.At).Milliseconds(),
 		}
+		for _, part := range l.Prompt.Parts {
+			w.Parts = append(w.Parts, []byte(part))
+		}
 		for _, answered := range l.Answered {
 			w.Answers = append(w.Answers, encodeAnswer(now, answered))
 		}
@@ -40,7 +43,7 @@
 }
 
 func encodeKey(key attributor.Key) *wire.PartKey {
-	return &wire.PartKey{Service: string(key.Service), Account: string(key.Account), Part: key.Part}
+	return &wire.PartKey{Service: string(key.Service), Account: string(key.Account), Part: []byte(key.Part)}
 }
 
 func encodeAnswer(now time.Time, a attributor.Answered) *wire.PartAnswer {
@@ -60,10 +63,13 @@
 			Upstream: redwingshunt.UpstreamKey{Service: service, ID: redwingshunt.UpstreamID(w.GetUpstream())},
 			Request:  redwingshunt.Fingerprint(w.GetRequest()),
 			Prompt: redwingshunt.SharedPrompt{
-				Service: service, Account: redwingshunt.AccountID(w.GetAccount()), Parts: w.GetParts(),
+				Service: service, Account: redwingshunt.AccountID(w.GetAccount()),
 			},
 			Progress: progressOf(w.GetProgress()), At: before(now, w.GetAgeMs()),
 		}
+		for _, part := range w.GetParts() {
+			l.Prompt.Parts = append(l.Prompt.Parts, string(part))
+		}
 		for _, answer := range w.GetAnswers() {
 			l.Answered = append(l.Answered, decodeAnswer(now, answer))
 		}
@@ -87,7 +93,7 @@
 
 func decodeKey(key *wire.PartKey) attributor.Key {
 	return attributor.Key{
-		Service: redwingshunt.ServiceID(key.GetService()), Account: redwingshunt.AccountID(key.GetAccount()), Part: key.GetPart(),
+		Service: redwingshunt.ServiceID(key.GetService()), Account: redwingshunt.AccountID(key.GetAccount()), Part: string(key.GetPart()),
 	}
 }
 
--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -37,6 +37,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -49,8 +51,9 @@
 	lossRetention = time.Hour
 	// maxVerdicts bounds the verdicts kept by a Guard or a Collector.
 	maxVerdicts = 1024
-	// maxPartBytes bounds in bytes the identifiers of parts that are tracked.
-	maxPartBytes = 128
+	// maxPartBytes is the length in bytes up to which the identifier of a part is its
+	// name; of a longer one its digest is.
+	maxPartBytes = 64
 )
 
 // Key names a part of the prompts of one client account.
@@ -65,14 +68,15 @@
 	return cmp.Or(cmp.Compare(k.Service, other.Service), cmp.Compare(k.Account, other.Account), cmp.Compare(k.Part, other.Part))
 }
 
-// keysOf returns the keys of the parts of a prompt that are short enough to be
-// tracked.
+// keysOf returns the keys of the parts of a prompt.
 func keysOf(p redwingshunt.SharedPrompt) []Key {
 	keys := make([]Key, 0, len(p.Parts))
 	for _, part := range p.Parts {
-		if len(part) <= maxPartBytes {
-			keys = append(keys, Key{Service: p.Service, Account: p.Account, Part: part})
+		if len(part) > maxPartBytes {
+			digest := sha256.Sum256([]byte(part))
+			part = "sha256:" + hex.EncodeToString(digest[:16])
 		}
+		keys = append(keys, Key{Service: p.Service, Account: p.Account, Part: part})
 	}
 	return keys
 }
--- a/guarantor/answer.go
+++ b/guarantor/answer.go
@@ -71,7 +71,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		for _, value := range a.Header[name] {
-			k.Fields = append(k.Fields, &wire.KeptField{Name: name, Value: value})
+			k.Fields = append(k.Fields, &wire.KeptField{Name: name, Value: []byte(value)})
 		}
 	}
 	return k
@@ -81,7 +81,7 @@
 func decode(k *wire.KeptAnswer) *redwingshunt.Answer {
 	a := &redwingshunt.Answer{Status: int(k.Status), Header: make(http.Header), Body: k.Body}
 	for _, f := range k.Fields {
-		a.Header.Add(f.Name, f.Value)
+		a.Header.Add(f.Name, string(f.Value))
 	}
 	return a
 }
