Refuse with 429 what only the share of an account keeps out

Callers could not tell that from a lack of capacity, as all refusals had 503. One that an account within its share would not have got is 429 now, as on the address for models and services; what no upstream can take in time stays 503.

Ruled out: refusals as suspect (the part's own requests only) and upstreams that were down.

TestUnderservedAccount and TestStatusOfRefusals tell the two apart.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -226,12 +226,15 @@
 
 // outcomeOf returns the error that the caller of a refused request gets.
 func outcomeOf(refusal *placer.Refusal) *redwingshunt.OutcomeError {
-	detail := "no upstream of the service can take the request now"
+	detail, status := "no upstream of the service can take the request now", http.StatusServiceUnavailable
+	if refusal.OverShare {
+		status = http.StatusTooManyRequests
+	}
 	if refusal.Reason == redwingshunt.ReasonQueueFull {
 		detail = fmt.Sprintf("the wait of %s at the best upstream is beyond %s; the account has had %.2f of its share",
 			refusal.Wait.Round(time.Millisecond), refusal.Bound.Round(time.Millisecond), refusal.ShareRatio)
 	}
-	return redwingshunt.NotRun(refusal.Reason, http.StatusServiceUnavailable, detail).After(refusal.After)
+	return redwingshunt.NotRun(refusal.Reason, status, detail).After(refusal.After)
 }
 
 // Refused implements redwingshunt.Placer.
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/gatherer"
+	"github.com/redwingshunt/redwingshunt/placer"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
@@ -138,3 +140,24 @@
 		})
 	}
 }
+
+// TestStatusOfRefusals checks that a caller can tell a refusal for the share of its
+// account from one for lack of capacity.
+func TestStatusOfRefusals(t *testing.T) {
+	tests := map[string]struct {
+		refusal placer.Refusal
+		status  int
+	}{
+		"over its share": {placer.Refusal{Reason: redwingshunt.ReasonQueueFull, OverShare: true}, http.StatusTooManyRequests},
+		"no capacity":    {placer.Refusal{Reason: redwingshunt.ReasonQueueFull}, http.StatusServiceUnavailable},
+		"no upstream":    {placer.Refusal{Reason: redwingshunt.ReasonNoUpstream}, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			outcome := outcomeOf(&test.refusal)
+			is.Equal(outcome.Status, test.status)
+			is.Equal(outcome.Outcome, redwingshunt.OutcomeNotRun)
+		})
+	}
+}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -235,7 +235,9 @@
 		bound = 0
 	}
 	if o.wait > bound || bound <= 0 {
-		return queueFullRefusal(o.wait, bound, shareRatio)
+		refusal := queueFullRefusal(o.wait, bound, shareRatio)
+		refusal.OverShare = o.wait <= waitBound(objective, o.serviceTime+o.roundTrip, 0)
+		return refusal
 	}
 	return nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -88,6 +88,7 @@
 	Wait       time.Duration // predicted at the best upstream
 	Bound      time.Duration // limit that the wait exceeds
 	ShareRatio float64       // admitted rate of the client account divided by its share
+	OverShare  bool          // an account that has had none of its share would not be refused
 }
 
 // Core is the state of one router. It is used by one goroutine at a time.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -332,7 +332,7 @@
 		"others far above":             {20_000, 9_000, 27_000, 90_000, 18_000, 0, "elsewhere"},
 		"above its share, others more": {50_000, 15_000, 40_000, 90_000, 18_000, 0, "elsewhere"},
 		"above its share, home in use": {50_000, 15_000, 40_000, 18_000, 18_000, 0, "home"},
-		"above its share as others":    {50_000, 20_000, 16_000, 18_000, 18_000, 0, "refused"},
+		"above its share as others":    {50_000, 20_000, 16_000, 18_000, 18_000, 0, "over share"},
 		"gets what it asks":            {30_000, 28_000, 90_000, 90_000, 18_000, 0, "refused"},
 		"underserved and all busy":     {20_000, 3_000, 15_000, 90_000, 60_000, 0, "refused"},
 		"gets all that reaches core":   {70_000, 70_000, 200_000, 90_000, 18_000, 0, "refused"},
@@ -363,6 +363,8 @@
 			placed, refusal := c.Place(start, placementFor("x"))
 			got := "elsewhere"
 			switch {
+			case refusal != nil && refusal.OverShare:
+				got = "over share"
 			case refusal != nil:
 				got = "refused"
 			case placed.Upstream.ID == home.ID || placed.Upstream.ID == second.ID:
