--- a/daemon/guarantees_test.go
+++ b/daemon/guarantees_test.go
@@ -83,7 +83,9 @@
 	is.Equal(desk.Runs("second"), 0)
 	is.Equal(call(t, nodes[1], "alpha", "/services/desk/stock", "", nil).status, http.StatusOK) // idempotent requests need no quorum
 	log.setDown(false)
-	is.Equal(book(nodes[2], "new", "second").header.Get(redwingshunt.HeaderOutcome), "complete")
+	accepted := book(nodes[2], "new", "second")
+	is.Equal(accepted.header.Get(redwingshunt.HeaderReason), "")
+	is.Equal(accepted.header.Get(redwingshunt.HeaderOutcome), "complete")
 	is.Equal(desk.Runs("second"), 1)
 }
 
