Drop requests that wait at upstreams when a part of their prompt is refused

An upstream drops a request whose connection ends before it has begun, so those requests are dropped now; one that streams is not. The caller gets 502, may have run, and the upstream is not counted as failed.

TestRefusedPartLeavesUpstream could not be written before, as nothing told the relayer of a refusal.

--- a/accuser/accuser.go
+++ b/accuser/accuser.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,7 @@
 	collector *attributor.Collector
 	queued    notices
 	known     map[redwingshunt.InstanceID]redwingshunt.Incarnation // live instances at the last sync
+	refused   func()                                               // called without the lock
 }
 
 var _ redwingshunt.PartGuard = (*Accuser)(nil)
@@ -82,7 +84,8 @@
 	a := &Accuser{
 		options: options, wake: make(chan struct{}, 1),
 		guard: attributor.NewGuard(), collector: attributor.NewCollector(),
-		known: make(map[redwingshunt.InstanceID]redwingshunt.Incarnation),
+		known:   make(map[redwingshunt.InstanceID]redwingshunt.Incarnation),
+		refused: func() {},
 	}
 	options.Link.Handle(redwingshunt.KindParts, a.receive)
 	return a
@@ -134,6 +137,13 @@
 	}
 }
 
+// Watch implements redwingshunt.PartGuard.
+func (a *Accuser) Watch(refused func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused = refused
+}
+
 // queueAnswers queues answers for the collectors. The lock is held.
 func (a *Accuser) queueAnswers(answers []attributor.Answered) {
 	a.queued.answers = append(a.queued.answers, answers...)
@@ -184,12 +194,26 @@
 func (a *Accuser) judge() {
 	now := a.options.Clock.Now()
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, v := range a.collector.Judge(now) {
-		a.queueAnswers(a.guard.Apply(now, v))
-		a.queued.verdicts = append(a.queued.verdicts, v)
+	verdicts := a.collector.Judge(now)
+	a.queued.verdicts = append(a.queued.verdicts, verdicts...)
+	a.mu.Unlock()
+	for _, v := range verdicts {
 		a.logVerdict(v)
 	}
+	a.apply(now, verdicts)
+}
+
+// apply applies verdicts to the guard and queues what contradicts them.
+func (a *Accuser) apply(now time.Time, verdicts []attributor.Verdict) {
+	a.mu.Lock()
+	for _, v := range verdicts {
+		a.queueAnswers(a.guard.Apply(now, v))
+	}
+	refused := a.refused
+	a.mu.Unlock()
+	if slices.ContainsFunc(verdicts, func(v attributor.Verdict) bool { return v.State == attributor.Refused }) {
+		refused()
+	}
 }
 
 // logVerdict writes the decision of this instance as a collector.
@@ -305,13 +329,10 @@
 	a.collect(now, n)
 	for _, v := range n.verdicts {
 		a.collector.Adopt(now, v)
-		a.queueAnswers(a.guard.Apply(now, v))
 	}
-	wake := len(n.losses)+len(n.answers)+len(a.queued.answers) > 0
 	a.mu.Unlock()
-	if wake {
-		a.signal()
-	}
+	a.apply(now, n.verdicts)
+	a.signal()
 }
 
 // state is the result of Dump.
--- a/interfaces.go
+++ b/interfaces.go
@@ -266,6 +266,9 @@
 	// PartsAnswered records that the response to a request began at a time and that
 	// its upstream did not die of it.
 	PartsAnswered(p SharedPrompt, began time.Time)
+	// Watch sets the function that is called after a part has been refused. It is
+	// called once, before the first request.
+	Watch(refused func())
 }
 
 // Dumper is a component that can export its state for diagnostics.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -76,6 +76,10 @@
 		if last.sent {
 			x.sent++
 		}
+		if errors.Is(last.err, errPartRefused) {
+			x.logAttempt(placed, last, "not sent again: the prompt is refused")
+			return x.giveUp(ctx, last, x.newOutcome(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, http.StatusBadGateway, last.err.Error()))
+		}
 		if reason := x.retryObstacle(ctx); reason != "" {
 			x.logAttempt(placed, last, "not sent again: "+reason)
 			return x.giveUp(ctx, last, nil)
@@ -141,7 +145,7 @@
 		return x.newOutcome(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, redwingshunt.StatusClientClosed, "the caller went away")
 	case last.reply != nil:
 		return x.writeBuffered(last.reply)
-	case !x.mayHaveRun && refusal != nil:
+	case refusal != nil && (!x.mayHaveRun || errors.Is(last.err, errPartRefused)):
 		return refusal
 	case timedOut:
 		return x.newOutcome(redwingshunt.ReasonDeadline, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
@@ -169,8 +173,20 @@
 	return redwingshunt.NotRun(reason, notRunStatus, detail).After(notRunRetryAfter)
 }
 
-// attempt sends the request to one upstream and relays its response.
+// attempt sends the request to one upstream and relays its response, unless a part of
+// its prompt is refused before the response begins.
 func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) attemptResult {
+	watched, done := x.watchParts(ctx)
+	defer done()
+	result := x.exchangeWith(watched, placed)
+	if !result.done && errors.Is(context.Cause(watched), errPartRefused) {
+		result.err = errPartRefused
+	}
+	return result
+}
+
+// exchangeWith sends the request to an upstream and relays its response.
+func (x *exchange) exchangeWith(ctx context.Context, placed redwingshunt.Placed) attemptResult {
 	attemptCtx, stall := x.watchStall(ctx, placed)
 	defer stall.stop()
 	reply, err := x.relayer.options.Carrier.Send(attemptCtx, x.newCall(placed))
--- a/relayer/fixture_test.go
+++ b/relayer/fixture_test.go
@@ -120,11 +120,24 @@
 type partRecorder struct {
 	mu       sync.Mutex
 	refuse   bool
+	watch    func() // called after a part was refused
 	lost     []redwingshunt.LossProgress
 	answered []redwingshunt.SharedPrompt
 }
 
+func (p *partRecorder) Watch(refused func()) { p.watch = refused }
+
+// refuseAll refuses all prompts from now on.
+func (p *partRecorder) refuseAll() {
+	p.mu.Lock()
+	p.refuse = true
+	p.mu.Unlock()
+	p.watch()
+}
+
 func (p *partRecorder) Check(redwingshunt.SharedPrompt) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.refuse {
 		return redwingshunt.NotRun(redwingshunt.ReasonSuspect, 503, "part").After(time.Minute)
 	}
--- a/relayer/loss.go
+++ b/relayer/loss.go
@@ -42,6 +42,38 @@
 	return nil
 }
 
+// errPartRefused is the context cause of an attempt whose prompt has been refused
+// before the upstream began to respond.
+var errPartRefused = errors.New("upstreams die with a part of the prompt")
+
+// watchParts returns a context that is canceled when a part of the prompt is refused,
+// and a function that ends the watch. An upstream that has not begun yet drops the
+// request then.
+func (x *exchange) watchParts(ctx context.Context) (attempt context.Context, done func()) {
+	if x.relayer.options.Parts == nil || len(x.shared.Parts) == 0 {
+		return ctx, func() {}
+	}
+	attempt, cancel := context.WithCancelCause(ctx)
+	x.relayer.awaiting.Store(x, cancel)
+	return attempt, func() {
+		x.responseBegun()
+		cancel(nil)
+	}
+}
+
+// responseBegun ends the watch of the parts.
+func (x *exchange) responseBegun() { x.relayer.awaiting.Delete(x) }
+
+// dropRefused cancels the attempts without a response whose prompts are refused.
+func (r *Relayer) dropRefused() {
+	r.awaiting.Range(func(key, value any) bool {
+		if key.(*exchange).checkParts() != nil {
+			value.(context.CancelCauseFunc)(errPartRefused)
+		}
+		return true
+	})
+}
+
 // checkParts returns an error if upstreams die with a part of the prompt.
 func (x *exchange) checkParts() error {
 	guard := x.relayer.options.Parts
--- a/relayer/loss_test.go
+++ b/relayer/loss_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,10 +53,61 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.setUpstreams(f.streaming)
-	f.parts.refuse = true
+	f.parts.refuseAll()
 	got := f.send(t, "/resumable/a", func(r *http.Request) { r.Header.Set(redwingshunt.DefaultDialect().Prompt, "kind:10,bad:5,own:1") })
 	is.Equal(got.status, 503)
 	is.Equal(got.header.Get("Retry-After"), "60.000")
 	is.Equal(f.streaming[0].Total(), 0)
 	is.Equal(f.send(t, "/resumable/a", nil).status, 200)
 }
+
+// TestRefusedPartLeavesUpstream refuses a part while a request with it waits at an
+// upstream, and while another one streams.
+func TestRefusedPartLeavesUpstream(t *testing.T) {
+	tests := map[string]struct {
+		fault  mimic.Misbehaviour
+		status int
+		left   bool
+	}{
+		"waits":   {fault: mimic.Hang, status: 502, left: true},
+		"streams": {status: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			slow := mimic.NewUpstream(mimic.UpstreamOptions{
+				ID: "w0", Dialect: redwingshunt.DefaultDialect(), Slots: 8, Events: 5, Pause: 20 * time.Millisecond,
+			})
+			is.NoErr(slow.Start())
+			t.Cleanup(slow.Stop)
+			slow.Misbehave(test.fault, 1)
+			f.streaming[0] = slow
+			f.setUpstreams(f.streaming)
+			got := make(chan callerView, 1)
+			go func() {
+				got <- f.send(t, "/stream/a", func(r *http.Request) { r.Header.Set(redwingshunt.DefaultDialect().Prompt, "kind:10,bad:5,own:1") })
+			}()
+			eventually(t, func() bool { return slow.Runs("r1") == 1 })
+			eventually(t, func() bool { // it waits, or its first event has arrived
+				return isEmpty(&f.relayer.awaiting) != test.left
+			})
+			f.parts.refuseAll()
+			response := <-got
+			is.Equal(response.status, test.status)
+			is.NoErr(response.err)
+			eventually(t, func() bool { return slow.Left("r1") == test.left })
+			is.Equal(f.streaming[1].Total(), 0)
+			is.Equal(f.placer.ends[0] == redwingshunt.EndLeft, test.left) // no fault of the upstream
+		})
+	}
+}
+
+func isEmpty(m *sync.Map) bool {
+	empty := true
+	m.Range(func(any, any) bool {
+		empty = false
+		return false
+	})
+	return empty
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -32,6 +32,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,6 +87,7 @@
 	refusalLog   refusalLog    // limits log lines of refusals at the limit
 	checkLog     refusalLog    // limits log lines of refusals before the body is read
 	refusalSlots chan struct{} // semaphore: one element for each refusal of a full instance in progress
+	awaiting     sync.Map      // *exchange without a response, to context.CancelCauseFunc
 	leaving      atomic.Bool
 	stopping     atomic.Bool
 	base         context.Context
@@ -119,6 +121,9 @@
 func New(options Options) *Relayer {
 	r := &Relayer{options: options, accounts: authenticator.New(), refusalSlots: make(chan struct{}, maxConcurrentRefusals)}
 	r.base, r.abort = context.WithCancelCause(context.Background())
+	if options.Parts != nil {
+		options.Parts.Watch(r.dropRefused)
+	}
 	return r
 }
 
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -103,6 +103,7 @@
 			}
 			if began.IsZero() {
 				began = time.Now()
+				x.responseBegun()
 				x.relayer.options.Placer.First(placed.Ticket)
 			}
 			if !answered && time.Since(began) >= answeredAfter {
