Verify ends without a length on the address for services, too

The same cause as on routes: a response of a plain service with neither length nor chunks ended as complete when its upstream died, also for a non-idempotent request, whose answer was then kept. Package detector holds what both addresses ask: whether an upstream listens, and whether only the connection ends a response.

Failed before: TestResponseThatEndsWithConnection, both cases in which the upstream dies.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -35,8 +35,9 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/redwingshunt/redwingshunt/detector"
 )
 
 const (
@@ -432,29 +433,14 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
-// aliveTimeout is how long an upstream may take to accept a connection that only
-// checks whether it is alive: a round trip between regions and some work.
-const aliveTimeout = 300 * time.Millisecond
-
 // Alive reports whether an address accepts a new connection.
 func (c *Carrier) Alive(ctx context.Context, address netip.AddrPort) bool {
-	return c.probe(ctx, address) == nil
+	c.opened.Add(1)
+	return detector.Probe(ctx, &c.dialer, address) == nil
 }
 
 // Ended reports whether nothing listens at an address any more.
 func (c *Carrier) Ended(ctx context.Context, address netip.AddrPort) bool {
-	return errors.Is(c.probe(ctx, address), syscall.ECONNREFUSED)
-}
-
-// probe opens a connection to an address and closes it.
-func (c *Carrier) probe(ctx context.Context, address netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	socket, err := c.dialer.DialContext(ctx, "tcp4", address.String())
-	if err != nil {
-		return err
-	}
 	c.opened.Add(1)
-	_ = socket.Close()
-	return nil
+	return detector.Ended(ctx, &c.dialer, address)
 }
--- a/carrier/reply.go
+++ b/carrier/reply.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/redwingshunt/redwingshunt/detector"
 )
 
 // Reply is the response to a call. Its body is read from it.
@@ -35,10 +37,8 @@
 }
 
 // EndsWithConnection reports whether only the end of the connection marks the end of
-// the body. An upstream that dies ends it, too.
-func (r *Reply) EndsWithConnection() bool {
-	return r.Length < 0 && len(r.response.TransferEncoding) == 0 && r.response.Body != http.NoBody
-}
+// the body.
+func (r *Reply) EndsWithConnection() bool { return detector.EndsWithConnection(r.response) }
 
 // Buffered returns the number of bytes that can be read without waiting; more may
 // be available.
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -14,12 +14,17 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/accountant"
 	"github.com/redwingshunt/redwingshunt/connector"
+	"github.com/redwingshunt/redwingshunt/detector"
 	"github.com/redwingshunt/redwingshunt/retrier"
 )
 
 // errStalled cancels an attempt that made no progress within the stall limit.
 var errStalled = errors.New("no progress within the stall limit of the service")
 
+// errEndedWithUpstream means that an upstream died while it sent a response whose end is
+// that of the connection.
+var errEndedWithUpstream = errors.New("the upstream ended with the response, which may lack its end")
+
 // attempt is one try of a request on one upstream.
 type attempt struct {
 	dispatcher *Dispatcher
@@ -211,6 +216,9 @@
 	if err != nil {
 		return a.classifyError(ctx, err)
 	}
+	if len(body) < maxBufferedBytes && a.endedWith(ctx, response) {
+		return a.classifyError(ctx, errEndedWithUpstream)
+	}
 	a.meter.Body(body)
 	e := a.exchange
 	header := e.Writer.Header()
@@ -226,11 +234,20 @@
 		return nil
 	}
 	if _, err := io.CopyBuffer(writer, reader, make([]byte, copyBufferBytes)); err != nil {
-		return redwingshunt.MayHaveRun(redwingshunt.ReasonTruncated, http.StatusBadGateway, err.Error())
+		return truncated(err.Error())
+	}
+	if a.endedWith(ctx, response) {
+		return truncated(errEndedWithUpstream.Error())
 	}
 	return nil
 }
 
+// endedWith reports whether a response that has been read to its end may lack a part,
+// since its upstream died and only the connection marks its end.
+func (a *attempt) endedWith(ctx context.Context, response *http.Response) bool {
+	return detector.EndsWithConnection(response) && detector.Ended(ctx, a.dispatcher.dialer, a.grant.Upstream.Address)
+}
+
 // extendWriteDeadline sets the deadline of the next write to the stall limit from
 // now. A caller that reads nothing would otherwise hold its slot forever.
 func (a *attempt) extendWriteDeadline() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,7 @@
 // Dispatcher is the last handler of the chain.
 type Dispatcher struct {
 	options          Options
+	dialer           *net.Dialer
 	pooled           *connector.Connector // for idempotent requests to upstreams that echo request IDs
 	unpooled         *http.Transport      // one connection per request: for all others
 	echoingAddresses echoingAddresses
@@ -66,6 +67,7 @@
 	}
 	return &Dispatcher{
 		options:  options,
+		dialer:   dialer,
 		pooled:   connector.New(connector.Options{Dial: dialer.DialContext}),
 		unpooled: newUnpooledTransport(dialer),
 		policy:   retrier.New(0, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -25,6 +26,7 @@
 // and counts these requests.
 type upstream struct {
 	address  netip.AddrPort
+	listener net.Listener
 	mu       sync.Mutex
 	requests int
 }
@@ -35,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &upstream{address: netip.MustParseAddrPort(listener.Addr().String())}
+	u := &upstream{listener: listener, address: netip.MustParseAddrPort(listener.Addr().String())}
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		for {
@@ -170,6 +172,36 @@
 	}
 }
 
+// TestResponseThatEndsWithConnection has an upstream of a plain service send a response
+// without a length, and close the connection in good order or as it dies.
+func TestResponseThatEndsWithConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"plain":  "HTTP/1.1 200 OK\r\n\r\npart",
+		"stream": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: part\n\n",
+	} {
+		for _, dies := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", dies ", dies), func(t *testing.T) {
+				is := is.New(t)
+				started := make(chan *upstream, 1)
+				u := startUpstream(t, func(c net.Conn, _ *http.Request) {
+					_, _ = io.WriteString(c, text)
+					if u := <-started; dies {
+						u.listener.Close()
+					}
+				})
+				started <- u
+				e := exchange(t.Context(), httptest.NewRecorder(), true, false)
+				e.Service.Kind = redwingshunt.ServicePlain
+				err := dispatch(t.Context(), &singleUpstream{remaining: 1, address: u.address}, e)
+				is.Equal(err == nil, !dies)
+				if dies {
+					is.Equal(redwingshunt.OutcomeOf(err).Outcome, redwingshunt.OutcomeMayHaveRun)
+				}
+			})
+		}
+	}
+}
+
 // TestResume truncates streams and checks that, after resuming, no event is lost
 // or duplicated, or else that the caller receives an error event.
 func TestResume(t *testing.T) {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -60,7 +60,7 @@
 	if a.exchange.HTTP.Context().Err() != nil {
 		return a.classifyError(ctx, context.Canceled)
 	}
-	if scanner.Err() == nil && a.exchange.Service.Kind == redwingshunt.ServicePlain {
+	if scanner.Err() == nil && a.exchange.Service.Kind == redwingshunt.ServicePlain && !a.endedWith(ctx, response) {
 		return a.endPlain(response)
 	}
 	detail := "the stream ended before its last event"
