Judge losses when it is needed, not for a minute after each

A collector judged all losses of the hour 6.7 times a second as long as any part was doubted, up to a minute, at a cost that grows with the losses kept. It does now when a crash has settled, when the time for objections ends, and on reports; the tests step by Next, so what it leaves out would show.

--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -57,15 +57,30 @@
 	for _, report := range s.guard.Answered(s.now, p, s.now) {
 		s.collector.Answered(report)
 	}
+	s.judge() // as on each report
 }
 
-// pass lets time pass and judges every 100 ms.
+// pass lets time pass and judges when it is needed.
 func (s *scene) pass(d time.Duration) {
-	for end := s.now.Add(d); s.now.Before(end); {
-		s.now = s.now.Add(100 * time.Millisecond)
+	for end := s.now.Add(d); ; {
+		next, needed := s.collector.Next(s.now)
+		if !needed || next.After(end) {
+			s.now = end
+			return
+		}
+		s.now = next
+		s.judge()
+	}
+}
+
+// judge applies the verdicts, and again what contradicts them.
+func (s *scene) judge() {
+	for again := true; again; {
+		again = false
 		for _, v := range s.collector.Judge(s.now) {
 			for _, report := range s.guard.Apply(s.now, v) {
 				s.collector.Answered(report)
+				again = true
 			}
 		}
 	}
--- a/attributor/collector.go
+++ b/attributor/collector.go
@@ -154,15 +154,22 @@
 	}
 }
 
-// Next returns when Judge must be called next, and false if there is no need.
-func (c *Collector) Next(now time.Time) (time.Time, bool) {
-	if len(c.crashes) == 0 {
-		return time.Time{}, false
+// Next returns when Judge must be called next although nothing has been reported, and
+// false if there is no need.
+func (c *Collector) Next(now time.Time) (next time.Time, needed bool) {
+	consider := func(at time.Time) {
+		if at.After(now) && (!needed || at.Before(next)) {
+			next, needed = at, true
+		}
+	}
+	for _, k := range c.crashes {
+		consider(k.at.Add(settleTime))
 	}
-	if len(c.doubted) > 0 || now.Sub(c.crashes[len(c.crashes)-1].at) < crashWindow {
-		return now.Add(settleTime / 2), true
+	for _, since := range c.doubted {
+		consider(since.Add(objectionTime))
+		consider(since.Add(answeredObjectionTime))
 	}
-	return time.Time{}, false
+	return next, needed
 }
 
 // evidence is what speaks against a part.
