Bound the size of messages about prompt parts

A prompt may name 64 parts of kilobytes each, so one message of 128 losses could reach megabytes. Parts go by their names, which are short, and a message is split above 128 KiB. Instances that collect nothing no longer look for new instances each second.

--- a/accuser/accuser.go
+++ b/accuser/accuser.go
@@ -45,8 +45,10 @@
 	syncInterval = time.Second
 	// maxQueued bounds the losses and the answers that wait to be sent.
 	maxQueued = 1024
-	// maxNotices bounds the losses, answers and verdicts of one message, each.
-	maxNotices = 128
+	// maxNotices bounds the losses, answers and verdicts of one message, each, and
+	// maxMessageBytes its size in bytes.
+	maxNotices      = 128
+	maxMessageBytes = 128 << 10
 )
 
 // Options configure an Accuser.
@@ -79,12 +81,19 @@
 	verdicts []attributor.Verdict
 }
 
+func (n notices) len() int { return len(n.losses) + len(n.answers) + len(n.verdicts) }
+
+// split returns at most the first count notices of each sort, and the others.
+func (n notices) split(count int) (head, rest notices) {
+	l, a, v := min(count, len(n.losses)), min(count, len(n.answers)), min(count, len(n.verdicts))
+	return notices{n.losses[:l], n.answers[:a], n.verdicts[:v]}, notices{n.losses[l:], n.answers[a:], n.verdicts[v:]}
+}
+
 // New returns an Accuser and registers it as the handler of KindParts messages.
 func New(options Options) *Accuser {
 	a := &Accuser{
 		options: options, wake: make(chan struct{}, 1),
 		guard: attributor.NewGuard(), collector: attributor.NewCollector(),
-		known:   make(map[redwingshunt.InstanceID]redwingshunt.Incarnation),
 		refused: func() {},
 	}
 	options.Link.Handle(redwingshunt.KindParts, a.receive)
@@ -113,6 +122,11 @@
 	if len(p.Parts) == 0 {
 		return
 	}
+	names := make([]string, len(p.Parts)) // of bounded length, unlike what the caller sent
+	for i, part := range p.Parts {
+		names[i] = attributor.NameOf(part)
+	}
+	p.Parts = names
 	a.mu.Lock()
 	if len(a.queued.losses) < maxQueued {
 		a.queued.losses = append(a.queued.losses, attributor.Loss{
@@ -233,7 +247,7 @@
 		a.collect(a.options.Clock.Now(), queued)
 	}
 	a.mu.Unlock()
-	if len(queued.losses)+len(queued.answers)+len(queued.verdicts) == 0 {
+	if queued.len() == 0 {
 		return false
 	}
 	for _, i := range live {
@@ -292,28 +306,38 @@
 	a.mu.Lock()
 	refused := a.guard.Refused(a.options.Clock.Now())
 	a.mu.Unlock()
+	if !collects || len(refused) == 0 {
+		a.known = nil
+		return
+	}
 	known := make(map[redwingshunt.InstanceID]redwingshunt.Incarnation, len(live))
 	for _, i := range live {
 		known[i.ID] = i.Incarnation
-		if collects && len(refused) > 0 && i.ID != self && a.known[i.ID] != i.Incarnation {
+		if i.ID != self && a.known[i.ID] != i.Incarnation {
 			a.send(i.ID, notices{verdicts: refused})
 		}
 	}
 	a.known = known
 }
 
-// send sends notices to one instance, at most maxNotices of each sort in a message.
+// send sends notices to one instance, in messages of bounded size.
 func (a *Accuser) send(to redwingshunt.InstanceID, n notices) {
 	now := a.options.Clock.Now()
-	for len(n.losses)+len(n.answers)+len(n.verdicts) > 0 {
-		losses, answers, verdicts := min(maxNotices, len(n.losses)), min(maxNotices, len(n.answers)), min(maxNotices, len(n.verdicts))
-		payload, err := proto.Marshal(encode(now, notices{n.losses[:losses], n.answers[:answers], n.verdicts[:verdicts]}))
+	for n.len() > 0 {
+		head, rest := n.split(maxNotices)
+		m := encode(now, head)
+		for count := maxNotices; proto.Size(m) > maxMessageBytes && count > 1; {
+			count /= 2
+			head, rest = n.split(count)
+			m = encode(now, head)
+		}
+		payload, err := proto.Marshal(m)
 		if err != nil {
 			a.options.Logger.Error("cannot encode what upstreams died with", "error", err.Error())
 			return
 		}
 		a.options.Link.Send(to, redwingshunt.Message{Kind: redwingshunt.KindParts, Payload: payload})
-		n = notices{n.losses[losses:], n.answers[answers:], n.verdicts[verdicts:]}
+		n = rest
 	}
 }
 
--- a/accuser/accuser_test.go
+++ b/accuser/accuser_test.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 // network is a fake network that connects accusers, as seen by one of them.
@@ -205,3 +207,30 @@
 		cancel()
 	})
 }
+
+// TestMessagesAreBounded loses an upstream with many long parts of many requests.
+func TestMessagesAreBounded(t *testing.T) {
+	is := is.New(t)
+	n := &network{shared: newShared()}
+	received, longest := 0, 0
+	n.handlers["to"] = func(_ redwingshunt.InstanceID, payload []byte) {
+		m := &wire.PartNotices{}
+		is.NoErr(proto.Unmarshal(payload, m))
+		received += len(m.GetLosses())
+		longest = max(longest, len(payload))
+	}
+	a := New(Options{Clock: n, Members: n, Link: n, Logger: slog.New(slog.DiscardHandler)})
+	parts := make([]string, 64)
+	for i := range parts {
+		parts[i] = fmt.Sprint(strings.Repeat("p", 4000), i)
+	}
+	a.PartsAnswered(prompt(parts...), time.Now())
+	for i := range 200 {
+		var f redwingshunt.Fingerprint
+		f[0] = byte(i)
+		a.PartsLost(prompt(parts...), f, redwingshunt.UpstreamKey{Service: "s", ID: "u"}, redwingshunt.LostBeforeHeader)
+	}
+	a.send("to", a.queued)
+	is.Equal(received, 200)
+	is.True(longest <= maxMessageBytes)
+}
--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -72,15 +72,21 @@
 func keysOf(p redwingshunt.SharedPrompt) []Key {
 	keys := make([]Key, 0, len(p.Parts))
 	for _, part := range p.Parts {
-		if len(part) > maxPartBytes {
-			digest := sha256.Sum256([]byte(part))
-			part = "sha256:" + hex.EncodeToString(digest[:16])
-		}
-		keys = append(keys, Key{Service: p.Service, Account: p.Account, Part: part})
+		keys = append(keys, Key{Service: p.Service, Account: p.Account, Part: NameOf(part)})
 	}
 	return keys
 }
 
+// NameOf returns the name under which a part is known: its identifier, or a digest of
+// a long one. The name of a name is the same.
+func NameOf(part string) string {
+	if len(part) <= maxPartBytes {
+		return part
+	}
+	digest := sha256.Sum256([]byte(part))
+	return "sha256:" + hex.EncodeToString(digest[:16])
+}
+
 // Answered says that a request with a part was answered.
 type Answered struct {
 	Key Key
