Do not refuse for want of upstreams while one is announced in another region

TestRunsOnce had ended once with a booking refused as not run. The third instance of that test is in a region without upstreams, and the refused booking is the first request that runs through it.

An owner that has been elected for two seconds refuses requests at once when it knows no upstream in any region. It learns of the first one of another region with that region's next ledger, up to a second after it was announced; so callers were refused while capacity was idle.

The first upstream of a region is told at once now, and requests wait 0.3 s for such news.

Tried and not kept: telling at once from the election on.

That the listed failure had this cause is likely, not shown: its reason was not printed.

--- a/daemon/guarantees_test.go
+++ b/daemon/guarantees_test.go
@@ -117,3 +117,20 @@
 	}
 	is.Equal(call(t, nodes[2], "alpha", "/services/desk/stock", "fine", nil).status, http.StatusOK)
 }
+
+// TestNewUpstreamOfAnotherRegionServes sends a request in a region without upstreams
+// right after the first one was announced in another region.
+func TestNewUpstreamOfAnotherRegionServes(t *testing.T) {
+	is := is.New(t)
+	nodes, _ := startFleetWithLog(t, 3)
+	book := func(key string) reply {
+		return call(t, nodes[2], "alpha", "/services/desk/bookings", "lesson", http.Header{redwingshunt.HeaderIdempotency: {key}})
+	}
+	eventually(t, func() bool { // the time after the election has passed in which requests wait
+		return book("early").header.Get(redwingshunt.HeaderReason) == string(redwingshunt.ReasonNoUpstream)
+	})
+	startMimic(t, mimic.Options{ID: "desk-1", Service: "desk", Slots: 4}, nodes[0])
+	got := book("late")
+	is.Equal(got.header.Get(redwingshunt.HeaderReason), "")
+	is.Equal(got.header.Get(redwingshunt.HeaderOutcome), "complete")
+}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -21,6 +21,11 @@
 // exchange sends ledgers to the peers that need one.
 func (o *Owner) exchange(now time.Time) {
 	for _, p := range o.sortedPeers {
+		if o.active && p.summary.slots == 0 && o.pool.Slots() > 0 && now.Sub(o.electedAt) >= noUpstreamGrace {
+			// Requests may be refused there for want of any upstream.
+			o.send(now, p, o.slotsToAsk(now, p))
+			continue
+		}
 		if now.Sub(p.sentAt) < loanExchangePeriod || now.Sub(p.checkedAt) < checkPeriod {
 			continue
 		}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -21,6 +21,9 @@
 	// noUpstreamGrace is the time that upstreams have after an election to
 	// announce themselves before requests are refused because there is none.
 	noUpstreamGrace = 2 * time.Second
+	// newsTime is how long requests wait for the news of an upstream that was just
+	// announced in another region before they are refused.
+	newsTime = 300 * time.Millisecond
 	// refreshPeriod is the time between two recomputations of all reservations.
 	refreshPeriod = 200 * time.Millisecond
 	// rateWeight is the weight of one sample in the moving average of the rate of
@@ -66,7 +69,9 @@
 	active    bool
 	term      uint64
 	electedAt time.Time
-	settledAt time.Time // no grants before
+	// waitingSince is when requests began to wait while no region has an upstream.
+	waitingSince time.Time
+	settledAt    time.Time // no grants before
 
 	gap         time.Duration
 	meanShare   float64       // of the configured accounts
@@ -326,16 +331,23 @@
 	o.refuseWaiting(now)
 }
 
+// hasUpstream reports whether any region has an upstream, as far as known.
+func (o *Owner) hasUpstream() bool {
+	return o.pool.Alive() || slices.ContainsFunc(o.sortedPeers, func(p *peer) bool { return p.slots > 0 })
+}
+
 // refuseWaiting tells routers with waiting requests that no upstream is alive in
 // any region.
 func (o *Owner) refuseWaiting(now time.Time) {
-	if !o.active || o.waiting == 0 || now.Sub(o.electedAt) < noUpstreamGrace || o.pool.Alive() {
+	if !o.active || o.waiting == 0 || now.Sub(o.electedAt) < noUpstreamGrace || o.hasUpstream() {
+		o.waitingSince = time.Time{}
 		return
 	}
-	for _, p := range o.sortedPeers {
-		if p.slots > 0 {
-			return
-		}
+	if o.waitingSince.IsZero() {
+		o.waitingSince = now
+	}
+	if now.Sub(o.waitingSince) < newsTime {
+		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(o.routers)) {
 		r := o.routers[id]
