--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -121,7 +121,8 @@
 	State   State
 	Since   time.Time // of the first loss that counts against the part
 	Expires time.Time // of a refusal
-	// The evidence, for logs: upstreams lost, different requests lost with them.
+	// The evidence, for logs: upstreams lost, and different requests lost with them,
+	// of which up to maxCountedRequests are counted.
 	Upstreams, Requests int
 }
 
--- a/attributor/collector.go
+++ b/attributor/collector.go
@@ -39,9 +39,11 @@
 	headerWeight = 2
 
 	// maxCrashes, maxLossesPerCrash and maxKeys bound the evidence.
-	maxCrashes        = 256
+	maxCrashes        = 64
 	maxLossesPerCrash = 64
-	maxKeys           = 16384
+	maxKeys           = 4096
+	// maxCountedRequests bounds the different requests that are counted against a part.
+	maxCountedRequests = 16
 	// maxDoubts bounds the parts that are doubted at a time.
 	maxDoubts = 16
 )
@@ -177,10 +179,17 @@
 	key             Key
 	weight, crashes int
 	position        int // in the prompt
-	requests        map[redwingshunt.Fingerprint]struct{}
+	requests        []redwingshunt.Fingerprint
 	first, last     time.Time
 }
 
+// addRequest counts a request once.
+func (e *evidence) addRequest(f redwingshunt.Fingerprint) {
+	if len(e.requests) < maxCountedRequests && !slices.Contains(e.requests, f) {
+		e.requests = append(e.requests, f)
+	}
+}
+
 // Judge returns the verdicts that have changed.
 func (c *Collector) Judge(now time.Time) []Verdict {
 	for len(c.crashes) > 0 && now.Sub(c.crashes[0].at) >= lossRetention {
@@ -239,10 +248,10 @@
 				}
 				e := all[key]
 				if e == nil {
-					e = &evidence{key: key, requests: make(map[redwingshunt.Fingerprint]struct{}), first: k.at}
+					e = &evidence{key: key, first: k.at}
 					all[key] = e
 				}
-				e.requests[l.request] = struct{}{}
+				e.addRequest(l.request)
 				e.position = max(e.position, position)
 				inCrash[key] = max(inCrash[key], weight)
 			}
