--- a/accuser/accuser.go
+++ b/accuser/accuser.go
@@ -372,5 +372,6 @@
 	for _, v := range a.guard.Refused(a.options.Clock.Now()) {
 		s.Refused = append(s.Refused, string(v.Key.Account)+" "+v.Key.Part)
 	}
+	slices.Sort(s.Refused)
 	return s
 }
--- a/accuser/accuser_test.go
+++ b/accuser/accuser_test.go
@@ -141,6 +141,7 @@
 					is.True(refuses(a, "kind", "bad"))
 					is.True(!refuses(a, "kind", "good"))
 				}
+				is.Equal(late.Dump(), state{Refused: []string{"a bad"}})
 				err := late.Check(prompt("kind", "bad"))
 				var outcome *redwingshunt.OutcomeError
 				is.True(errors.As(err, &outcome))
--- a/cmd/redwingshunt/commander/compare.go
+++ b/cmd/redwingshunt/commander/compare.go
@@ -44,8 +44,9 @@
 }
 
 // sharedParts lists the parts of a dump whose entries should all be the same on
-// all instances: the windows of the upstreams and the suspect requests.
-var sharedParts = []string{"windows", "suspects"}
+// all instances: the windows of the upstreams, the suspect requests and the refused
+// parts of prompts.
+var sharedParts = []string{"windows", "suspects", "prompts"}
 
 // compareDumps returns the disagreements between dumps, ordered by subject.
 func compareDumps(dumps []administrator.Dump) []disagreement {
--- a/cmd/redwingshunt/commander/verb_dump.go
+++ b/cmd/redwingshunt/commander/verb_dump.go
@@ -19,7 +19,8 @@
 Prints the state of each process that --admin names, one JSON value a line. With
 --compare it reads the dumps, from the instances or from files that were written
 before, and points out where they disagree: revisions, leaders of a log, live
-instances, windows and suspects. The exit code is then 1 when they do.
+instances, windows, suspects and refused parts of prompts. The exit code is then 1
+when they do.
 
 Options:
   --compare         compare the dumps
