Use the terms of the field for parts that crash upstreams

Package accuser is correlator now; a part is suspected before it is refused, not doubted; the stand-in and the tests speak of poison, as those of requests do. No logic changes; the state in the log line is suspected instead of doubted.

--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -8,24 +8,24 @@
 //   - A Guard runs on each instance. It remembers which parts were in answered
 //     requests, and refuses requests with a refused part.
 //   - A Collector receives the losses of all instances and announces a Verdict on
-//     a part: first Doubted, upon which each Guard reports answered requests with
+//     a part: first Suspected, upon which each Guard reports answered requests with
 //     it, then Refused, or Cleared if there were any.
 //
 // Evidence counts only if it is of one client account: what an account names does
-// not accuse the parts of another one. For a part that is refused for an account
+// not count against the parts of another one. For a part that is refused for an account
 // already, one loss of another account suffices.
 //
 // A refused part explains the losses of all upstreams on which a request with it
-// ran, so they accuse no other part. A verdict expires after refusalPeriod. The
+// ran, so they count against no other part. A verdict expires after refusalPeriod. The
 // losses are kept longer, so that the part is refused again after one more.
 //
-// Upstreams that fall silent, or die while nothing begins on them, accuse little or
-// nothing: their cause lies elsewhere. All state is bounded.
+// Upstreams that fall silent, or die while nothing begins on them, count little or
+// not at all: their cause lies elsewhere. All state is bounded.
 //
 // # Usage
 //
 //	guard, collector := attributor.NewGuard(), attributor.NewCollector()
-//	if refused := guard.Check(now, prompt); refused.Part != "" {
+//	if v := guard.Check(now, prompt); v.State == attributor.Refused {
 //		return redwingshunt.ReasonSuspect
 //	}
 //	report(guard.Answered(now, prompt, began)) // to the collector: collector.Answered
@@ -110,9 +110,9 @@
 
 // The states of a part. A part without a verdict is Cleared.
 const (
-	Cleared State = iota
-	Doubted       // answered requests with it are to be reported
-	Refused       // requests with it are refused
+	Cleared   State = iota
+	Suspected       // answered requests with it are to be reported
+	Refused         // requests with it are refused
 )
 
 // Verdict is the state of a part from now on.
@@ -128,7 +128,7 @@
 
 // String returns the name of a state in logs.
 func (s State) String() string {
-	names := [...]string{"cleared", "doubted", "refused"}
+	names := [...]string{"cleared", "suspected", "refused"}
 	if s < 0 || int(s) >= len(names) {
 		return "unknown"
 	}
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -90,8 +90,8 @@
 	return s.guard.Check(s.now, p).State == Refused
 }
 
-// deadly is a request that ends its upstream, and beside are sound ones.
-func deadly() running {
+// poisoned is a request that ends its upstream, and beside are sound ones.
+func poisoned() running {
 	return running{account: "a", parts: []string{"kind", "bad"}, progress: redwingshunt.LostAfterHeader}
 }
 
@@ -99,8 +99,8 @@
 	return running{account: account, parts: parts, progress: redwingshunt.LostBeforeHeader}
 }
 
-// TestRefusesOnlyTheGuiltyPart ends upstreams and checks which prompts are refused.
-func TestRefusesOnlyTheGuiltyPart(t *testing.T) {
+// TestRefusesOnlyThePoisonPart ends upstreams and checks which prompts are refused.
+func TestRefusesOnlyThePoisonPart(t *testing.T) {
 	bad, kind, other := prompt("a", "kind", "bad"), prompt("a", "kind", "good"), prompt("b", "kind", "bad")
 	tests := map[string]struct {
 		play    func(*scene)
@@ -110,7 +110,7 @@
 		"five upstreams, sound requests beside": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), waiting("a", "kind", "good"), deadly(), waiting("b", "kind", "x"), waiting("a", "kind", fmt.Sprint("rare", i)))
+					s.crash(fmt.Sprint("u", i), waiting("a", "kind", "good"), poisoned(), waiting("b", "kind", "x"), waiting("a", "kind", fmt.Sprint("rare", i)))
 					s.pass(300 * time.Millisecond)
 					s.answer(kind)
 				}
@@ -131,10 +131,10 @@
 			refused: []redwingshunt.SharedPrompt{bad},
 			served:  []redwingshunt.SharedPrompt{kind, prompt("a", "kind", "rare5")},
 		},
-		"two guilty parts at once": {
+		"two poison parts at once": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), deadly(), waiting("a", "kind", "bad2"))
+					s.crash(fmt.Sprint("u", i), poisoned(), waiting("a", "kind", "bad2"))
 					s.crash(fmt.Sprint("v", i), running{account: "a", parts: []string{"kind", "bad2"}, progress: redwingshunt.LostAfterHeader})
 					s.pass(300 * time.Millisecond)
 					s.answer(kind)
@@ -146,9 +146,9 @@
 		},
 		"one request sent again": {
 			play: func(s *scene) {
-				s.crash("u0", deadly())
+				s.crash("u0", poisoned())
 				for i := range 5 {
-					again := deadly()
+					again := poisoned()
 					again.again = true
 					s.crash(fmt.Sprint("v", i), again)
 					s.pass(time.Second)
@@ -158,8 +158,8 @@
 		},
 		"two upstreams": {
 			play: func(s *scene) {
-				s.crash("u0", deadly())
-				s.crash("u1", deadly())
+				s.crash("u0", poisoned())
+				s.crash("u1", poisoned())
 				s.pass(5 * time.Second)
 			},
 			served: []redwingshunt.SharedPrompt{bad, kind},
@@ -182,7 +182,7 @@
 		"answered after it was refused": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), deadly())
+					s.crash(fmt.Sprint("u", i), poisoned())
 				}
 				s.pass(2 * time.Second)
 				s.answer(bad)
@@ -193,10 +193,10 @@
 		"expired, and one more loss": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), deadly())
+					s.crash(fmt.Sprint("u", i), poisoned())
 				}
 				s.pass(refusalPeriod + time.Minute)
-				s.crash("late", deadly())
+				s.crash("late", poisoned())
 				s.pass(time.Second)
 			},
 			refused: []redwingshunt.SharedPrompt{bad},
@@ -204,7 +204,7 @@
 		"expired": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), deadly())
+					s.crash(fmt.Sprint("u", i), poisoned())
 				}
 				s.pass(refusalPeriod + time.Minute)
 			},
@@ -213,7 +213,7 @@
 		"another account, after one loss of its own": {
 			play: func(s *scene) {
 				for i := range 5 {
-					s.crash(fmt.Sprint("u", i), deadly())
+					s.crash(fmt.Sprint("u", i), poisoned())
 				}
 				s.pass(2 * time.Second)
 				s.crash("w", running{account: "b", parts: []string{"kind", "bad"}, progress: redwingshunt.LostAfterHeader})
@@ -262,7 +262,7 @@
 	is.True(s.collector.keys <= maxKeys+maxLossesPerCrash*30)
 	is.True(len(s.collector.crashes) <= maxCrashes)
 	is.True(len(s.collector.answered) <= maxAnswered)
-	is.True(len(s.collector.doubted) <= maxDoubts)
+	is.True(len(s.collector.suspected) <= maxSuspected)
 	is.True(len(s.guard.answered) <= maxAnswered)
 	is.True(len(s.guard.verdicts) <= maxVerdicts)
 }
--- a/attributor/collector.go
+++ b/attributor/collector.go
@@ -16,21 +16,21 @@
 	// settleTime is how long the losses of a crash are awaited from all instances
 	// before it counts.
 	settleTime = 300 * time.Millisecond
-	// objectionTime is how long a part is doubted before it is refused, so that each
+	// confirmTime is how long a part is suspected before it is refused, so that each
 	// instance can report answered requests with it.
-	objectionTime = 400 * time.Millisecond
-	// answeredObjectionTime is that time for a part that was in answered requests
+	confirmTime = 400 * time.Millisecond
+	// answeredConfirmTime is that time for a part that was in answered requests
 	// before. It is longer than most requests take, since upstreams that die together
 	// may have run requests with any popular part.
-	answeredObjectionTime = 2 * time.Second
+	answeredConfirmTime = 2 * time.Second
 
 	// The evidence that refuses a part: the weight of its losses, one in each crash, and
 	// the number of different requests among them.
 	minWeight   = 6
 	minCrashes  = 3
 	minRequests = 3
-	// minDoubtCrashes is the number of crashes from which a part is doubted.
-	minDoubtCrashes = 2
+	// minSuspectCrashes is the number of crashes from which a part is suspected.
+	minSuspectCrashes = 2
 	// The evidence if the part is refused for another client account.
 	minWeightAgain = 2
 
@@ -44,18 +44,18 @@
 	maxKeys           = 4096
 	// maxCountedRequests bounds the different requests that are counted against a part.
 	maxCountedRequests = 16
-	// maxDoubts bounds the parts that are doubted at a time.
-	maxDoubts = 16
+	// maxSuspected bounds the parts that are suspected at a time.
+	maxSuspected = 16
 )
 
 // Collector attributes the losses of all instances. It is used by one goroutine at a
 // time.
 type Collector struct {
-	crashes  []*crash // oldest first
-	keys     int      // in all crashes
-	answered map[Key]time.Time
-	verdicts map[Key]Verdict
-	doubted  map[Key]time.Time // when the part was doubted first
+	crashes   []*crash // oldest first
+	keys      int      // in all crashes
+	answered  map[Key]time.Time
+	verdicts  map[Key]Verdict
+	suspected map[Key]time.Time // when the part was suspected first
 }
 
 // crash is the loss of one upstream, as reported by all instances.
@@ -74,7 +74,7 @@
 // NewCollector returns a Collector without evidence.
 func NewCollector() *Collector {
 	return &Collector{
-		answered: make(map[Key]time.Time), verdicts: make(map[Key]Verdict), doubted: make(map[Key]time.Time),
+		answered: make(map[Key]time.Time), verdicts: make(map[Key]Verdict), suspected: make(map[Key]time.Time),
 	}
 }
 
@@ -149,10 +149,10 @@
 	case Cleared:
 		c.Answered(Answered{Key: v.Key, At: now})
 		delete(c.verdicts, v.Key)
-		delete(c.doubted, v.Key)
+		delete(c.suspected, v.Key)
 	case Refused:
 		c.setVerdict(v)
-		delete(c.doubted, v.Key)
+		delete(c.suspected, v.Key)
 	}
 }
 
@@ -167,9 +167,9 @@
 	for _, k := range c.crashes {
 		consider(k.at.Add(settleTime))
 	}
-	for _, since := range c.doubted {
-		consider(since.Add(objectionTime))
-		consider(since.Add(answeredObjectionTime))
+	for _, since := range c.suspected {
+		consider(since.Add(confirmTime))
+		consider(since.Add(answeredConfirmTime))
 	}
 	return next, needed
 }
@@ -200,19 +200,19 @@
 		all := c.weigh(now)
 		best := c.strongest(now, all)
 		if best == nil || len(changed) >= maxVerdicts {
-			return append(changed, c.doubt(now, all)...)
+			return append(changed, c.suspect(now, all)...)
 		}
 		v := Verdict{
 			Key: best.key, State: Refused, Since: best.first, Expires: now.Add(refusalPeriod),
 			Upstreams: best.crashes, Requests: len(best.requests),
 		}
 		c.setVerdict(v)
-		delete(c.doubted, v.Key)
+		delete(c.suspected, v.Key)
 		changed = append(changed, v)
 	}
 }
 
-// clear ends the verdicts and doubts that answered requests contradict.
+// clear ends the verdicts and suspicions that answered requests contradict.
 func (c *Collector) clear(now time.Time) []Verdict {
 	var cleared []Verdict
 	for _, key := range slices.SortedFunc(maps.Keys(c.verdicts), Key.compare) {
@@ -310,12 +310,12 @@
 	if e.weight < minWeight || e.crashes < minCrashes || len(e.requests) < minRequests {
 		return false
 	}
-	objection := objectionTime
+	confirm := confirmTime
 	if !c.answered[e.key].IsZero() {
-		objection = answeredObjectionTime
+		confirm = answeredConfirmTime
 	}
-	since, doubted := c.doubted[e.key]
-	return doubted && now.Sub(since) >= objection
+	since, suspected := c.suspected[e.key]
+	return suspected && now.Sub(since) >= confirm
 }
 
 // refusedAt reports whether a part is refused, and was or would have been at a time.
@@ -340,15 +340,15 @@
 	return false
 }
 
-// doubt returns the verdicts on parts that are to be doubted or not any more.
-func (c *Collector) doubt(now time.Time, all map[Key]*evidence) []Verdict {
+// suspect returns the verdicts on parts that are to be suspected or not any more.
+func (c *Collector) suspect(now time.Time, all map[Key]*evidence) []Verdict {
 	var changed []Verdict
-	for _, key := range slices.SortedFunc(maps.Keys(c.doubted), Key.compare) {
-		if e := all[key]; e == nil || e.crashes < minDoubtCrashes {
-			delete(c.doubted, key)
+	for _, key := range slices.SortedFunc(maps.Keys(c.suspected), Key.compare) {
+		if e := all[key]; e == nil || e.crashes < minSuspectCrashes {
+			delete(c.suspected, key)
 			changed = append(changed, Verdict{Key: key, State: Cleared})
-		} else if now.Sub(e.last) >= doubtRetention {
-			delete(c.doubted, key) // the guards have dropped it, too
+		} else if now.Sub(e.last) >= suspicionRetention {
+			delete(c.suspected, key) // the guards have dropped it, too
 		}
 	}
 	candidates := slices.SortedFunc(maps.Values(all), func(a, b *evidence) int {
@@ -358,14 +358,14 @@
 		return a.key.compare(b.key)
 	})
 	for _, e := range candidates {
-		if len(c.doubted) >= maxDoubts {
+		if len(c.suspected) >= maxSuspected {
 			break
 		}
-		if _, ok := c.doubted[e.key]; ok || e.crashes < minDoubtCrashes || now.Sub(e.last) >= doubtRetention {
+		if _, ok := c.suspected[e.key]; ok || e.crashes < minSuspectCrashes || now.Sub(e.last) >= suspicionRetention {
 			continue
 		}
-		c.doubted[e.key] = now
-		changed = append(changed, Verdict{Key: e.key, State: Doubted, Since: e.first, Upstreams: e.crashes, Requests: len(e.requests)})
+		c.suspected[e.key] = now
+		changed = append(changed, Verdict{Key: e.key, State: Suspected, Since: e.first, Upstreams: e.crashes, Requests: len(e.requests)})
 	}
 	return changed
 }
--- a/attributor/guard.go
+++ b/attributor/guard.go
@@ -14,9 +14,9 @@
 	maxAnswered = 4096
 	// reportInterval is the least time between two reports of one part.
 	reportInterval = time.Second
-	// doubtRetention is how long a part is watched after it was doubted, unless
+	// suspicionRetention is how long a part is watched after it was suspected, unless
 	// another verdict comes.
-	doubtRetention = time.Minute
+	suspicionRetention = time.Minute
 )
 
 // Guard is the part of the decisions that each instance makes. It is used by one
@@ -92,11 +92,11 @@
 	case Cleared:
 		delete(g.verdicts, v.Key)
 		return nil
-	case Doubted:
+	case Suspected:
 		if w := g.find(now, v.Key); w != nil && w.verdict.State == Refused {
 			return nil // it arrived late
 		}
-		g.set(v, now.Add(doubtRetention))
+		g.set(v, now.Add(suspicionRetention))
 	case Refused:
 		if !v.Expires.After(now) {
 			return nil
--- a/accuser/codec.go
+++ b/correlator/codec.go
@@ -1,4 +1,4 @@
-package accuser
+package correlator
 
 import (
 	"time"
--- a/accuser/accuser.go
+++ b/correlator/correlator.go
@@ -1,4 +1,4 @@
-// Package accuser exchanges between instances what package attributor needs to find
+// Package correlator exchanges between instances what package attributor needs to find
 // prompt parts with which upstreams die. It implements redwingshunt.PartGuard.
 //
 // Losses of upstreams and contradicting answers are sent to the collectors: the first
@@ -10,12 +10,12 @@
 //
 // # Usage
 //
-//	a := accuser.New(accuser.Options{Clock: clock, Members: members, Link: link, Logger: logger})
+//	a := correlator.New(correlator.Options{Clock: clock, Members: members, Link: link, Logger: logger})
 //	go a.Run(ctx)
 //	if err := a.Check(prompt); err != nil {
 //		return err // its outcome is not run
 //	}
-package accuser
+package correlator
 
 import (
 	"context"
@@ -51,7 +51,7 @@
 	maxMessageBytes = 128 << 10
 )
 
-// Options configure an Accuser.
+// Options configure a Correlator.
 type Options struct {
 	Clock   redwingshunt.Clock
 	Members redwingshunt.Members
@@ -59,8 +59,8 @@
 	Logger  *slog.Logger
 }
 
-// Accuser exchanges losses and verdicts. It is safe for concurrent use.
-type Accuser struct {
+// Correlator exchanges losses and verdicts. It is safe for concurrent use.
+type Correlator struct {
 	options Options
 	wake    chan struct{}
 
@@ -72,7 +72,7 @@
 	refused   func()                                               // called without the lock
 }
 
-var _ redwingshunt.PartGuard = (*Accuser)(nil)
+var _ redwingshunt.PartGuard = (*Correlator)(nil)
 
 // notices are the contents of messages.
 type notices struct {
@@ -89,9 +89,9 @@
 	return notices{n.losses[:l], n.answers[:a], n.verdicts[:v]}, notices{n.losses[l:], n.answers[a:], n.verdicts[v:]}
 }
 
-// New returns an Accuser and registers it as the handler of KindParts messages.
-func New(options Options) *Accuser {
-	a := &Accuser{
+// New returns a Correlator and registers it as the handler of KindParts messages.
+func New(options Options) *Correlator {
+	a := &Correlator{
 		options: options, wake: make(chan struct{}, 1),
 		guard: attributor.NewGuard(), collector: attributor.NewCollector(),
 		refused: func() {},
@@ -101,7 +101,7 @@
 }
 
 // Check implements redwingshunt.PartGuard.
-func (a *Accuser) Check(p redwingshunt.SharedPrompt) error {
+func (a *Correlator) Check(p redwingshunt.SharedPrompt) error {
 	now := a.options.Clock.Now()
 	a.mu.Lock()
 	v := a.guard.Check(now, p)
@@ -116,7 +116,7 @@
 }
 
 // PartsLost implements redwingshunt.PartGuard.
-func (a *Accuser) PartsLost(
+func (a *Correlator) PartsLost(
 	p redwingshunt.SharedPrompt, f redwingshunt.Fingerprint, u redwingshunt.UpstreamKey, progress redwingshunt.LossProgress,
 ) {
 	if len(p.Parts) == 0 {
@@ -138,7 +138,7 @@
 }
 
 // PartsAnswered implements redwingshunt.PartGuard.
-func (a *Accuser) PartsAnswered(p redwingshunt.SharedPrompt, began time.Time) {
+func (a *Correlator) PartsAnswered(p redwingshunt.SharedPrompt, began time.Time) {
 	if len(p.Parts) == 0 {
 		return
 	}
@@ -152,20 +152,20 @@
 }
 
 // Watch implements redwingshunt.PartGuard.
-func (a *Accuser) Watch(refused func()) {
+func (a *Correlator) Watch(refused func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refused = refused
 }
 
 // queueAnswers queues answers for the collectors. The lock is held.
-func (a *Accuser) queueAnswers(answers []attributor.Answered) {
+func (a *Correlator) queueAnswers(answers []attributor.Answered) {
 	a.queued.answers = append(a.queued.answers, answers...)
 	a.queued.answers = a.queued.answers[:min(len(a.queued.answers), maxQueued)]
 }
 
 // Run sends notices and judges losses until ctx ends.
-func (a *Accuser) Run(ctx context.Context) {
+func (a *Correlator) Run(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	judge := time.NewTimer(syncInterval)
@@ -197,7 +197,7 @@
 }
 
 // signal wakes Run.
-func (a *Accuser) signal() {
+func (a *Correlator) signal() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -205,7 +205,7 @@
 }
 
 // judge applies and queues the verdicts that have changed.
-func (a *Accuser) judge() {
+func (a *Correlator) judge() {
 	now := a.options.Clock.Now()
 	a.mu.Lock()
 	verdicts := a.collector.Judge(now)
@@ -218,7 +218,7 @@
 }
 
 // apply applies verdicts to the guard and queues what contradicts them.
-func (a *Accuser) apply(now time.Time, verdicts []attributor.Verdict) {
+func (a *Correlator) apply(now time.Time, verdicts []attributor.Verdict) {
 	a.mu.Lock()
 	for _, v := range verdicts {
 		a.queueAnswers(a.guard.Apply(now, v))
@@ -231,13 +231,13 @@
 }
 
 // logVerdict writes the decision of this instance as a collector.
-func (a *Accuser) logVerdict(v attributor.Verdict) {
+func (a *Correlator) logVerdict(v attributor.Verdict) {
 	a.options.Logger.Warn("verdict on a prompt part", "state", v.State.String(), "service", string(v.Key.Service),
 		"account", string(v.Key.Account), "part", v.Key.Part, "upstreams", v.Upstreams, "requests", v.Requests)
 }
 
 // flush sends the queued notices and reports whether there were any.
-func (a *Accuser) flush() bool {
+func (a *Correlator) flush() bool {
 	live, self := a.options.Members.Live(), a.options.Members.Self().ID
 	to := collectorsOf(live)
 	a.mu.Lock()
@@ -267,7 +267,7 @@
 }
 
 // collect passes losses and answers to the collector. The lock is held.
-func (a *Accuser) collect(now time.Time, n notices) {
+func (a *Correlator) collect(now time.Time, n notices) {
 	for _, l := range n.losses {
 		a.collector.Lost(now, l)
 	}
@@ -300,7 +300,7 @@
 
 // syncNewInstances sends the refused parts to each new instance, if this instance is a
 // collector.
-func (a *Accuser) syncNewInstances() {
+func (a *Correlator) syncNewInstances() {
 	live, self := a.options.Members.Live(), a.options.Members.Self().ID
 	collects := collectorsOf(live).Has(self)
 	a.mu.Lock()
@@ -321,7 +321,7 @@
 }
 
 // send sends notices to one instance, in messages of bounded size.
-func (a *Accuser) send(to redwingshunt.InstanceID, n notices) {
+func (a *Correlator) send(to redwingshunt.InstanceID, n notices) {
 	now := a.options.Clock.Now()
 	for n.len() > 0 {
 		head, rest := n.split(maxNotices)
@@ -342,7 +342,7 @@
 }
 
 // receive handles a message from another instance.
-func (a *Accuser) receive(_ redwingshunt.InstanceID, payload []byte) {
+func (a *Correlator) receive(_ redwingshunt.InstanceID, payload []byte) {
 	m := &wire.PartNotices{}
 	if proto.Unmarshal(payload, m) != nil {
 		return
@@ -365,7 +365,7 @@
 }
 
 // Dump implements redwingshunt.Dumper.
-func (a *Accuser) Dump() any {
+func (a *Correlator) Dump() any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := state{Refused: []string{}}
--- a/accuser/accuser_test.go
+++ b/correlator/correlator_test.go
@@ -1,4 +1,4 @@
-package accuser
+package correlator
 
 import (
 	"cmp"
@@ -22,13 +22,13 @@
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// network is a fake network that connects accusers, as seen by one of them.
+// network is a fake network that connects correlators, as seen by one of them.
 type network struct {
 	self redwingshunt.Instance
 	*shared
 }
 
-// shared is the state that all accusers have in common.
+// shared is the state that all correlators have in common.
 type shared struct {
 	mu       sync.Mutex
 	live     []redwingshunt.Instance
@@ -69,7 +69,7 @@
 }
 
 // start adds an instance.
-func (s *shared) start(ctx context.Context, id redwingshunt.InstanceID, voter bool) *Accuser {
+func (s *shared) start(ctx context.Context, id redwingshunt.InstanceID, voter bool) *Correlator {
 	n := &network{self: redwingshunt.Instance{ID: id, Incarnation: 1, Voter: voter}, shared: s}
 	a := New(Options{Clock: n, Members: n, Link: n, Logger: slog.New(slog.DiscardHandler)})
 	s.mu.Lock()
@@ -89,7 +89,7 @@
 }
 
 // lose reports an upstream lost to a request that nobody sent before.
-func lose(a *Accuser, number int, parts ...string) {
+func lose(a *Correlator, number int, parts ...string) {
 	var f redwingshunt.Fingerprint
 	binary.BigEndian.PutUint64(f[:], uint64(number))
 	u := redwingshunt.UpstreamKey{Service: "s", ID: redwingshunt.UpstreamID(fmt.Sprint("u", number))}
@@ -100,7 +100,7 @@
 	return redwingshunt.SharedPrompt{Service: "s", Account: "a", Parts: parts}
 }
 
-func refuses(a *Accuser, parts ...string) bool { return a.Check(prompt(parts...)) != nil }
+func refuses(a *Correlator, parts ...string) bool { return a.Check(prompt(parts...)) != nil }
 
 // TestVerdictReachesAllInstances loses upstreams through several instances, one
 // collector among them, which is lost on the way in one case.
@@ -120,7 +120,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				s := newShared()
-				var all []*Accuser
+				var all []*Correlator
 				for i := range 8 {
 					all = append(all, s.start(ctx, redwingshunt.InstanceID(fmt.Sprint("i", i)), i < test.voters))
 				}
@@ -164,7 +164,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				s := newShared()
-				var all []*Accuser
+				var all []*Correlator
 				for i := range 4 {
 					all = append(all, s.start(ctx, redwingshunt.InstanceID(fmt.Sprint("i", i)), i < 2))
 				}
@@ -192,7 +192,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		s := newShared()
-		var all []*Accuser
+		var all []*Correlator
 		for i := range 6 {
 			all = append(all, s.start(ctx, redwingshunt.InstanceID(fmt.Sprint("i", i)), i < 3))
 		}
--- a/daemon/guarantees.go
+++ b/daemon/guarantees.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/redwingshunt/redwingshunt"
-	"github.com/redwingshunt/redwingshunt/accuser"
+	"github.com/redwingshunt/redwingshunt/correlator"
 	"github.com/redwingshunt/redwingshunt/guarantor"
 	"github.com/redwingshunt/redwingshunt/keeper"
 	"github.com/redwingshunt/redwingshunt/notifier"
@@ -20,10 +20,10 @@
 // non-idempotent request runs at most once, and a request that kills upstreams
 // reaches only a few of them.
 type guarantees struct {
-	keeper    *keeper.Keeper
-	guarantor *guarantor.Guarantor
-	notifier  *notifier.Notifier
-	accuser   *accuser.Accuser
+	keeper     *keeper.Keeper
+	guarantor  *guarantor.Guarantor
+	notifier   *notifier.Notifier
+	correlator *correlator.Correlator
 }
 
 // newGuarantees connects the components to the log, the members and the links.
@@ -39,7 +39,7 @@
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	core := quarantiner.New(members.Self().ID, 1, source)
 	g.notifier = notifier.New(wallClock{}, members, link, config, core)
-	g.accuser = accuser.New(accuser.Options{Clock: wallClock{}, Members: members, Link: link, Logger: logger})
+	g.correlator = correlator.New(correlator.Options{Clock: wallClock{}, Members: members, Link: link, Logger: logger})
 	return g
 }
 
@@ -48,7 +48,7 @@
 	var group errgroup.Group
 	group.Go(func() error { g.guarantor.Run(ctx); return nil })
 	group.Go(func() error { g.notifier.Run(ctx); return nil })
-	group.Go(func() error { g.accuser.Run(ctx); return nil })
+	group.Go(func() error { g.correlator.Run(ctx); return nil })
 	return group.Wait()
 }
 
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -54,7 +54,7 @@
 			"dispatcher": d.dispatcher,
 			"answers":    d.guarantees.keeper,
 			"suspects":   d.guarantees.notifier,
-			"prompts":    d.guarantees.accuser,
+			"prompts":    d.guarantees.correlator,
 			"scheduling": d.scheduling,
 			"log":        d.control.recorder,
 			"document":   d.control.subscription,
--- a/daemon/deadly_part_test.go
+++ b/daemon/poison_part_test.go
@@ -39,7 +39,7 @@
 	var engines []*mimic.Upstream
 	for i := range upstreams {
 		u := mimic.NewUpstream(mimic.UpstreamOptions{
-			ID: redwingshunt.UpstreamID(fmt.Sprint("e", i)), Dialect: dialect, Slots: 8, Events: 3, Pause: time.Millisecond, Deadly: "bad",
+			ID: redwingshunt.UpstreamID(fmt.Sprint("e", i)), Dialect: dialect, Slots: 8, Events: 3, Pause: time.Millisecond, Poison: "bad",
 		})
 		is.NoErr(u.Start())
 		t.Cleanup(u.Stop)
--- a/daemon/route_server.go
+++ b/daemon/route_server.go
@@ -65,7 +65,7 @@
 		}),
 	}
 	s.relayer = relayer.New(relayer.Options{
-		Configuration: d.configuration, Placer: s.allocator, Suspects: d.guarantees.notifier, Parts: d.guarantees.accuser,
+		Configuration: d.configuration, Placer: s.allocator, Suspects: d.guarantees.notifier, Parts: d.guarantees.correlator,
 		Roll:    d.enroller,
 		Carrier: s.carrier, Dialect: d.options.Dialect, Logger: d.logger, Observe: d.metrics.routes.observe,
 		ConcurrencyLimit: func() int { return int(s.requestLimit.Load()) }, BufferBytes: d.settings.Memory / bodyMemoryDivisor,
--- a/mimic/upstream.go
+++ b/mimic/upstream.go
@@ -26,7 +26,7 @@
 	Events  int           // per stream; zero serves plain responses
 	Pause   time.Duration // before each event, or before a plain response
 	Slots   int           // concurrent requests, further ones are refused as not run; zero is unlimited
-	Deadly  string        // part of a prompt, not the last, with which the upstream stops as it begins to respond
+	Poison  string        // part of a prompt, not the last, with which the upstream stops as it begins to respond
 }
 
 // Misbehaviour is a fault that an Upstream injects into its next requests.
@@ -249,7 +249,7 @@
 	if fault != Unsigned {
 		w.Header().Set(u.options.Dialect.Signature, string(u.options.ID)+"."+id)
 	}
-	if u.isDeadly(r) {
+	if u.isPoisoned(r) {
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush() // the caller may have disconnected
 		u.Stop()
@@ -280,11 +280,11 @@
 	fmt.Fprintf(w, "answer of %s to %s", u.options.ID, id)
 }
 
-// isDeadly reports whether a part of the prompt but the last one is the deadly one.
-func (u *Upstream) isDeadly(r *http.Request) bool {
+// isPoisoned reports whether a part of the prompt but the last one is the poison one.
+func (u *Upstream) isPoisoned(r *http.Request) bool {
 	parts := strings.Split(r.Header.Get(u.options.Dialect.Prompt), ",")
-	return u.options.Deadly != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
-		return strings.HasPrefix(part, u.options.Deadly+":")
+	return u.options.Poison != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		return strings.HasPrefix(part, u.options.Poison+":")
 	})
 }
 
--- a/relayer/loss_test.go
+++ b/relayer/loss_test.go
@@ -17,12 +17,12 @@
 func TestLossNamesParts(t *testing.T) {
 	shared := redwingshunt.SharedPrompt{Service: "s", Account: "alpha", Parts: []string{"kind", "bad"}}
 	tests := map[string]struct {
-		deadly   bool // the first upstream
+		poison   bool // the first upstream
 		fault    mimic.Misbehaviour
 		lost     []redwingshunt.LossProgress
 		answered []redwingshunt.SharedPrompt
 	}{
-		"upstream dies as it begins":     {deadly: true, lost: []redwingshunt.LossProgress{redwingshunt.LostAfterHeader}, answered: []redwingshunt.SharedPrompt{shared}},
+		"upstream dies as it begins":     {poison: true, lost: []redwingshunt.LossProgress{redwingshunt.LostAfterHeader}, answered: []redwingshunt.SharedPrompt{shared}},
 		"upstream cuts and goes on":      {fault: mimic.CutHeader, answered: []redwingshunt.SharedPrompt{shared}},
 		"upstream is silent and goes on": {fault: mimic.Hang, answered: []redwingshunt.SharedPrompt{shared}},
 		"answered":                       {answered: []redwingshunt.SharedPrompt{shared}},
@@ -31,9 +31,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t)
-			if test.deadly {
+			if test.poison {
 				dialect := redwingshunt.DefaultDialect()
-				f.streaming[0] = mimic.NewUpstream(mimic.UpstreamOptions{ID: "w0", Dialect: dialect, Slots: 8, Events: 5, Deadly: "bad"})
+				f.streaming[0] = mimic.NewUpstream(mimic.UpstreamOptions{ID: "w0", Dialect: dialect, Slots: 8, Events: 5, Poison: "bad"})
 				is.NoErr(f.streaming[0].Start())
 				t.Cleanup(f.streaming[0].Stop)
 			}
