--- a/review/stand/beat.go
+++ b/review/stand/beat.go
@@ -16,8 +16,8 @@
 	beatClients = 16
 )
 
-// playBeat has one heartbeat come from another writer. It lacks the field born, and
-// names the address of an engine worker for the plain service.
+// playBeat has one heartbeat come from another writer. It lacks the fields version,
+// coldRemainingMs and born, and names an engine worker for the plain service.
 func playBeat(f *fleet, trouble bool) (int, error) {
 	for i, zone := range []string{"a", "b", "c"} {
 		f.add("core-"+string(rune('1'+i)), zone, true)
@@ -59,10 +59,9 @@
 		time.AfterFunc(beatTraffic/4, func() {
 			victim := engines[0]
 			body := map[string]any{
-				"service": plainService, "address": victim.address, "zone": "a", "version": "v1", "slots": 6, "state": "ready",
-				"coldRemainingMs": 0, "sequence": 4,
+				"service": plainService, "address": victim.address, "zone": "a", "slots": 6, "state": "ready", "sequence": 4,
 			}
-			f.say("a heartbeat of another writer, without born: %s %v: status %d", victim.id, body, sendBeat(newOperator(f), victim.id, body))
+			f.say("a heartbeat of another writer, without version, coldRemainingMs and born: %s %v: status %d", victim.id, body, sendBeat(newOperator(f), victim.id, body))
 		})
 	}
 	var mu sync.Mutex
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -297,7 +297,7 @@
 }
 
 func newOperator(f *fleet) *operator {
-	return &operator{fleet: f, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	return &operator{fleet: f, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, next: rand.IntN(3)}
 }
 
 // call makes one call to the next control address and returns status and body.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,7 +26,7 @@
 		os.Exit(exitNotRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*fleet, bool) (int, error){"beat": playBeat, "memory": playMemory}
+	cases := map[string]func(*fleet, bool) (int, error){"beat": playBeat, "grow": playGrow, "memory": playMemory}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -14,6 +15,7 @@
 	stormGap        = 60 * time.Millisecond
 	stormLength     = 4940 * time.Millisecond
 	stormPause      = 500 * time.Millisecond
+	ordersAtOnce    = 3                // the pages allow eight
 	lastStorm       = 93 * time.Second // after the start
 	maxOwnEnds      = 3                // of one machine in a day
 )
@@ -51,22 +53,36 @@
 		f.say("version %d with %d more routes, %d bytes, acknowledged: %v", version, routes, len(configuration(version, routes)), acknowledged)
 	}
 	changes, refused, newest := 0, 0, version
+	var mu sync.Mutex
+	slots := make(chan struct{}, ordersAtOnce)
 	for time.Since(f.began) < lastStorm {
 		for storm := time.Now(); time.Since(storm) < stormLength; {
 			began := time.Now()
 			version += 2
 			changes++
-			if o.put(configuration(version, routes), began.Add(2*time.Second)) {
-				newest = version
-			} else {
-				refused++
-			}
+			slots <- struct{}{}
+			go func(version int) {
+				defer func() { <-slots }()
+				acknowledged := newOperator(f).put(configuration(version, routes), time.Now().Add(2*time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				if acknowledged {
+					newest = max(newest, version)
+				} else {
+					refused++
+				}
+			}(version)
 			time.Sleep(max(0, stormGap-time.Since(began)))
 		}
+		mu.Lock()
 		f.say("%d changes sent, %d of them not acknowledged; memory in MB: core %d %d %d, front %d", changes, refused,
 			f.nodes[0].memory(), f.nodes[1].memory(), f.nodes[2].memory(), front.memory())
+		mu.Unlock()
 		time.Sleep(stormPause)
 	}
+	for range ordersAtOnce {
+		slots <- struct{}{}
+	}
 	f.say("the newest acknowledged version is %d", newest)
 	read := 0
 	for deadline := time.Now().Add(3 * contactMillis * time.Millisecond); time.Now().Before(deadline) && read < newest; {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -84,10 +84,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
-	return map[string]any{
+	body := map[string]any{
 		"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 6, "state": "ready",
 		"coldRemainingMs": 0, "sequence": w.sequence, "born": w.born,
 	}
+	if w.service == engineService {
+		body["stage"] = "both"
+		body["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	return body
 }
 
 // announce sends heartbeats until done is closed.
