Review: a rig that plays cases, and room for new ones

The rig starts the program of the deploy file on loopback addresses and stands in for operator, workers, clients and platform.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 go build -C review/stand -o ../../target/review/stand .
+go build -C review/rig -o ../../target/review/rig .
