Encode reverse edits by the runs that both texts have

An edit replaced one run of bytes that spans all differences, so a change of a few routes far apart cost nearly the whole text, up to 16 MiB in all.

Change: merger.Delta finds the runs that both texts have, in time linear in their size, and copies them. The history and the updates that instances send each other use it; an edit in a submission keeps its form, because all voters have to apply it alike. An instance of an older version reports a mismatch of such an update and asks for the whole text. At most 4 MiB of edits are kept.

TestHistoryCostsWhatChanged: 110 changes of 1,050 routes failed before (more than the text, a tenth and 1 KiB a change) and pass now.

--- a/merger/edit.go
+++ b/merger/edit.go
@@ -36,6 +36,9 @@
 // Apply returns the text with an edit applied. The error wraps ErrMismatch if the
 // edit was made for another text.
 func Apply(before []byte, edit *wire.Edit) ([]byte, error) {
+	if len(edit.GetPieces()) > 0 {
+		return applyPieces(before, edit)
+	}
 	prefix, suffix := int(edit.GetPrefix()), int(edit.GetSuffix())
 	if prefix+suffix > len(before) {
 		return nil, fmt.Errorf("%w: %d bytes are too few", ErrMismatch, len(before))
--- a/publisher/install.go
+++ b/publisher/install.go
@@ -58,7 +58,7 @@
 			Section:  string(part.Section),
 			Base:     uint64(before.Revision),
 			Revision: uint64(part.Revision),
-			Edit:     merger.Compare(before.Text, part.Text),
+			Edit:     merger.Delta(before.Text, part.Text),
 		})
 	}
 	if surplus := len(c.recentEdits) - maxRecentEdits; surplus > 0 {
--- a/registrar/history.go
+++ b/registrar/history.go
@@ -42,7 +42,7 @@
 		change.Back = append(change.Back, &wire.SectionEdit{
 			Section:  string(section),
 			Revision: uint64(old.Revision),
-			Edit:     merger.Compare(next.Text, old.Text),
+			Edit:     merger.Delta(next.Text, old.Text),
 		})
 	}
 	return change
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -51,7 +51,7 @@
 	AnswerRetention = 7 * 24 * time.Hour // retention of the answer to a submission
 	MaxAnswers      = 20_000             // stored answers
 	MaxChanges      = 20_000             // changes in the history
-	MaxEditBytes    = 16 << 20           // bytes of reverse edits to old texts
+	MaxEditBytes    = 4 << 20            // bytes of reverse edits to old texts
 	MaxFences       = 4_096              // names with a fencing number
 	MaxTextBytes    = 8 << 20            // bytes of a submitted text
 	MaxIDBytes      = 128                // bytes of a submission ID, a name or a holder
