Send a lost voter the newest state, with chunks in flight

New lines "member of the log changed" tell each stage of a new voter with its age.

Ruled out: the disk (1 ms a sync), the restore (the document is parsed in some 10 ms), the loss of the learner's messages (no chunk was sent twice).

TestRestartedLeaderIsReplacedAtOnce fails without the new event.

--- a/log.go
+++ b/log.go
@@ -42,6 +42,15 @@
 	Restore(snapshot []byte) error
 }
 
+// Reader is a StateMachine some of whose commands change nothing. The result of such a
+// command is not kept for a proposer that resends it, since it can be read again.
+type Reader interface {
+	StateMachine
+	// Reads reports whether a command only reads the state. The answer depends on the
+	// command alone.
+	Reads(command []byte) bool
+}
+
 // MaxGroups is the upper bound of Document.Fleet.Groups. Every voter runs this
 // many claim groups in addition to GroupControl, used or not, because the groups
 // of a log cannot change later. Unused groups cost nothing, as heartbeats of all
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -26,10 +27,13 @@
 	groups       int
 	compact      int
 	explicitForm bool                  // the initial membership is created by Form
+	ballast      int                   // bytes in each snapshot of group 1 besides its number
+	rate         int                   // bytes a second between two instances, with a delay of farDelay; zero means messages of any size take 10 to 30 ms
 	home         redwingshunt.RegionID // home region of group 1; each instance is alone in the region of its name
 
 	mu          sync.Mutex
 	random      *rand.Rand
+	busyUntil   map[[2]redwingshunt.InstanceID]time.Time // used if rate is set
 	loss        float64
 	isolated    map[redwingshunt.InstanceID]bool
 	handlers    map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)
@@ -64,6 +68,7 @@
 		handlers:    make(map[redwingshunt.InstanceID]map[redwingshunt.MessageKind]func(redwingshunt.InstanceID, []byte)),
 		bytes:       make(map[redwingshunt.MessageKind]int),
 		running:     make(map[redwingshunt.InstanceID]*process),
+		busyUntil:   make(map[[2]redwingshunt.InstanceID]time.Time),
 		brokenDisks: make(map[redwingshunt.InstanceID]*atomic.Bool),
 	}
 	t.Cleanup(n.crashAll)
@@ -93,6 +98,9 @@
 		Groups: n.groups, Compact: n.compact, Prefer: n.prefer,
 		Machines: func(g redwingshunt.GroupID) redwingshunt.StateMachine {
 			p.machines[g] = &register{}
+			if g == 1 {
+				p.machines[g].ballast = n.ballast
+			}
 			return p.machines[g]
 		},
 	})
@@ -202,10 +210,28 @@
 	}
 	for range copies {
 		delay := time.Duration(10+l.n.random.IntN(20)) * time.Millisecond
+		if l.n.rate > 0 {
+			delay = l.n.transferTime(l.self, to, len(m.Payload)) + farDelay
+		}
 		time.AfterFunc(delay, func() { l.n.deliver(l.self, to, m) })
 	}
 }
 
+// farDelay is the delay between two instances if the rate is limited.
+const farDelay = 30 * time.Millisecond
+
+// transferTime returns how long a message takes to be sent after those before it. The
+// caller must hold mu.
+func (n *network) transferTime(from, to redwingshunt.InstanceID, size int) time.Duration {
+	pair := [2]redwingshunt.InstanceID{from, to}
+	begins := time.Now()
+	if busy := n.busyUntil[pair]; busy.After(begins) {
+		begins = busy
+	}
+	n.busyUntil[pair] = begins.Add(time.Duration(size) * time.Second / time.Duration(n.rate))
+	return time.Until(n.busyUntil[pair])
+}
+
 func (n *network) deliver(from, to redwingshunt.InstanceID, m redwingshunt.Message) {
 	n.mu.Lock()
 	handle := n.handlers[to][m.Kind]
@@ -250,7 +276,10 @@
 
 // register is a state machine that holds one number: "+" adds one and returns the
 // sum, "=N" sets it, and any other command reads it.
-type register struct{ value int }
+type register struct {
+	value   int
+	ballast int // bytes that a snapshot has besides the number
+}
 
 func (r *register) Apply(_ uint64, command []byte) []byte {
 	switch {
@@ -262,7 +291,9 @@
 	return fmt.Append(nil, r.value)
 }
 
-func (r *register) Snapshot() ([]byte, error) { return fmt.Append(nil, r.value), nil }
+func (r *register) Snapshot() ([]byte, error) {
+	return append(fmt.Append(nil, r.value), bytes.Repeat([]byte{' '}, r.ballast)...), nil
+}
 
 func (r *register) Restore(snapshot []byte) error {
 	_, err := fmt.Sscan(string(snapshot), &r.value)
--- a/recorder/group.go
+++ b/recorder/group.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -23,8 +25,9 @@
 	snapshotBytes int  // size of the last snapshot in bytes
 	saving        bool // a snapshot is being written
 
-	queued   []proposal            // not yet passed to the core
-	proposed map[uint64][]proposal // passed to the core, by event ID
+	queued   []proposal                        // not yet passed to the core
+	proposed map[uint64][]proposal             // passed to the core, by event ID
+	added    map[replicator.MemberID]time.Time // when members were added that are not voters yet
 	nextID   uint64
 	waiting  map[uint64]waiter // in the log but not committed, by index
 }
@@ -51,6 +54,7 @@
 		machine:  r.options.Machines(id),
 		sessions: newSessions(),
 		applied:  stored.Snapshot.Index,
+		added:    make(map[replicator.MemberID]time.Time),
 		proposed: make(map[uint64][]proposal),
 		waiting:  make(map[uint64]waiter),
 	}
@@ -82,6 +86,8 @@
 			g.refuse(a)
 		case replicator.LoadSnapshot:
 			g.load()
+		case replicator.Progressed:
+			g.logProgress(a)
 		}
 	}
 }
@@ -95,10 +101,41 @@
 	})
 }
 
-// load reads the stored snapshot for a member that lags behind.
+// load takes a snapshot of the applied state for a member that lags behind. The stored
+// snapshot may be much older, and the member would need all entries after it. It runs
+// as a job, because the core must not be stepped while its actions are executed.
 func (g *group) load() {
-	onDone := func(s replicator.Snapshot) { g.step(replicator.SnapshotLoaded{Snapshot: s}) }
-	g.recorder.queue = append(g.recorder.queue, job{load: g, onDone: onDone})
+	g.recorder.queue = append(g.recorder.queue, job{onDone: func() {
+		meta, known := g.core.SnapshotMeta(g.applied)
+		if !known {
+			return // cannot happen: the core knows the terms from its snapshot on
+		}
+		data, err := g.encode()
+		if err != nil {
+			g.recorder.fail(err)
+			return
+		}
+		g.step(replicator.SnapshotLoaded{Snapshot: replicator.Snapshot{SnapshotMeta: meta, Data: data}})
+	}})
+}
+
+// logProgress logs the stages of a new member with the time since it was added.
+func (g *group) logProgress(p replicator.Progressed) {
+	now := g.recorder.options.Clock.Now()
+	if p.Stage == replicator.StageAdded {
+		g.added[p.Member] = now
+	}
+	attributes := []any{"group", g.id, "member", p.Member.String(), "stage", string(p.Stage)}
+	if added, known := g.added[p.Member]; known {
+		attributes = append(attributes, "age", now.Sub(added).String())
+	}
+	if p.Bytes > 0 {
+		attributes = append(attributes, "bytes", p.Bytes)
+	}
+	if p.Stage == replicator.StagePromoted || p.Stage == replicator.StageRemoved {
+		delete(g.added, p.Member)
+	}
+	g.recorder.options.Logger.Info("member of the log changed", attributes...)
 }
 
 // proposeQueued passes all commands queued since the last iteration to the core.
@@ -172,7 +209,9 @@
 	if err := proto.Unmarshal(e.Data, &command); err != nil {
 		return &wire.LogReply{Outcome: wire.LogOutcome_LOG_OUTCOME_EXPIRED, Reason: err.Error()}
 	}
-	answer, ok := g.sessions.execute(e.Index, &command, func() []byte {
+	reader, ok := g.machine.(redwingshunt.Reader)
+	reads := ok && reader.Reads(command.GetCommand())
+	answer, ok := g.sessions.execute(e.Index, &command, reads, func() []byte {
 		return g.machine.Apply(e.Index, command.GetCommand())
 	})
 	if !ok {
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/gravitational/trace"
 
@@ -17,25 +18,55 @@
 // The groups complete a change that has begun even if the caller stops, and
 // another call continues from there. It returns ErrFolderInUse, wrapped, if
 // newVoter has state and is not a member.
+//
+// All groups change at the same time, so that the time until the new voter counts in
+// each of them does not grow with their number.
 func (r *Recorder) Replace(ctx context.Context, oldVoter, newVoter redwingshunt.InstanceID) error {
-	for i := range r.options.Groups {
-		replacement := &replacement{recorder: r, group: redwingshunt.GroupID(i), oldVoter: oldVoter, newVoter: newVoter}
-		if err := replacement.run(ctx); err != nil {
+	errs := make([]error, r.options.Groups)
+	var groups sync.WaitGroup
+	for i := range errs {
+		groups.Go(func() {
+			replacement := &replacement{recorder: r, group: redwingshunt.GroupID(i), oldVoter: oldVoter, newVoter: newVoter}
+			errs[i] = replacement.run(ctx)
+		})
+	}
+	groups.Wait()
+	for i, err := range errs {
+		if err != nil {
 			return trace.Wrap(err, "group %d", i)
 		}
 	}
 	return nil
 }
 
+// membershipAttempts is the number of voters that Membership asks at most. The first
+// one may only know which voter leads.
+const membershipAttempts = 3
+
 // Membership returns the members of the control group as known to its leader, and
 // the identity of this instance with its folder.
 func (r *Recorder) Membership(ctx context.Context) (replicator.Membership, replicator.MemberID, error) {
 	p := &replacement{recorder: r, group: redwingshunt.GroupControl}
-	reply := p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Status: true})
-	if reply.GetOutcome() != wire.LogOutcome_LOG_OUTCOME_APPLIED {
-		return nil, r.self, trace.ConnectionProblem(nil, "the membership of the log is not known: %s", p.lastFailure)
+	for range membershipAttempts {
+		reply := p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Status: true})
+		if reply.GetOutcome() == wire.LogOutcome_LOG_OUTCOME_APPLIED {
+			return encoder.ParseMembers(reply.GetMembership()), r.self, nil
+		}
+		if reply.GetLeader() == "" || ctx.Err() != nil {
+			break
+		}
 	}
-	return encoder.ParseMembers(reply.GetMembership()), r.self, nil
+	return nil, r.self, trace.ConnectionProblem(nil, "the membership of the log is not known: %s", p.lastFailure)
+}
+
+// Restarted reports that the process of an instance has ended and another one runs in
+// its place. It never blocks.
+func (r *Recorder) Restarted(instance redwingshunt.InstanceID) {
+	r.tryRunInLoop(func() {
+		for _, g := range r.orderedGroups() {
+			g.step(replicator.Restarted{Instance: instance})
+		}
+	})
 }
 
 // replacement is the replacement of a voter in one group.
--- a/recorder/options.go
+++ b/recorder/options.go
@@ -21,7 +21,7 @@
 	callQueueLength        = 1024                   // calls that wait for the loop
 	attemptTimeout         = time.Second            // for the reply to one attempt of a proposal
 	retryDelay             = 50 * time.Millisecond  // after a refused attempt
-	membershipPollDelay    = 200 * time.Millisecond // between checks of a membership change
+	membershipPollDelay    = 100 * time.Millisecond // between checks of a membership change
 	transferTimeout        = time.Second            // for transferring leadership before a stop
 	snapshotTriggerEntries = 20_000                 // entries after which a snapshot is due
 	entryOverheadBytes     = 64                     // added to the data size of each entry
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -38,18 +38,16 @@
 	done    chan struct{} // closed when Run has ended
 }
 
-// job is a write or read for the writer goroutine.
+// job is a write for the writer goroutine, or only a call after the writes before it.
 type job struct {
-	record *journaler.Record
-	load   *group                    // group whose snapshot is read
-	onDone func(replicator.Snapshot) // runs in the loop when the job is done
+	record *journaler.Record // nil for a call
+	onDone func()            // runs in the loop when the job is done
 }
 
 // result is the outcome of a list of jobs.
 type result struct {
-	jobs      []job
-	snapshots []replicator.Snapshot
-	err       error
+	jobs []job
+	err  error
 }
 
 // Run takes part in the groups until ctx ends, then transfers the leadership of
@@ -205,7 +203,7 @@
 // persist queues a write. onDone runs in the loop once the write is synced.
 func (r *Recorder) persist(g *group, p replicator.Persist, onDone func()) {
 	record := &journaler.Record{Group: g.id, Persist: p}
-	r.queue = append(r.queue, job{record: record, onDone: func(replicator.Snapshot) { onDone() }})
+	r.queue = append(r.queue, job{record: record, onDone: onDone})
 }
 
 // startWriting passes the queued jobs to the writer unless it is busy.
@@ -222,7 +220,7 @@
 // goroutine. All records of one list share one sync.
 func (r *Recorder) runWriter() {
 	for jobs := range r.jobs {
-		res := result{jobs: jobs, snapshots: make([]replicator.Snapshot, len(jobs))}
+		res := result{jobs: jobs}
 		var records []journaler.Record
 		for _, j := range jobs {
 			if j.record != nil {
@@ -232,11 +230,6 @@
 		if len(records) > 0 {
 			res.err = r.journal.Write(records)
 		}
-		for i, j := range jobs {
-			if j.load != nil && res.err == nil {
-				res.snapshots[i], res.err = r.journal.ReadSnapshot(j.load.id)
-			}
-		}
 		r.results <- res
 	}
 }
@@ -248,8 +241,8 @@
 		r.fail(res.err)
 		return
 	}
-	for i, j := range res.jobs {
-		j.onDone(res.snapshots[i])
+	for _, j := range res.jobs {
+		j.onDone()
 	}
 }
 
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -369,7 +369,7 @@
 	is := is.New(t)
 	s, applied := newSessions(), 0
 	execute := func(index uint64, c *wire.LogCommand) (string, bool) {
-		answer, ok := s.execute(index, c, func() []byte {
+		answer, ok := s.execute(index, c, c.GetCommand() != nil, func() []byte {
 			applied++
 			return fmt.Append(nil, applied)
 		})
@@ -390,6 +390,13 @@
 	_, ok = execute(sessionWindowEntries+2, &wire.LogCommand{Session: 2, Sequence: 1, Base: 1}) // its base is too old
 	is.True(!ok)
 	is.Equal(applied, 2)
+	read := &wire.LogCommand{Session: 2, Sequence: 1, Floor: 1, Base: 1, Command: []byte("read")}
+	for index := range uint64(2) {
+		answer, ok := execute(index+7, read)
+		is.Equal(answer, fmt.Sprint(index+3)) // read again
+		is.True(ok)
+	}
+	is.Equal(len(s.byNumber[2].answers), 0)
 	execute(sweepPeriodEntries*100, &wire.LogCommand{Session: 3, Sequence: 1, Base: sweepPeriodEntries * 100})
 	is.Equal(len(s.byNumber), 1) // inactive sessions are removed
 }
--- /dev/null
+++ b/recorder/rejoin_test.go
@@ -0,0 +1,97 @@
+package recorder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+const (
+	// rejoinTime is the time in which a voter that returns with an empty disk must be a
+	// voter again. After it, the next disk may be lost.
+	rejoinTime = 4 * time.Second
+	// farRate is the rate in bytes a second of one connection between regions: a window
+	// of 256 KiB for each round trip.
+	farRate = (256 << 10) * int(time.Second/(2*farDelay))
+)
+
+// rejoinCase is a state of the log and the voter that loses its disk.
+type rejoinCase struct {
+	state    int // bytes of a snapshot
+	commands int // committed since the stored snapshots
+	size     int // bytes of each of them
+	leader   bool
+}
+
+// rejoin takes the disk of a voter and returns the time from its return until it and
+// the two others are the voters of all groups.
+func rejoin(t *testing.T, c rejoinCase) time.Duration {
+	is := is.New(t)
+	n := emptyNetwork(t, 1)
+	n.ballast = c.state
+	for _, name := range []redwingshunt.InstanceID{"a", "b", "c", "router"} {
+		n.start(name)
+	}
+	time.Sleep(10 * time.Second)
+	n.mu.Lock()
+	n.rate = farRate
+	n.mu.Unlock()
+	for i := range c.commands {
+		command := append(fmt.Append(nil, "=", i, " "), bytes.Repeat([]byte{'x'}, c.size)...)
+		_, err := n.propose("router", string(command), 20*time.Second)
+		is.NoErr(err)
+	}
+	lost := n.leader()
+	for _, other := range []redwingshunt.InstanceID{"a", "b", "c"} {
+		if !c.leader && other != n.leader() {
+			lost = other
+		}
+	}
+	n.crash(lost)
+	is.NoErr(os.RemoveAll(n.folder(lost)))
+	time.Sleep(200 * time.Millisecond)
+	n.start(lost)
+	began := time.Now()
+	for name, p := range n.running {
+		if name != lost {
+			p.Restarted(lost)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	is.NoErr(n.running[lost].Replace(ctx, lost, lost))
+	took := time.Since(began)
+	is.NoErr(n.checkVoters(lost, "a", "b", "c"))
+	return took
+}
+
+// TestLostDiskIsReplacedInTime guards against a second lost disk that ends the log: a
+// voter with an empty disk must count again within rejoinTime, whatever the size of
+// the state and of the changes since the stored snapshots.
+func TestLostDiskIsReplacedInTime(t *testing.T) {
+	tests := map[string]rejoinCase{
+		"small state":          {state: 10 << 10, commands: 10, size: 100},
+		"many changes":         {state: 300 << 10, commands: 100, size: 260 << 10},
+		"many changes, leader": {state: 300 << 10, commands: 100, size: 260 << 10, leader: true},
+		"large state":          {state: 8 << 20, commands: 1, size: 100},
+		"large state, leader":  {state: 8 << 20, commands: 1, size: 100, leader: true},
+		"large state, changes": {state: 6 << 20, commands: 8, size: 1 << 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				took := rejoin(t, test)
+				t.Logf("a voter again after %v", took)
+				is.New(t).True(took <= rejoinTime)
+			})
+		})
+	}
+}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -191,7 +191,7 @@
 			r.fail(err)
 			return
 		}
-		r.queue = append(r.queue, job{record: &record, onDone: func(replicator.Snapshot) {
+		r.queue = append(r.queue, job{record: &record, onDone: func() {
 			r.startSeeded(g, record)
 			if remaining--; remaining == 0 {
 				reply(&wire.LogReply{Outcome: wire.LogOutcome_LOG_OUTCOME_APPLIED})
--- a/recorder/session.go
+++ b/recorder/session.go
@@ -29,10 +29,10 @@
 
 func newSessions() *sessions { return &sessions{make(map[uint64]*session)} }
 
-// execute returns the answer to a command. The first time it calls apply and
-// stores the result. It returns false, without calling apply, if it cannot tell
-// whether the command was applied before.
-func (s *sessions) execute(index uint64, c *wire.LogCommand, apply func() []byte) ([]byte, bool) {
+// execute returns the answer to a command. The first time it calls apply and, unless
+// the command only reads, stores the result. It returns false, without calling apply,
+// if it cannot tell whether the command was applied before.
+func (s *sessions) execute(index uint64, c *wire.LogCommand, reads bool, apply func() []byte) ([]byte, bool) {
 	if index%sweepPeriodEntries == 0 {
 		s.sweep(index)
 	}
@@ -53,7 +53,9 @@
 		return answer, true
 	}
 	answer := apply()
-	current.answers[c.GetSequence()] = answer
+	if !reads {
+		current.answers[c.GetSequence()] = answer
+	}
 	return answer, true
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -39,6 +39,7 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
@@ -60,6 +61,12 @@
 	maxFindings     = 50        // findings in a stored answer
 )
 
+// Fields of wire.RegistrarCommand with the commands that only read.
+const (
+	historyField protowire.Number = 4
+	textField    protowire.Number = 5
+)
+
 // Bootstrap is the team that submits the first document. It may edit every
 // section as long as the document has no teams.
 const Bootstrap redwingshunt.TeamID = "bootstrap"
@@ -102,7 +109,7 @@
 	fences  map[string]*wire.FenceRecord
 }
 
-var _ redwingshunt.StateMachine = (*Registrar)(nil)
+var _ redwingshunt.Reader = (*Registrar)(nil)
 
 // New returns a registrar without a document.
 func New(options Options) *Registrar {
@@ -132,6 +139,22 @@
 	return answer
 }
 
+// Reads reports whether a command reads the history or a text. Their results may be as
+// large as the document.
+func (r *Registrar) Reads(command []byte) bool {
+	for len(command) > 0 {
+		field, _, size := protowire.ConsumeField(command)
+		if size < 0 {
+			return false
+		}
+		if field == historyField || field == textField {
+			return true
+		}
+		command = command[size:]
+	}
+	return false
+}
+
 func (r *Registrar) apply(command []byte) *wire.RegistrarReply {
 	var c wire.RegistrarCommand
 	if err := proto.Unmarshal(command, &c); err != nil {
--- a/registrar/size_test.go
+++ b/registrar/size_test.go
@@ -69,3 +69,32 @@
 		is.True(bytes.Equal(reply.GetText(), wholeDocument(uint64(revision), routes)))
 	}
 }
+
+// TestReads checks that a proposer that resends a read gets the state of then, and that
+// no result as large as the document is kept for it.
+func TestReads(t *testing.T) {
+	encoded := func(command []byte, err error) []byte {
+		if err != nil {
+			t.Fatal(err)
+		}
+		return command
+	}
+	submission, err := registrar.Submit(startTime, accountsSubmission("a", 1, 1), key2, nil)
+	tests := map[string]struct {
+		command []byte
+		want    bool
+	}{
+		"text":    {encoded(registrar.Text(startTime, "", 0)), true},
+		"history": {encoded(registrar.History(startTime, 0, 0)), true},
+		"submit":  {encoded(submission, err), false},
+		"replace": {encoded(registrar.Replace(startTime, []byte("x"))), false},
+		"fence":   {encoded(registrar.Fence(startTime, "name", "holder", time.Second)), false},
+		"torn":    {encoded(registrar.Replace(startTime, []byte("x")))[:5], false},
+		"empty":   {nil, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(newFixture().Reads(test.command), test.want)
+		})
+	}
+}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -50,6 +50,7 @@
 	role             Role
 	leader           MemberID
 	leaderHeard      time.Duration
+	leaderGone       bool // the process that led is known to have ended
 	electionDeadline time.Duration
 	campaignAttempts int // since the last message of a leader
 	votes            map[MemberID]bool
@@ -133,6 +134,8 @@
 		c.handleSnapshotLoaded(e.Snapshot)
 	case TransferProposed:
 		c.handleLeaderTransfer(e.To)
+	case Restarted:
+		c.handleRestarted(e.Instance)
 	}
 	c.tick()
 	c.flush()
@@ -216,7 +219,7 @@
 	if c.role != RoleFollower || c.leader != m.From {
 		c.becomeFollower(m.Term, m.From)
 	}
-	c.leaderHeard = c.now
+	c.leaderHeard, c.leaderGone = c.now, false
 	c.campaignAttempts = 0
 	c.resetElection(ElectionTimeout, ElectionSpread)
 	switch m.Kind {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
 
 // startCounterShift is the number of random low bits of a start number; the bits
 // above them are a counter.
@@ -18,6 +22,23 @@
 	c.electionDeadline = c.now + timeout + time.Duration(c.random.Int64N(int64(spread)))
 }
 
+// handleRestarted makes a follower of a leader whose process has ended campaign soon.
+// The voters take turns in the order of their IDs, so that votes are seldom split.
+func (c *Core) handleRestarted(instance redwingshunt.InstanceID) {
+	if c.role != RoleFollower || c.leader.IsZero() || c.leader.Instance != instance {
+		return
+	}
+	c.leader = MemberID{}
+	c.leaderGone = true
+	turn := 0
+	for _, member := range c.membership() {
+		if member.Voter && member.ID.Instance != instance && member.ID.compare(c.self) < 0 {
+			turn++
+		}
+	}
+	c.electionDeadline = c.now + time.Duration(turn)*RestartStagger
+}
+
 // backOff sets the election timer for a retry of the current campaign. The delay
 // grows exponentially up to CampaignRetryMax while no leader is heard.
 func (c *Core) backOff() {
@@ -31,6 +52,9 @@
 // has, so that a live leader can detect a rolled-back disk before the replica
 // votes.
 func (c *Core) leaderAlive() bool {
+	if c.leaderGone {
+		return false
+	}
 	timeout := ElectionTimeout
 	if c.leaderHeard == 0 { // no leader heard since the start
 		timeout = StartTimeout
@@ -161,7 +185,7 @@
 // term.
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
-	c.leader = c.self
+	c.leader, c.leaderGone = c.self, false
 	c.campaignAttempts = 0
 	c.progress = make(map[MemberID]*progress)
 	c.transferee = MemberID{}
--- a/replicator/events.go
+++ b/replicator/events.go
@@ -1,7 +1,9 @@
 package replicator
 
+import "github.com/redwingshunt/redwingshunt"
+
 // Event is an input of a core: Tick, Received, Proposed, ChangeProposed,
-// Persisted, Snapshotted, SnapshotLoaded or TransferProposed.
+// Persisted, Snapshotted, SnapshotLoaded, TransferProposed or Restarted.
 type Event interface{ event() }
 
 // Tick reports that time has passed.
@@ -51,6 +53,11 @@
 	To MemberID // zero for any voter
 }
 
+// Restarted reports that the process of an instance has ended and another one runs
+// in its place, possibly with another folder. If it led the group, the others elect
+// another leader without waiting for ElectionTimeout.
+type Restarted struct{ Instance redwingshunt.InstanceID }
+
 func (Tick) event()             {}
 func (Received) event()         {}
 func (Proposed) event()         {}
@@ -59,9 +66,10 @@
 func (Snapshotted) event()      {}
 func (SnapshotLoaded) event()   {}
 func (TransferProposed) event() {}
+func (Restarted) event()        {}
 
 // Action is an output of a core: Persist, Send, Apply, Restore, Accepted,
-// Refused or LoadSnapshot. Actions are executed in order, but a Persist may
+// Refused, LoadSnapshot or Progressed. Actions are executed in order, but a Persist may
 // complete later.
 type Action interface{ action() }
 
@@ -104,10 +112,30 @@
 	Reason RefusalReason
 }
 
-// LoadSnapshot requests the newest stored snapshot, to send it to a lagging
-// member.
+// LoadSnapshot requests a snapshot of the applied state, to send it to a lagging
+// member. The newer it is, the fewer entries the member needs after it.
 type LoadSnapshot struct{}
 
+// Progressed reports, on a leader, that a member has reached a stage on its way to
+// a voter, or that it was removed.
+type Progressed struct {
+	Member MemberID
+	Stage  Stage
+	Bytes  int // size of the snapshot that is transferred, in bytes; zero in other stages
+}
+
+// Stage is a stage of a member.
+type Stage string
+
+// The stages of a member, in the order in which a new one reaches them.
+const (
+	StageAdded            Stage = "added"             // it is a learner
+	StageTransferStarted  Stage = "transfer-started"  // the first chunk of a snapshot was sent
+	StageTransferComplete Stage = "transfer-complete" // the whole snapshot is synced
+	StagePromoted         Stage = "promoted"          // it is a voter
+	StageRemoved          Stage = "removed"
+)
+
 func (Persist) action()      {}
 func (Send) action()         {}
 func (Apply) action()        {}
@@ -115,6 +143,7 @@
 func (Accepted) action()     {}
 func (Refused) action()      {}
 func (LoadSnapshot) action() {}
+func (Progressed) action()   {}
 
 // RefusalReason is the reason for refusing a proposal.
 type RefusalReason string
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -63,6 +63,7 @@
 func (c *Core) appendMembership(next Membership) {
 	entry := Entry{Kind: EntryMembership, Membership: next}
 	entry.Index, entry.Term = c.log.last()+1, c.hardState.Term
+	c.reportMembership(c.membership(), next)
 	c.append([]Entry{entry})
 	c.trackMembers()
 	c.send(Message{Kind: MessageAppendReply, To: c.self, Index: c.log.last(), Last: c.log.last()})
@@ -71,9 +72,10 @@
 
 // continueReplacement takes the next step of a replacement in progress. The
 // membership itself holds the remaining steps, so that a new leader continues
-// where the last one stopped. If the replaced member does not reply, it is
-// removed before the learner is promoted, because it counts in the quorum until
-// then; otherwise it is removed last.
+// where the last one stopped. If the replaced member is gone, it is removed before
+// the learner is promoted, because it counts in the quorum until then; otherwise it
+// is removed last. It is gone if it does not reply, or if the learner is the same
+// instance, which runs with one folder only.
 func (c *Core) continueReplacement() {
 	if !c.changeAllowed() || !c.transferee.IsZero() {
 		return
@@ -94,8 +96,9 @@
 	if member.Voter && !present || !member.Voter && !c.caughtUp(member.ID) {
 		return nil, false
 	}
-	unresponsive := present && replaced.Voter && replaced.ID != c.self && !c.alive(replaced.ID)
-	if member.Voter || unresponsive && current.Voters() > 1 {
+	sameInstance := replaced.ID.Instance == member.ID.Instance
+	gone := present && replaced.Voter && replaced.ID != c.self && (sameInstance || !c.alive(replaced.ID))
+	if member.Voter || gone && current.Voters() > 1 {
 		if replaced.ID == c.self {
 			c.startLeaderTransfer()
 			return nil, false
@@ -107,6 +110,29 @@
 	return current.with(member), true
 }
 
+// reportMembership reports what a change of the membership does to each member.
+func (c *Core) reportMembership(before, after Membership) {
+	for _, member := range after {
+		old, known := before.Find(member.ID)
+		switch {
+		case !known:
+			c.report(member.ID, StageAdded, 0)
+		case member.Voter && !old.Voter:
+			c.report(member.ID, StagePromoted, 0)
+		}
+	}
+	for _, member := range before {
+		if _, known := after.Find(member.ID); !known {
+			c.report(member.ID, StageRemoved, 0)
+		}
+	}
+}
+
+// report reports that a member has reached a stage.
+func (c *Core) report(id MemberID, stage Stage, size int) {
+	c.actions = append(c.actions, Progressed{Member: id, Stage: stage, Bytes: size})
+}
+
 // caughtUp reports whether a learner is alive and lacks at most PromotionLagEntries
 // entries of the log.
 func (c *Core) caughtUp(id MemberID) bool {
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -11,7 +11,7 @@
 	matchStart       uint64 // start number of the member when it acknowledged match
 	next             uint64 // next index to send
 	probing          bool   // next is a guess; one message is sent at a time
-	paused           bool   // a probe or a snapshot chunk is unacknowledged
+	paused           bool   // a probe or snapshot chunks are unacknowledged
 	inflight         []inflightAppend
 	bytes            int           // size of the entries in inflight
 	retransmitStart  time.Duration // start of the retransmit timeout
@@ -101,7 +101,15 @@
 		if !p.awaitsReply() || c.now-p.retransmitStart < RetransmitTimeout || c.now-p.lastReply >= ElectionTimeout {
 			continue
 		}
-		p.probeFrom(p.match + 1)
+		next := p.match + 1
+		if p.match == 0 {
+			next = p.next // it is not known what the member has until it replies to a probe
+		}
+		p.probeFrom(next)
+		if t := p.snapshotTransfer; t != nil {
+			t.rewind(t.offset)
+			t.probing = true
+		}
 		c.replicate(member.ID)
 	}
 }
@@ -164,12 +172,12 @@
 	}
 }
 
-// replicate sends a member the next entries, up to MaxInflightBytes in flight, or
-// the next chunk of a snapshot.
+// replicate sends a member the next entries or the next chunks of a snapshot, up to
+// MaxInflightBytes in flight.
 func (c *Core) replicate(id MemberID) {
 	p := c.progress[id]
 	if id == c.self || p == nil || p.snapshotTransfer != nil {
-		c.sendChunk(id)
+		c.sendChunks(id)
 		return
 	}
 	for !p.paused && p.next <= c.log.last() && p.bytes < MaxInflightBytes {
@@ -266,7 +274,7 @@
 			p.probeFrom(min(m.Last+1, c.log.last())) // nothing is in flight that would reveal the missing entries
 		}
 	}
-	if c.role == RoleLeader && (!p.paused || p.snapshotTransfer == nil) {
+	if c.role == RoleLeader {
 		c.replicate(m.From)
 	}
 }
@@ -283,6 +291,7 @@
 		return
 	}
 	if t := p.snapshotTransfer; t != nil && t.snapshot != nil && m.Index >= t.snapshot.Index {
+		c.report(m.From, StageTransferComplete, len(t.snapshot.Data))
 		p.snapshotTransfer = nil
 		p.next = m.Index + 1
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -47,9 +47,10 @@
 					n.step(nd, Proposed{ID: 1, Commands: [][]byte{fmt.Append(nil, proposals)}})
 				}
 			},
-			"snapshot": func(t *rapid.T) { n.snapshot(pick(t)) },
-			"transfer": func(t *rapid.T) { n.step(pick(t), TransferProposed{}) },
-			"prefer":   func(t *rapid.T) { n.step(pick(t), TransferProposed{To: pick(t).id}) },
+			"snapshot":  func(t *rapid.T) { n.snapshot(pick(t)) },
+			"transfer":  func(t *rapid.T) { n.step(pick(t), TransferProposed{}) },
+			"restarted": func(t *rapid.T) { n.step(pick(t), Restarted{pick(t).id.Instance}) }, // true or not
+			"prefer":    func(t *rapid.T) { n.step(pick(t), TransferProposed{To: pick(t).id}) },
 			"replace": func(t *rapid.T) {
 				leader, replaced := n.leader(), pick(t).id
 				if leader == nil || replaced == leader.id || len(n.nodes) > 8 {
@@ -119,6 +120,25 @@
 	}
 }
 
+// TestRestartedLeaderIsReplacedAtOnce restarts the leader with an empty disk. The
+// others must not wait for an election timeout once they know of the new process,
+// because the lost voter cannot be replaced without a leader.
+func TestRestartedLeaderIsReplacedAtOnce(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		n := newNetwork(t, seed, names(3)...)
+		n.run(6 * time.Second)
+		old := n.leader()
+		n.crash(old)
+		n.run(200 * time.Millisecond)
+		for _, nd := range n.nodes {
+			n.step(nd, Restarted{old.id.Instance})
+		}
+		n.run(ElectionTimeout - 500*time.Millisecond) // enough for one split vote
+		is.True(n.leader() != nil && n.leader() != old)
+	}
+}
+
 func TestRolledBackDiskLosesVote(t *testing.T) {
 	tests := map[string]func(n *network, victim *node, copied node){
 		"copied in an earlier start": func(_ *network, victim *node, copied node) {
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -1,10 +1,26 @@
 package replicator
 
-// snapshotTransfer is a snapshot that is being sent to a member, one chunk at a
-// time.
+// snapshotTransfer is a snapshot that is being sent to a member, with up to
+// MaxInflightBytes in flight.
 type snapshotTransfer struct {
 	snapshot *Snapshot // nil while it is being loaded
-	offset   uint64    // bytes that the member has received
+	offset   uint64    // bytes that the member has acknowledged
+	sent     uint64    // bytes that were sent
+	allSent  bool      // the last chunk was sent
+	probing  bool      // a chunk was not acknowledged in time; one is sent at a time
+}
+
+// rewind makes the next chunk begin at an offset.
+func (t *snapshotTransfer) rewind(offset uint64) {
+	t.offset, t.sent, t.allSent = offset, offset, false
+}
+
+// window returns the number of bytes that may be in flight.
+func (t *snapshotTransfer) window() uint64 {
+	if t.probing {
+		return 1
+	}
+	return MaxInflightBytes
 }
 
 // partialSnapshot is a snapshot of which some chunks have been received.
@@ -46,7 +62,7 @@
 }
 
 // startSnapshot starts to send a snapshot to a member, because the log no longer
-// has the entries that the member needs, and requests the stored snapshot.
+// has the entries that the member needs, and requests one.
 func (c *Core) startSnapshot(p *progress) {
 	p.snapshotTransfer = &snapshotTransfer{}
 	p.paused = false
@@ -56,7 +72,7 @@
 	}
 }
 
-// handleSnapshotLoaded sends the first chunk to each member that waits for the
+// handleSnapshotLoaded sends the first chunks to each member that waits for the
 // snapshot.
 func (c *Core) handleSnapshotLoaded(snapshot Snapshot) {
 	c.loadingSnapshot = false
@@ -67,34 +83,48 @@
 		p := c.progress[member.ID]
 		if p.snapshotTransfer != nil && p.snapshotTransfer.snapshot == nil {
 			p.snapshotTransfer.snapshot = &snapshot
-			c.sendChunk(member.ID)
+			c.report(member.ID, StageTransferStarted, len(snapshot.Data))
+			c.sendChunks(member.ID)
 		}
 	}
 }
 
-// sendChunk sends a member the next chunk of its snapshot, unless one is
-// unacknowledged.
-func (c *Core) sendChunk(id MemberID) {
+// sendChunks sends a member the next chunks of its snapshot, up to MaxInflightBytes
+// in flight.
+func (c *Core) sendChunks(id MemberID) {
 	p := c.progress[id]
-	if p == nil || p.snapshotTransfer == nil || p.snapshotTransfer.snapshot == nil || p.paused {
+	if p == nil || p.snapshotTransfer == nil || p.snapshotTransfer.snapshot == nil {
 		return
 	}
-	s, offset := p.snapshotTransfer.snapshot, p.snapshotTransfer.offset
-	end := min(offset+SnapshotChunkBytes, uint64(len(s.Data)))
-	chunk := &Chunk{Meta: s.SnapshotMeta, Offset: offset, Total: uint64(len(s.Data)), Data: s.Data[offset:end]}
-	p.paused = true
-	p.retransmitStart = c.now
-	c.send(Message{Kind: MessageSnapshot, To: id, Chunk: chunk})
+	t := p.snapshotTransfer
+	for s := t.snapshot; !t.allSent && t.sent < t.offset+t.window(); {
+		if !p.paused {
+			p.paused = true
+			p.retransmitStart = c.now
+		}
+		end := min(t.sent+SnapshotChunkBytes, uint64(len(s.Data)))
+		chunk := &Chunk{Meta: s.SnapshotMeta, Offset: t.sent, Total: uint64(len(s.Data)), Data: s.Data[t.sent:end]}
+		t.sent, t.allSent = end, end == uint64(len(s.Data))
+		c.send(Message{Kind: MessageSnapshot, To: id, Chunk: chunk})
+	}
 }
 
-// handleChunkReply continues the transfer at the offset that the member reports.
+// handleChunkReply continues the transfer. A member that reports fewer bytes than
+// before has lost them and gets them again; one that reports no progress gets the
+// next chunk again after RetransmitTimeout.
 func (c *Core) handleChunkReply(m Message, p *progress) {
 	t := p.snapshotTransfer
-	if t == nil || t.snapshot == nil || t.snapshot.Index != m.Commit || m.Index > uint64(len(t.snapshot.Data)) {
+	if t == nil || t.snapshot == nil || t.snapshot.Index != m.Commit || m.Index > t.sent {
 		return
 	}
-	t.offset = m.Index
-	p.paused = false
+	switch {
+	case m.Index < t.offset:
+		t.rewind(m.Index)
+	case m.Index > t.offset:
+		t.offset, t.probing = m.Index, false
+		p.retransmitStart = c.now
+	}
+	p.paused = t.allSent || t.sent > t.offset
 }
 
 // handleChunk stores a chunk of a snapshot, and installs the snapshot once it is
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -18,13 +18,14 @@
 	StartSpread              = 400 * time.Millisecond  // range of the random addition to StartTimeout
 	CampaignRetry            = 500 * time.Millisecond  // minimum delay after a failed campaign; doubled after each further one
 	CampaignRetryMax         = 2 * time.Second
+	RestartStagger           = 200 * time.Millisecond // between the elections of two voters that learn of a restart of their leader
 	RetransmitTimeout        = 500 * time.Millisecond // until an unacknowledged append or chunk is resent
 	PreferredTransferTimeout = 500 * time.Millisecond // of a leadership transfer to a preferred voter
 	MaxAdvance               = time.Second            // maximum advance of the core's clock in one call
 	MaxAppendBytes           = 256 << 10              // size of the entries in one message
-	MaxInflightBytes         = 1 << 20                // size of the unacknowledged entries sent to one member
+	MaxInflightBytes         = 1 << 20                // size of the unacknowledged entries or chunks sent to one member
 	MaxUncommittedBytes      = 16 << 20               // bytes of uncommitted entries above which a leader refuses proposals
-	SnapshotChunkBytes       = 256 << 10              // size of a snapshot chunk in one message
+	SnapshotChunkBytes       = 64 << 10               // size of a snapshot chunk in one message
 	TrailingEntries          = 1000                   // entries kept behind a snapshot for lagging members
 	PromotionLagEntries      = 64                     // entries that a learner may lack when it is promoted
 )
