Tell an event numbered 0 from no event

Cause: the number of the last event relayed was 0 until there was one. A stream that broke off after event 0 was sent to the second upstream without Last-Event-ID, and its events were not compared with what the caller had. The caller's own Last-Event-ID: 0 was taken as none in the same way: an upstream that began anew, or left events out, passed. After 2^64-1 the next number was 0 and allowed. The lines of the log had event=0 for no event, or none for event 0.

Change: the number is an option. Related paths read: dispatcher counts from its own position and resumes after event 0; Retry-After: 0 of an upstream means no pause, as none does; the numbers must still be consecutive.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -362,7 +362,11 @@
 	if v.err != nil {
 		reason = v.err.Error()
 	}
-	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
+	attributes := []any{"request", x.id, "upstream", string(placed.Upstream.ID),
 		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
-		"predicted", placed.Predicted.String(), "event", x.events.last, "error", reason, "decision", decision)
+		"predicted", placed.Predicted.String()}
+	if last, known := x.events.last.Get(); known {
+		attributes = append(attributes, "event", last)
+	}
+	x.relayer.options.Logger.Warn("attempt failed", append(attributes, "error", reason, "decision", decision)...)
 }
--- a/relayer/continuation_test.go
+++ b/relayer/continuation_test.go
@@ -46,6 +46,28 @@
 	f.placer.upstreams[index].Address = upstream.Address()
 }
 
+// recordingUpstream responds like rawUpstream to one request. The channel receives the
+// header of the request.
+func (f *fixture) recordingUpstream(t *testing.T, index int, text string) <-chan http.Header {
+	t.Helper()
+	headers := make(chan http.Header, 1)
+	upstream, err := mimic.StartScripted(func(connection net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		headers <- request.Header
+		fmt.Fprintf(connection, text, request.Header.Get(redwingshunt.HeaderRequest))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(upstream.Stop)
+	f.placer.upstreams[index].Address = upstream.Address()
+	return headers
+}
+
 // TestErrorDoesNotContinueStream breaks a stream off after two events. What the next
 // upstream answers is not the rest of it.
 func TestErrorDoesNotContinueStream(t *testing.T) {
--- a/relayer/headers.go
+++ b/relayer/headers.go
@@ -26,8 +26,8 @@
 	if dialect.Account != "" && x.account != "" {
 		header.Set(dialect.Account, string(x.account))
 	}
-	if x.events.last > 0 {
-		header.Set(redwingshunt.HeaderLastEvent, strconv.FormatUint(x.events.last, 10))
+	if last, known := x.events.last.Get(); known {
+		header.Set(redwingshunt.HeaderLastEvent, strconv.FormatUint(last, 10))
 	}
 	return carrier.Call{
 		Address: placed.Upstream.Address, ID: x.id, Method: x.request.Method, Target: targetOf(x.request),
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -435,8 +435,8 @@
 	if suppressed > 0 {
 		attributes = append(attributes, slog.Int("untold", suppressed))
 	}
-	if x.events.last > 0 {
-		attributes = append(attributes, slog.Uint64("event", x.events.last))
+	if last, known := x.events.last.Get(); known {
+		attributes = append(attributes, slog.Uint64("event", last))
 	}
 	if refusal != nil {
 		level = slog.LevelWarn
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -36,10 +36,10 @@
 // eventSplitter splits the bytes of an event stream into complete events and checks
 // that their numbers are consecutive.
 type eventSplitter struct {
-	last    uint64 // number of the last complete event; zero before the first
-	pending []byte // bytes of an incomplete event
-	lenient bool   // lines may have any form
-	partial bool   // an event with data has no number, so the stream cannot be resumed
+	last    redwingshunt.Option[uint64] // number of the last complete event, or of that after which the caller resumes
+	pending []byte                      // bytes of an incomplete event
+	lenient bool                        // lines may have any form
+	partial bool                        // an event with data has no number, so the stream cannot be resumed
 }
 
 // push appends bytes and returns all events that are complete now. The result is
@@ -56,10 +56,10 @@
 			return s.pending[:end], errNoEvent
 		}
 		if number, ok := splitter.Number(s.pending[end : end+size]); ok {
-			if s.last != 0 && number != s.last+1 {
+			if last, known := s.last.Get(); known && (number <= last || number-last > 1) {
 				return s.pending[:end], errEventOrder
 			}
-			s.last = number
+			s.last = redwingshunt.Some(number)
 		} else if splitter.HasData(s.pending[end : end+size]) {
 			s.partial = true
 		}
@@ -78,7 +78,7 @@
 func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, stall *stallTimer) attemptResult {
 	x.events.pending = nil
 	x.events.lenient = !isEventStream(reply.Header)
-	if x.events.last == 0 {
+	if _, known := x.events.last.Get(); !known {
 		x.events.last = x.lastEventID()
 	}
 	var began time.Time // arrival of the first event of this attempt
@@ -158,13 +158,13 @@
 }
 
 // lastEventID returns the number of the event after which the caller itself
-// resumes the stream.
-func (x *exchange) lastEventID() uint64 {
+// resumes the stream, if any.
+func (x *exchange) lastEventID() redwingshunt.Option[uint64] {
 	number, err := strconv.ParseUint(x.request.Header.Get(redwingshunt.HeaderLastEvent), 10, 64)
 	if err != nil {
-		return 0
+		return redwingshunt.None[uint64]()
 	}
-	return number
+	return redwingshunt.Some(number)
 }
 
 // forward sends complete events to the caller without delay. It reports whether the
