Compress large messages of the log and the configuration

Change: the link compresses payloads of 4 KiB and more of the kinds log, submit and publish with S2 (github.com/klauspost/compress, declared in go.mod), once the receiver has said in an acknowledgement that it unpacks them, so that instances of older versions get plain ones. What a peer may make an instance unpack is bounded. The dump of the traffic tells the bytes saved.

TestPack, TestUnpackRefuses, TestPackedOnlyForReceiversThatUnpack.

--- a/linker/counters.go
+++ b/linker/counters.go
@@ -17,13 +17,14 @@
 	Received            uint64 `json:"received"`       // messages received
 	ReceivedBytes       uint64 `json:"receivedBytes"`  // received, frames included
 	Dropped             uint64 `json:"dropped"`        // messages that could not be sent
+	Saved               uint64 `json:"saved"`          // bytes of those sent that compression saved
 }
 
 // kindCounters holds the counters of one kind. The bytes exclude TCP, IP and TLS
 // headers.
 type kindCounters struct {
 	messages, bytes, crossRegionMessages, crossRegionBytes atomic.Uint64
-	received, receivedBytes, dropped                       atomic.Uint64
+	received, receivedBytes, dropped, saved                atomic.Uint64
 }
 
 type counters [redwingshunt.KindEnd]kindCounters
@@ -56,6 +57,9 @@
 
 func (c *counters) drop(kind redwingshunt.MessageKind) { c[kind].dropped.Add(1) }
 
+// save counts the bytes that compression saved.
+func (c *counters) save(kind redwingshunt.MessageKind, saved int) { c[kind].saved.Add(uint64(saved)) }
+
 func (c *counters) snapshot() []Traffic {
 	var all []Traffic
 	for kind := redwingshunt.KindHeartbeat; kind < redwingshunt.KindEnd; kind++ {
@@ -65,7 +69,7 @@
 			Messages: k.messages.Load(), Bytes: k.bytes.Load(),
 			CrossRegionMessages: k.crossRegionMessages.Load(), CrossRegionBytes: k.crossRegionBytes.Load(),
 			Received: k.received.Load(), ReceivedBytes: k.receivedBytes.Load(),
-			Dropped: k.dropped.Load(),
+			Dropped: k.dropped.Load(), Saved: k.saved.Load(),
 		}
 		if t.Messages+t.CrossRegionMessages+t.Received+t.Dropped > 0 {
 			all = append(all, t)
--- a/linker/peer.go
+++ b/linker/peer.go
@@ -161,6 +161,9 @@
 		if p.unsent != nil {
 			frame := &wire.Frame{Kind: uint32(p.unsent.Kind), Payload: p.unsent.Payload, Hello: hello}
 			hello = nil
+			if s.unpacks.Load() {
+				p.linker.counters.save(p.unsent.Kind, pack(frame))
+			}
 			s.beforeSend(frame)
 			if err := exchange.Send(frame); err != nil {
 				return trace.Wrap(err, "sending a frame: %v", context.Cause(ctx))
@@ -189,6 +192,7 @@
 	opening  atomic.Bool
 	sent     atomic.Uint64
 	acked    atomic.Uint64
+	unpacks  atomic.Bool // the receiver accepts packed payloads
 }
 
 // beforeSend numbers a frame and restarts the watchdog when no frame was
@@ -218,6 +222,9 @@
 			s.cancel(trace.Wrap(err, "receiving acknowledgements"))
 			return
 		}
+		if ack.GetUnpacks() {
+			s.unpacks.Store(true)
+		}
 		// A repeated acknowledgement, or one of a frame not sent, is no progress.
 		if n := ack.GetSequence(); n > s.acked.Load() && n <= s.sent.Load() {
 			s.acked.Store(n)
--- a/linker/server.go
+++ b/linker/server.go
@@ -15,7 +15,7 @@
 
 // Exchange implements wire.InstancesServer. It receives the frames of one peer and
 // acknowledges them in batches. The error is trace.BadParameter for a stream
-// without a hello, and trace.AccessDenied for an instance that the certificate of
+// without a hello or with a payload that cannot be unpacked, and trace.AccessDenied for an instance that the certificate of
 // the peer doesn't name.
 func (l *Linker) Exchange(stream wire.Instances_ExchangeServer) error {
 	first, err := stream.Recv()
@@ -45,7 +45,11 @@
 		in.received(frame.GetSequence())
 		l.counters.received(frame)
 		if kind, known := kindOf(frame); known {
-			l.dispatch(from, redwingshunt.Message{Kind: kind, Payload: frame.GetPayload()})
+			payload, err := unpack(frame)
+			if err != nil {
+				return trace.BadParameter("frame %d of %s: %v", frame.GetSequence(), from, err)
+			}
+			l.dispatch(from, redwingshunt.Message{Kind: kind, Payload: payload})
 		}
 		if frame, err = stream.Recv(); err != nil {
 			return nil // the sender closed or lost the stream; it redials when needed
@@ -95,7 +99,7 @@
 			return
 		case <-delay.C:
 		}
-		if err := in.stream.Send(&wire.Acknowledgement{Sequence: in.lastSequence.Load()}); err != nil {
+		if err := in.stream.Send(&wire.Acknowledgement{Sequence: in.lastSequence.Load(), Unpacks: true}); err != nil {
 			return
 		}
 		in.counters.acknowledged(in.crossRegion)
