Hand the seat of a voter over before a planned stop ends

Cause: a voter that stops transferred the lead and ended 10 ms after SIGTERM, while the membership still counted it. The successor took the seat only when it had been gone for VoterGoneTimeout, with a majority of the old three. Until then two voters held the log.

Change: a stopping voter of a fleet that assembles itself looks for a live instance with a data folder that is no member (bootstrapper.Successor: its zone first), has it added, caught up and promoted and itself removed, and then gives up the vote of its folder durably, so that its next start begins with an empty one. It waits at most 5 s. If nobody can take the seat it ends at once with its vote, and the log is never made smaller; a successor that replaces another voter is refused, the control group deciding for all groups. While it hands over it does not stand for election: removed from one group, it would have lost the votes of the others.

Ruled out: a seat that is taken by a newer instance at any time (two instances of one zone would take it from each other at each restart); a change of two voters in one step (two majorities that do not overlap).

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -37,6 +37,7 @@
 	submitter    *submitter.Submitter
 	hasQuorum    atomic.Bool
 	isLeader     atomic.Bool
+	retiring     atomic.Bool // the seat is handed over; the folder loses its vote
 	stop         context.CancelFunc
 	stopped      chan struct{}
 }
@@ -126,6 +127,9 @@
 	go func() {
 		defer close(c.stopped)
 		err := c.recorder.Run(logContext)
+		if c.retiring.Load() && errors.Is(err, recorder.ErrFolderLost) {
+			return
+		}
 		if err != nil && !errors.Is(err, context.Canceled) {
 			c.logger.Error("the log of this instance has stopped; requests are still routed",
 				"error", err.Error(), "next", "restart the instance; see redwingshunt repair")
--- /dev/null
+++ b/daemon/handover.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/bootstrapper"
+	"github.com/redwingshunt/redwingshunt/replicator"
+)
+
+const (
+	// handOverTimeout limits the time in which a voter that stops hands its seat over.
+	handOverTimeout = 5 * time.Second
+	// handOverAttemptTimeout limits the time for one successor, which may stop as well.
+	handOverAttemptTimeout = 3 * time.Second
+	// handOverRetryDelay is the delay before another successor is chosen.
+	handOverRetryDelay = 100 * time.Millisecond
+)
+
+// handOver makes another instance a voter in place of this one before a planned stop.
+// Without that, the loss of another voter would end the log until a successor has taken
+// the seat. It returns at once if no instance can take it: a restart keeps the vote.
+func (d *Daemon) handOver(ctx context.Context) {
+	if d.settings.Wanted == 0 || d.settings.Data == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	began := time.Now()
+	for ctx.Err() == nil && d.control.isVoter() {
+		successor, found := bootstrapper.Successor(d.members.Self(), d.members.Live(), d.control.membership()).Get()
+		if !found {
+			d.logger.Info("voter stops with its seat", "reason", "no other instance can take it")
+			return
+		}
+		d.control.retiring.Store(true)
+		attempt, done := context.WithTimeout(ctx, handOverAttemptTimeout)
+		err := d.control.recorder.HandOver(attempt, successor)
+		done()
+		if err == nil {
+			d.logger.Info("seat of the voter handed over", "successor", string(successor), "took", time.Since(began).String())
+			return
+		}
+		d.logger.Warn("seat of the voter not handed over", "successor", string(successor), "error", err.Error())
+		redwingshunt.Pause(ctx, handOverRetryDelay)
+	}
+}
+
+// membership returns the members of the control group as this instance knows them.
+func (c *control) membership() replicator.Membership {
+	var membership replicator.Membership
+	groups := c.recorder.Status().Groups
+	if len(groups) == 0 {
+		return nil
+	}
+	for _, m := range groups[0].Members {
+		membership = append(membership, replicator.Member{
+			ID: replicator.MemberID{Instance: m.Instance, Folder: m.Folder}, Voter: m.Voter,
+		})
+	}
+	return membership
+}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -8,7 +8,8 @@
 )
 
 // shutdown stops the instance gracefully: it notifies other instances, refuses
-// new requests, and waits for running ones up to the drain limit.
+// new requests, and waits for running ones up to the drain limit. A voter hands its
+// seat over meanwhile.
 func (d *Daemon) shutdown() {
 	d.logger.Info("shutting down", "running", d.running(), "limit", d.settings.Drain.String())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Notice+d.settings.Drain)
@@ -23,6 +24,13 @@
 		}()
 	}
 	d.members.leave()
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		if d.failed == nil {
+			d.handOver(ctx)
+		}
+	}()
 	d.listener.Leave()
 	if d.routeServer != nil {
 		d.routeServer.relayer.Leave()
@@ -38,6 +46,7 @@
 	if unrecorded, left := d.guarantees.finish(ctx); unrecorded+left > 0 {
 		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
 	}
+	<-handedOver
 	d.dispatcher.Close()
 	d.control.close()
 	d.linker.Close()
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -19,16 +19,26 @@
 // another call continues from there. It returns ErrFolderInUse, wrapped, if
 // newVoter has state and is not a member.
 //
-// All groups change at the same time, so that the time until the new voter counts in
-// each of them does not grow with their number.
+// After the control group, all others change at the same time, so that the time until
+// the new voter counts in each of them does not grow with their number.
 func (r *Recorder) Replace(ctx context.Context, oldVoter, newVoter redwingshunt.InstanceID) error {
+	return r.replaceInGroups(ctx, replacement{recorder: r, oldVoter: oldVoter, newVoter: newVoter})
+}
+
+// replaceInGroups runs a replacement in the control group and then in all others at the
+// same time. Of two replacements that exclude each other, the control group thus
+// decides for all groups. It returns the error of the first group that has one.
+func (r *Recorder) replaceInGroups(ctx context.Context, p replacement) error {
 	errs := make([]error, r.options.Groups)
+	p.group = redwingshunt.GroupControl
+	if err := p.run(ctx); err != nil {
+		return trace.Wrap(err, "group %d", p.group)
+	}
 	var groups sync.WaitGroup
-	for i := range errs {
-		groups.Go(func() {
-			replacement := &replacement{recorder: r, group: redwingshunt.GroupID(i), oldVoter: oldVoter, newVoter: newVoter}
-			errs[i] = replacement.run(ctx)
-		})
+	for i := 1; i < len(errs); i++ {
+		inGroup := p
+		inGroup.group = redwingshunt.GroupID(i)
+		groups.Go(func() { errs[i] = inGroup.run(ctx) })
 	}
 	groups.Wait()
 	for i, err := range errs {
@@ -75,6 +85,7 @@
 	group       redwingshunt.GroupID
 	oldVoter    redwingshunt.InstanceID
 	newVoter    redwingshunt.InstanceID
+	onlyReplace bool   // the new voter must not replace another member, see ErrSeatTaken
 	lastFailure string // why the last query or change failed
 }
 
@@ -107,6 +118,9 @@
 	if _, known := membership.Find(newVoter); !known && identity.GetSeeded() {
 		return false, ErrFolderInUse
 	}
+	if p.onlyReplace && p.seatTaken(membership, newVoter) {
+		return false, ErrSeatTaken
+	}
 	change, done := nextChange(membership, p.oldVoter, newVoter)
 	if change != nil {
 		p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Change: change})
--- a/recorder/rejoin_test.go
+++ b/recorder/rejoin_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"testing"
@@ -95,3 +96,108 @@
 		})
 	}
 }
+
+// handOverCase is a planned stop of a voter.
+type handOverCase struct {
+	state  int // bytes of a snapshot
+	leader bool
+	second bool // another voter is lost for good once the first one has ended
+}
+
+// TestPlannedStopHandsSeatOver guards against a log that ends with one lost disk right
+// after a planned stop: the voter must not end before its successor counts, must not
+// wait longer than a stop may take, and its old folder must not vote again.
+func TestPlannedStopHandsSeatOver(t *testing.T) {
+	const graceTime = 8 * time.Second
+	tests := map[string]handOverCase{
+		"follower":                      {second: true},
+		"leader":                        {leader: true, second: true},
+		"follower, large state":         {state: 8 << 20, second: true},
+		"leader, large state":           {state: 8 << 20, leader: true, second: true},
+		"follower that is started anew": {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := emptyNetwork(t, 1)
+				n.ballast = test.state
+				for _, name := range []redwingshunt.InstanceID{"a", "b", "c", "d", "router"} {
+					n.start(name)
+				}
+				time.Sleep(10 * time.Second)
+				n.mu.Lock()
+				n.rate = farRate
+				n.mu.Unlock()
+				_, err := n.propose("router", "=7", 5*time.Second)
+				is.NoErr(err)
+				stopped := n.voterThat(test.leader)
+				ctx, cancel := context.WithTimeout(context.Background(), graceTime)
+				defer cancel()
+				began := time.Now()
+				is.NoErr(n.running[stopped].HandOver(ctx, "d"))
+				t.Logf("handed over after %v", time.Since(began))
+				is.True(errors.Is(<-n.running[stopped].ended, ErrFolderLost))
+				n.removeMember(stopped)
+				var left []redwingshunt.InstanceID
+				for _, id := range []redwingshunt.InstanceID{"a", "b", "c", "d"} {
+					if id != stopped {
+						left = append(left, id)
+					}
+				}
+				is.NoErr(n.checkVoters("d", left...))
+				if test.second {
+					n.crash(n.voterThat(false)) // the only one that is neither stopped, nor d, nor the leader; or d
+				} else {
+					n.start(stopped) // with its folder
+					time.Sleep(3 * time.Second)
+					is.NoErr(n.checkVoters("d", left...))
+				}
+				value, err := n.propose("router", "read", 10*time.Second)
+				is.NoErr(err)
+				is.Equal(value, "7")
+			})
+		})
+	}
+}
+
+// TestSeatIsTakenOnce has two voters hand their seats to the same successor at the same
+// time. One of them must keep its seat.
+func TestSeatIsTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := emptyNetwork(t, 1)
+		for _, name := range []redwingshunt.InstanceID{"a", "b", "c", "d", "router"} {
+			n.start(name)
+		}
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		errs := make(chan error, 2)
+		for _, id := range []redwingshunt.InstanceID{"a", "b"} {
+			p := n.running[id]
+			go func() { errs <- p.HandOver(ctx, "d") }()
+		}
+		first, second := <-errs, <-errs
+		t.Log(first, second)
+		is.True((first == nil) != (second == nil))
+		for _, g := range n.running["d"].Status().Groups {
+			is.Equal(len(g.Members), 3)
+		}
+	})
+}
+
+// voterThat returns the instance that leads group 1, or one of the initial voters that
+// does not.
+func (n *network) voterThat(leads bool) redwingshunt.InstanceID {
+	leader := n.leader()
+	if leads {
+		return leader
+	}
+	for _, id := range []redwingshunt.InstanceID{"a", "b", "c"} {
+		if id != leader && n.running[id] != nil {
+			return id
+		}
+	}
+	return ""
+}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -51,6 +51,7 @@
 	leader           MemberID
 	leaderHeard      time.Duration
 	leaderGone       bool // the process that led is known to have ended
+	leaving          bool // see Leaving
 	electionDeadline time.Duration
 	campaignAttempts int // since the last message of a leader
 	votes            map[MemberID]bool
@@ -134,6 +135,10 @@
 		c.handleSnapshotLoaded(e.Snapshot)
 	case TransferProposed:
 		c.handleLeaderTransfer(e.To)
+	case Leaving:
+		c.leaving = e.Enabled
+	case Retired:
+		c.retire()
 	case Restarted:
 		c.handleRestarted(e.Instance)
 	}
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -81,10 +81,10 @@
 	c.resetElection(ElectionTimeout, ElectionSpread)
 }
 
-// campaign starts a pre-vote, if the replica may vote.
+// campaign starts a pre-vote, if the replica may vote and stands for election.
 func (c *Core) campaign() {
 	c.backOff()
-	if !c.mayVote() {
+	if !c.mayVote() || c.leaving {
 		return
 	}
 	c.role = RolePreCandidate
@@ -314,6 +314,11 @@
 	if m.Start != c.start {
 		return // meant for an earlier start
 	}
+	c.retire()
+}
+
+// retire stops the replica from voting ever again.
+func (c *Core) retire() {
 	hardState := c.hardState
 	hardState.Lost = true
 	c.setHardState(hardState)
--- a/replicator/events.go
+++ b/replicator/events.go
@@ -3,7 +3,8 @@
 import "github.com/redwingshunt/redwingshunt"
 
 // Event is an input of a core: Tick, Received, Proposed, ChangeProposed,
-// Persisted, Snapshotted, SnapshotLoaded, TransferProposed or Restarted.
+// Persisted, Snapshotted, SnapshotLoaded, TransferProposed, Restarted, Leaving
+// or Retired.
 type Event interface{ event() }
 
 // Tick reports that time has passed.
@@ -58,6 +59,15 @@
 // another leader without waiting for ElectionTimeout.
 type Restarted struct{ Instance redwingshunt.InstanceID }
 
+// Leaving requests that the replica does not stand for election, or stands again. It
+// still votes. A replica that hands its seat over would otherwise campaign once it was
+// removed, and lose the votes of the groups in which it still counts.
+type Leaving struct{ Enabled bool }
+
+// Retired requests that the replica never votes again, because it was replaced before
+// a planned stop.
+type Retired struct{}
+
 func (Tick) event()             {}
 func (Received) event()         {}
 func (Proposed) event()         {}
@@ -67,6 +77,8 @@
 func (SnapshotLoaded) event()   {}
 func (TransferProposed) event() {}
 func (Restarted) event()        {}
+func (Leaving) event()          {}
+func (Retired) event()          {}
 
 // Action is an output of a core: Persist, Send, Apply, Restore, Accepted,
 // Refused, LoadSnapshot or Progressed. Actions are executed in order, but a Persist may
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -50,7 +50,10 @@
 			"snapshot":  func(t *rapid.T) { n.snapshot(pick(t)) },
 			"transfer":  func(t *rapid.T) { n.step(pick(t), TransferProposed{}) },
 			"restarted": func(t *rapid.T) { n.step(pick(t), Restarted{pick(t).id.Instance}) }, // true or not
-			"prefer":    func(t *rapid.T) { n.step(pick(t), TransferProposed{To: pick(t).id}) },
+			"leaving": func(t *rapid.T) {
+				n.step(pick(t), Leaving{Enabled: rapid.Bool().Draw(t, "leaving")})
+			},
+			"prefer": func(t *rapid.T) { n.step(pick(t), TransferProposed{To: pick(t).id}) },
 			"replace": func(t *rapid.T) {
 				leader, replaced := n.leader(), pick(t).id
 				if leader == nil || replaced == leader.id || len(n.nodes) > 8 {
@@ -65,6 +68,9 @@
 		n.lossRate = 0
 		clear(n.isolated)
 		n.startAll()
+		for _, nd := range n.nodes {
+			n.step(nd, Leaving{}) // all stand for election again
+		}
 		n.run(20 * time.Second)
 		if leader := n.leader(); leader == nil {
 			t.Fatalf("no leader after all faults were removed")
