--- a/spec/log.pml
+++ b/spec/log.pml
@@ -10,7 +10,9 @@
  * in force in the low half. A node uses the mask of its last entry.
  *
  * Bounds: NODES identities, terms 1 to TERMS, LEN entries, VOTERS the first
- * mask, CHANGES and WIPES how often these happen. Seeded mutations are
+ * mask, CHANGES and WIPES how often these happen. With HANDOVER the changes are
+ * those of a planned stop: SUCCESSOR is added, LEAVER is removed and then gives up
+ * its vote for good. Seeded mutations are
  * named MUTATE_*; each removes one rule and has to be found.
  */
 
@@ -227,13 +229,42 @@
 #define RULING (known[me] > 0)
 #endif
 
+#ifdef MUTATE_SWAP
+#define STEP(n) (BIT(SUCCESSOR) | BIT(LEAVER))
+#else
+#define STEP(n) BIT(n)
+#endif
+#ifdef HANDOVER
+#define SUCCESSOR 3
+#define LEAVER    0
+#define PLANNED(n) (n == SUCCESSOR || n == LEAVER) && \
+	((MASK_OF(entry[me * LEN + length[me] - 1]) & BIT(SUCCESSOR)) -> n == LEAVER : n == SUCCESSOR)
+#else
+#define PLANNED(n) true
+#endif
+
+/* A voter that leaves gives up its vote once its removal is committed. */
+#ifdef MUTATE_RETIRE_EARLY
+#define HANDED_OVER (MASK_OF(committed[commit - 1]) & BIT(SUCCESSOR))
+#else
+#define HANDED_OVER (!(MASK_OF(committed[commit - 1]) & BIT(LEAVER)))
+#endif
+
+/* recoverable checks that the voters in force can still elect a leader and commit. */
+inline recoverable() {
+	members = MASK_OF(committed[commit - 1]);
+	majority(members & ~retired);
+	assert(count >= size);
+	count = 0; size = 0; members = 0
+}
+
 /* A leader adds or removes one voter. */
 #define CHANGE(n) \
-	:: d_step { n < NODES && role[me] == LEADER && length[me] < LEN && changes < CHANGES && SETTLED && RULING && \
+	:: d_step { n < NODES && role[me] == LEADER && length[me] > 0 && PLANNED(n) && length[me] < LEN && changes < CHANGES && SETTLED && RULING && \
 	   !((BIT(n) & retired) && !(MASK_OF(entry[me * LEN + length[me] - 1]) & BIT(n))) && \
 	   MASK_OF(entry[me * LEN + length[me] - 1]) != BIT(n) -> \
 		lastOf(me); \
-		append(me, ENTRY(term[me], MASK_OF(last) ^ BIT(n))); \
+		append(me, ENTRY(term[me], MASK_OF(last) ^ STEP(n))); \
 		changes++; \
 		last = 0 }
 
@@ -333,7 +364,17 @@
 #endif
 		term[me] = 0;
 		vote[me] = 0;
+#ifdef HANDOVER
+		recoverable();
+#endif
 		j = 0 }
+
+#ifdef HANDOVER
+	:: d_step { me == LEAVER && !(retired & BIT(me)) && HANDED_OVER ->
+		resign(me);
+		retired = retired | BIT(me);
+		recoverable() }
+#endif
 	od
 }
 
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -36,6 +36,7 @@
 	successor  = run{"log.pml", []string{"-DNODES=4", "-DTERMS=2", "-DLEN=3", "-DVOTERS=7", "-DCHANGES=2"}}
 	disk       = run{"log.pml", []string{"-DNODES=3", "-DTERMS=3", "-DLEN=2", "-DWIPES=1"}}
 	repair     = run{"log.pml", []string{"-DNODES=4", "-DTERMS=2", "-DLEN=3", "-DVOTERS=7", "-DCHANGES=2", "-DWIPES=1"}}
+	handover   = run{"log.pml", []string{"-DNODES=4", "-DTERMS=2", "-DLEN=3", "-DVOTERS=7", "-DCHANGES=2", "-DWIPES=1", "-DHANDOVER"}}
 	prevote    = run{"prevote.pml", nil}
 	claim      = run{"claim.pml", nil}
 	forming    = run{"form.pml", nil}
@@ -116,6 +117,7 @@
 		"change by a later leader":     successor,
 		"loss of a disk":               disk,
 		"repair after loss of a disk":  repair,
+		"seat handed over":             handover,
 		"pre-vote":                     prevote,
 		"claim":                        claim,
 		"first membership":             forming,
@@ -139,6 +141,8 @@
 		"wiped voter keeps its vote":       disk.with("WIPED_KEEPS_VOTE"),
 		"two changes at once":              successor.with("CHANGE_TWICE"),
 		"change before own entry":          removal.with("CHANGE_EARLY"),
+		"vote given up before removal":     handover.with("RETIRE_EARLY"),
+		"successor for leaver in one step": handover.with("SWAP"),
 		"no pre-vote":                      prevote.with("NO_PREVOTE"),
 		"pre-vote while led":               prevote.with("PREVOTE_WHILE_LED"),
 		"dispatch before commit":           claim.with("DISPATCH_EARLY"),
