--- a/observer/observer.go
+++ b/observer/observer.go
@@ -211,7 +211,9 @@
 		o.count(t.Kind, "inside", t.Messages-before.Messages, t.Bytes-before.Bytes)
 		o.count(t.Kind, "across", t.CrossRegionMessages-before.CrossRegionMessages, t.CrossRegionBytes-before.CrossRegionBytes)
 		o.count(t.Kind, "received", t.Received-before.Received, t.ReceivedBytes-before.ReceivedBytes)
-		o.scope.Tagged(map[string]string{"kind": t.Kind}).Counter("link_dropped").Inc(int64(t.Dropped - before.Dropped))
+		kind := o.scope.Tagged(map[string]string{"kind": t.Kind})
+		kind.Counter("link_dropped").Inc(int64(t.Dropped - before.Dropped))
+		kind.Counter("link_saved_bytes").Inc(int64(t.Saved - before.Saved))
 	}
 }
 
--- a/recorder/group.go
+++ b/recorder/group.go
@@ -125,17 +125,15 @@
 	if p.Stage == replicator.StageAdded {
 		g.added[p.Member] = now
 	}
-	attributes := []any{"group", g.id, "member", p.Member.String(), "stage", string(p.Stage)}
+	age := "" // unknown to a leader that did not add the member
 	if added, known := g.added[p.Member]; known {
-		attributes = append(attributes, "age", now.Sub(added).String())
-	}
-	if p.Bytes > 0 {
-		attributes = append(attributes, "bytes", p.Bytes)
+		age = now.Sub(added).String()
 	}
 	if p.Stage == replicator.StagePromoted || p.Stage == replicator.StageRemoved {
 		delete(g.added, p.Member)
 	}
-	g.recorder.options.Logger.Info("member of the log changed", attributes...)
+	g.recorder.options.Logger.Info("member of the log changed", "group", g.id, "member", p.Member.String(),
+		"stage", string(p.Stage), "age", age, "bytes", p.Bytes)
 }
 
 // proposeQueued passes all commands queued since the last iteration to the core.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -362,11 +362,11 @@
 	if v.err != nil {
 		reason = v.err.Error()
 	}
-	attributes := []any{"request", x.id, "upstream", string(placed.Upstream.ID),
-		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
-		"predicted", placed.Predicted.String()}
+	var event any // none if no event has a number
 	if last, known := x.events.last.Get(); known {
-		attributes = append(attributes, "event", last)
+		event = last
 	}
-	x.relayer.options.Logger.Warn("attempt failed", append(attributes, "error", reason, "decision", decision)...)
+	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
+		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
+		"predicted", placed.Predicted.String(), "event", event, "error", reason, "decision", decision)
 }
