--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -115,7 +115,7 @@
 			j.daemon.logger.Warn("joining the log did not complete", "error", err.Error())
 			return
 		}
-		j.daemon.metrics.scope.Gauge("log_join_seconds").Update(time.Since(j.started).Seconds())
+		j.daemon.metrics.observer.Joined(time.Since(j.started))
 		j.daemon.logger.Info("joined the log", "took", time.Since(began).String(), "uptime", time.Since(j.started).String())
 	}
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -186,6 +186,11 @@
 	}
 }
 
+// Joined records the time from the start of this instance until it was a voter.
+func (o *Observer) Joined(took time.Duration) {
+	o.scope.Gauge("log_join_seconds").Update(took.Seconds())
+}
+
 // followerLag returns the number of members that the leader does not hear from,
 // and the largest lag of the others.
 func followerLag(l administrator.LogStatus) (silent int, lag uint64) {
