Let the leader say of which voters it does not hear

The leader does not hear of it after 3 s, and a new leader knows since when its predecessor is silent, but neither was told to anyone.

Change: the reply to a question for the membership lists the silent members, a new leader counts the silence of its predecessor from its last message (unless that voted), and an instance that could take a seat takes that of a silent voter. Ruled out: a shorter timeout for the death of instances, which all of them share.

TestLostLeaderIsKnownAsSilent failed without the change in becomeLeader; two new cases of TestDecide."

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -8,7 +8,8 @@
 // all others have the membership, any instance that has it sends it to the
 // others. After that, an instance that is not a voter joins if the log has fewer
 // voters than wanted, if a voter has the instance's own ID but another folder
-// (its disk was lost), or if a voter has been gone for longer than VoterGoneTimeout. The
+// (its disk was lost), if the leader does not hear of a voter, or if a voter has been
+// gone for longer than VoterGoneTimeout. The
 // log completes each change by itself and resolves concurrent changes that
 // several instances start.
 //
@@ -49,6 +50,7 @@
 	// folder has that membership and the log has never had a leader.
 	Unfinished []redwingshunt.InstanceID
 	Membership replicator.Membership // as reported by the leader; nil if unknown
+	Silent     []replicator.MemberID // members of which the leader has not heard for an election timeout
 	Own        replicator.MemberID
 }
 
@@ -92,7 +94,7 @@
 		}
 	}
 	c.updateGone(now, v)
-	if lostVoter := c.lostVoter(now, v.Membership); lostVoter != "" {
+	if lostVoter := c.lostVoter(now, v); lostVoter != "" {
 		return Join{Lost: lostVoter}
 	}
 	if v.Membership.Voters() < c.options.Wanted {
@@ -140,11 +142,17 @@
 	}
 }
 
-// lostVoter returns the voter that has been gone the longest, if that is at least
-// VoterGoneTimeout, or "".
-func (c *Core) lostVoter(now time.Time, membership replicator.Membership) redwingshunt.InstanceID {
+// lostVoter returns a voter of which the leader does not hear, or else the one that has
+// been gone the longest, if that is at least VoterGoneTimeout, or "". The leader notices
+// the loss of a machine long before all instances agree that it is dead.
+func (c *Core) lostVoter(now time.Time, v View) redwingshunt.InstanceID {
+	for _, silent := range v.Silent {
+		if v.Membership.Voter(silent) {
+			return silent.Instance
+		}
+	}
 	var lostVoter redwingshunt.InstanceID
-	for _, member := range membership {
+	for _, member := range v.Membership {
 		since, gone := c.gone[member.ID.Instance]
 		if !gone || !member.Voter || now.Sub(since) < VoterGoneTimeout {
 			continue
--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -46,6 +46,8 @@
 		"spare":                  {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc}, true, nil},
 		"voter gone":             {"d", nil, View{Live: []redwingshunt.Instance{instance("a"), instance("c"), instance("d")}, Own: member("d", 1), Membership: abc}, true, Join{Lost: "b"}},
 		"voter gone, too early":  {"d", nil, View{Live: []redwingshunt.Instance{instance("a"), instance("c"), instance("d")}, Own: member("d", 1), Membership: abc}, false, nil},
+		"voter silent":           {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc, Silent: []replicator.MemberID{member("b", 1)}}, false, Join{Lost: "b"}},
+		"old folder silent":      {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc, Silent: []replicator.MemberID{member("b", 9)}}, false, nil},
 		"too few voters":         {"d", nil, View{Live: all, Own: member("d", 1), Membership: abc[:2]}, false, Join{}},
 	}
 	for name, test := range tests {
--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -92,7 +92,8 @@
 		return
 	}
 	view.Seeded = seeded
-	view.Membership, view.Own, err = log.Membership(readContext)
+	seats, err := log.Seats(readContext)
+	view.Membership, view.Silent, view.Own = seats.Membership, seats.Silent, seats.Own
 	if err != nil {
 		j.readTimeout = min(2*j.readTimeout, maxMembershipReadTimeout)
 		j.daemon.logger.Debug("log membership unknown", "error", err.Error())
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -49,24 +49,35 @@
 	return nil
 }
 
-// membershipAttempts is the number of voters that Membership asks at most. The first
+// membershipAttempts is the number of voters that Seats asks at most. The first
 // one may only know which voter leads.
 const membershipAttempts = 3
 
-// Membership returns the members of the control group as known to its leader, and
-// the identity of this instance with its folder.
-func (r *Recorder) Membership(ctx context.Context) (replicator.Membership, replicator.MemberID, error) {
+// Seats are the members of the control group, as its leader knows them.
+type Seats struct {
+	Membership replicator.Membership
+	Silent     []replicator.MemberID // of which the leader has not heard for an election timeout
+	Own        replicator.MemberID   // this instance with its folder
+}
+
+// Seats returns the members of the control group. Without a reply of the leader only Own
+// is set.
+func (r *Recorder) Seats(ctx context.Context) (Seats, error) {
 	p := &replacement{recorder: r, group: redwingshunt.GroupControl}
 	for range membershipAttempts {
 		reply := p.askLeader(ctx, &wire.LogRequest{Group: uint32(p.group), Status: true})
 		if reply.GetOutcome() == wire.LogOutcome_LOG_OUTCOME_APPLIED {
-			return encoder.ParseMembers(reply.GetMembership()), r.self, nil
+			seats := Seats{Membership: encoder.ParseMembers(reply.GetMembership()), Own: r.self}
+			for _, silent := range reply.GetSilent() {
+				seats.Silent = append(seats.Silent, encoder.ParseMember(silent).ID)
+			}
+			return seats, nil
 		}
 		if reply.GetLeader() == "" || ctx.Err() != nil {
 			break
 		}
 	}
-	return nil, r.self, trace.ConnectionProblem(nil, "the membership of the log is not known: %s", p.lastFailure)
+	return Seats{Own: r.self}, trace.ConnectionProblem(nil, "the membership of the log is not known: %s", p.lastFailure)
 }
 
 // Restarted reports that the process of an instance has ended and another one runs in
--- a/recorder/server.go
+++ b/recorder/server.go
@@ -75,11 +75,17 @@
 	if s.Role != replicator.RoleLeader {
 		return refusal(string(replicator.RefusedNotLeader))
 	}
-	return &wire.LogReply{
+	reply := &wire.LogReply{
 		Outcome:    wire.LogOutcome_LOG_OUTCOME_APPLIED,
 		Membership: encoder.Members(s.Membership),
 		Pending:    s.Pending,
 	}
+	for _, m := range s.Members {
+		if !m.Alive {
+			reply.Silent = append(reply.Silent, encoder.Member(replicator.Member{ID: m.ID}))
+		}
+	}
+	return reply
 }
 
 func parseChange(change *wire.LogChange) replicator.Change {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -51,6 +51,7 @@
 	leader           MemberID
 	leaderHeard      time.Duration
 	leaderGone       bool // the process that led is known to have ended
+	lastLeader       MemberID
 	leaving          bool // see Leaving
 	electionDeadline time.Duration
 	campaignAttempts int // since the last message of a leader
@@ -224,7 +225,7 @@
 	if c.role != RoleFollower || c.leader != m.From {
 		c.becomeFollower(m.Term, m.From)
 	}
-	c.leaderHeard, c.leaderGone = c.now, false
+	c.leaderHeard, c.leaderGone, c.lastLeader = c.now, false, m.From
 	c.campaignAttempts = 0
 	c.resetElection(ElectionTimeout, ElectionSpread)
 	switch m.Kind {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -193,6 +193,9 @@
 	c.heartbeatRound = c.currentHeartbeatRound()
 	c.firstTermIndex = c.log.last() + 1
 	c.trackMembers()
+	if p := c.progress[c.lastLeader]; p != nil && !c.votes[c.lastLeader] {
+		p.lastReply = min(p.lastReply, c.leaderHeard) // it may be the loss of this leader that led to the election
+	}
 	c.appendAndReplicate([]Entry{{Kind: EntryEmpty}})
 }
 
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -378,3 +378,38 @@
 	n.run(time.Second)
 	is.Equal(n.leader().id, followers[1].id)
 }
+
+// TestLostLeaderIsKnownAsSilent checks that a new leader does not wait for an election
+// timeout before it tells that its predecessor is silent: a spare instance takes the
+// seat of a lost machine only then. A predecessor that voted is not silent.
+func TestLostLeaderIsKnownAsSilent(t *testing.T) {
+	silent := func(n *network, id MemberID) bool {
+		for _, m := range n.leader().core.Status().Members {
+			if m.ID == id {
+				return !m.Alive
+			}
+		}
+		return false
+	}
+	for seed := range uint64(20) {
+		is := is.New(t)
+		n := newNetwork(t, seed, names(3)...)
+		n.run(6 * time.Second)
+		old := n.leader()
+		n.crash(old)
+		n.run(ElectionTimeout + ElectionSpread + 200*time.Millisecond) // its last messages arrive after it has ended
+		for n.leader() == nil {
+			n.run(10 * time.Millisecond)
+		}
+		is.True(silent(n, old.id))
+
+		n = newNetwork(t, seed, names(3)...)
+		n.run(6 * time.Second)
+		old = n.leader()
+		n.step(old, TransferProposed{})
+		for n.leader() == nil || n.leader() == old {
+			n.run(10 * time.Millisecond)
+		}
+		is.True(!silent(n, old.id))
+	}
+}
