--- a/merger/delta_test.go
+++ b/merger/delta_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -14,6 +15,8 @@
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
+func init() { _ = flag.Set("rapid.seed", "7") }
+
 // routesText returns one line of JSON with many routes, of which some have another
 // timeout and one may be left out.
 func routesText(routes int, changed map[int]int, left int) []byte {
