Give a seat to one of several instances that would take it

What callers saw: nothing yet; found by reading the change as a newcomer. Two spare instances that join for the seat of one lost voter each evicted the other's learner, and the one that came second was added as a voter beyond the wanted number. A leaving instance could still take a seat. A leaving voter whose successor needed more than 3 s to catch up ended without it.

Change: an instance that joins waits while the leader hears of another learner for the same seat, and gets ErrSeatTaken once the seat is gone; it does not join while it leaves; a leaving voter keeps to its successor as long as that is live. The operator's Replace is as it was.

--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/bootstrapper"
+	"github.com/redwingshunt/redwingshunt/recorder"
 	"github.com/redwingshunt/redwingshunt/replicator"
 )
 
@@ -28,11 +31,15 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	began := time.Now()
+	var successor redwingshunt.InstanceID
 	for ctx.Err() == nil && d.control.isVoter() {
-		successor, found := bootstrapper.Successor(d.members.Self(), d.members.Live(), d.control.membership()).Get()
-		if !found {
-			d.logger.Info("voter stops with its seat", "reason", "no other instance can take it")
-			return
+		if successor == "" {
+			found := false
+			successor, found = bootstrapper.Successor(d.members.Self(), d.members.Live(), d.control.membership()).Get()
+			if !found {
+				d.logger.Info("voter stops with its seat", "reason", "no other instance can take it")
+				return
+			}
 		}
 		d.control.retiring.Store(true)
 		attempt, done := context.WithTimeout(ctx, handOverAttemptTimeout)
@@ -43,10 +50,18 @@
 			return
 		}
 		d.logger.Warn("seat of the voter not handed over", "successor", string(successor), "error", err.Error())
+		if errors.Is(err, recorder.ErrSeatTaken) || !d.stays(successor) {
+			successor = ""
+		}
 		redwingshunt.Pause(ctx, handOverRetryDelay)
 	}
 }
 
+// stays reports whether an instance is live and does not leave.
+func (d *Daemon) stays(id redwingshunt.InstanceID) bool {
+	return slices.ContainsFunc(d.members.Live(), func(i redwingshunt.Instance) bool { return i.ID == id && !i.Leaving })
+}
+
 // membership returns the members of the control group as this instance knows them.
 func (c *control) membership() replicator.Membership {
 	var membership replicator.Membership
--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -79,6 +79,9 @@
 
 // step reads the membership once and executes the decision on it.
 func (j *joiner) step(ctx context.Context) {
+	if j.daemon.members.Self().Leaving {
+		return // a seat that is taken now would be lost at once
+	}
 	log := j.daemon.control.recorder
 	readContext, cancel := context.WithTimeout(ctx, j.readTimeout)
 	defer cancel()
@@ -112,7 +115,7 @@
 			"own", view.Own.String(), "uptime", began.Sub(j.started).String())
 		joinContext, done := context.WithTimeout(ctx, membershipChangeTimeout)
 		defer done()
-		if err := log.Replace(joinContext, action.Lost, j.daemon.settings.Name); err != nil {
+		if err := log.Join(joinContext, action.Lost); err != nil {
 			j.daemon.logger.Warn("joining the log did not complete", "error", err.Error())
 			return
 		}
--- a/recorder/handover.go
+++ b/recorder/handover.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/gravitational/trace"
 
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/replicator"
+	"github.com/redwingshunt/redwingshunt/replicator/encoder"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
-// ErrSeatTaken means that the successor of a leaving voter has been added in place of
-// another member meanwhile.
-var ErrSeatTaken = errors.New("the successor replaces another voter")
+// ErrSeatTaken means that another instance has the seat that an instance was to take, or
+// that this instance has been added in place of another member meanwhile.
+var ErrSeatTaken = errors.New("the seat is taken, or the successor replaces another voter")
 
 // HandOver makes the folder of successor a voter of all groups in place of this
 // instance, before a planned stop, and returns when that is committed. The folder of
@@ -30,6 +33,15 @@
 	return r.retire(ctx)
 }
 
+// Join makes the folder of this instance a voter of all groups in place of the folder of
+// lost, which may be this instance with another folder, or in addition if lost is empty.
+// Of several instances that join for one seat, the first one whose addition is committed
+// gets it, unless the leader does not hear of it any more; the others get ErrSeatTaken,
+// wrapped.
+func (r *Recorder) Join(ctx context.Context, lost redwingshunt.InstanceID) error {
+	return r.replaceInGroups(ctx, replacement{recorder: r, oldVoter: lost, newVoter: r.options.Self, onlyReplace: true})
+}
+
 // setLeaving makes the replicas of this instance stand for election or not.
 func (r *Recorder) setLeaving(ctx context.Context, enabled bool) error {
 	return trace.Wrap(r.runInLoop(ctx, func() {
@@ -58,17 +70,37 @@
 	}
 }
 
-// seatTaken reports whether the new voter is a member in place of another one than the
-// old voter.
+// seatTaken reports whether the new voter cannot take the seat of the old one: it is a
+// member in place of another one, or the old voter is no member any more.
 func (p *replacement) seatTaken(m replicator.Membership, newVoter replicator.MemberID) bool {
-	member, known := m.Find(newVoter)
-	if !known {
+	if p.oldVoter == "" {
 		return false
 	}
+	var seats []replicator.MemberID
 	for _, old := range m.Instance(p.oldVoter) {
-		if old.ID == member.Replaces {
-			return false
+		if old.ID != newVoter {
+			seats = append(seats, old.ID)
+		}
+	}
+	member, known := m.Find(newVoter)
+	if !known {
+		return len(seats) == 0
+	}
+	return len(seats) > 0 && !slices.Contains(seats, member.Replaces)
+}
+
+// rival returns the learner that is taking the seat of the old voter for another
+// instance and of which the leader hears, if any.
+func (p *replacement) rival(m replicator.Membership, newVoter replicator.MemberID, silent []*wire.LogMember) (replicator.MemberID, bool) {
+	for _, member := range m {
+		old, present := m.Find(member.Replaces)
+		if member.Voter || member.ID.Instance == newVoter.Instance || !present || old.ID.Instance != p.oldVoter {
+			continue
+		}
+		heard := !slices.ContainsFunc(silent, func(s *wire.LogMember) bool { return encoder.ParseMember(s).ID == member.ID })
+		if heard {
+			return member.ID, true
 		}
 	}
-	return len(m.Instance(p.oldVoter)) > 0
+	return replicator.MemberID{}, false
 }
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -96,7 +96,7 @@
 	group       redwingshunt.GroupID
 	oldVoter    redwingshunt.InstanceID
 	newVoter    redwingshunt.InstanceID
-	onlyReplace bool   // the new voter must not replace another member, see ErrSeatTaken
+	onlyReplace bool   // the new voter takes the seat of the old one or none, see ErrSeatTaken
 	lastFailure string // why the last query or change failed
 }
 
@@ -129,8 +129,14 @@
 	if _, known := membership.Find(newVoter); !known && identity.GetSeeded() {
 		return false, ErrFolderInUse
 	}
-	if p.onlyReplace && p.seatTaken(membership, newVoter) {
-		return false, ErrSeatTaken
+	if p.onlyReplace {
+		if p.seatTaken(membership, newVoter) {
+			return false, ErrSeatTaken
+		}
+		if rival, ok := p.rival(membership, newVoter, reply.GetSilent()); ok {
+			p.lastFailure = "another instance is taking the seat: " + rival.String()
+			return false, nil
+		}
 	}
 	change, done := nextChange(membership, p.oldVoter, newVoter)
 	if change != nil {
--- a/recorder/rejoin_test.go
+++ b/recorder/rejoin_test.go
@@ -187,6 +187,42 @@
 	})
 }
 
+// TestOneSeatForTwoSpares has two instances join for the seat of a lost voter at the same
+// time. One must get it in time, the other one none: neither may push the other's
+// transfer out, and the log must not grow.
+func TestOneSeatForTwoSpares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := emptyNetwork(t, 1)
+		n.ballast = 4 << 20
+		for _, name := range []redwingshunt.InstanceID{"a", "b", "c", "d", "e", "router"} {
+			n.start(name)
+		}
+		time.Sleep(10 * time.Second)
+		n.mu.Lock()
+		n.rate = farRate
+		n.mu.Unlock()
+		lost := n.voterThat(false)
+		n.crash(lost)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		errs := make(chan error, 2)
+		for _, id := range []redwingshunt.InstanceID{"d", "e"} {
+			p := n.running[id]
+			go func() { errs <- p.Join(ctx, lost) }()
+		}
+		first, second := <-errs, <-errs
+		t.Log(first, second, time.Since(began))
+		is.True((first == nil) != (second == nil))
+		is.True(errors.Is(errors.Join(first, second), ErrSeatTaken))
+		is.True(time.Since(began) <= rejoinTime)
+		for _, g := range n.running[n.leader()].Status().Groups {
+			is.Equal(len(g.Members), 3)
+		}
+	})
+}
+
 // voterThat returns the instance that leads group 1, or one of the initial voters that
 // does not.
 func (n *network) voterThat(leads bool) redwingshunt.InstanceID {
