--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -34,12 +34,12 @@
 	var successor redwingshunt.InstanceID
 	for ctx.Err() == nil && d.control.isVoter() {
 		if successor == "" {
-			found := false
-			successor, found = bootstrapper.Successor(d.members.Self(), d.members.Live(), d.control.membership()).Get()
+			nearest, found := bootstrapper.Successor(d.members.Self(), d.members.Live(), d.control.membership()).Get()
 			if !found {
 				d.logger.Info("voter stops with its seat", "reason", "no other instance can take it")
 				return
 			}
+			successor = nearest
 		}
 		d.control.retiring.Store(true)
 		attempt, done := context.WithTimeout(ctx, handOverAttemptTimeout)
