Log the software versions of upstreams and which stream is taken up

The record of streams that changed their version could not be read from the logs: no line had the version of an upstream, nor said that a request takes up a stream and which one.

--- a/dialect.go
+++ b/dialect.go
@@ -21,6 +21,7 @@
 	Load      string   // from upstreams: numbers of running and waiting requests and of slots
 	Prompt    string   // prompt parts as ID:TOKENS, separated by commas
 	Count     string   // prompt tokens and maximum output tokens, separated by a comma
+	Resumes   string   // from callers: ID of the request that began the stream which this one takes up
 	Internal  []string // headers that callers must not set
 }
 
@@ -55,5 +56,6 @@
 		LeavingAs: "yes",
 		Prompt:    "Redwingshunt-Prompt",
 		Count:     "Redwingshunt-Tokens",
+		Resumes:   HeaderResumes,
 	}
 }
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -367,7 +367,7 @@
 
 func (e *Enroller) log(s redwingshunt.UpstreamState, how string) {
 	e.options.Logger.Info("upstream announced", "upstream", string(s.ID), "service", string(s.Service),
-		"address", s.Address.String(), "leaving", s.Leaving, "born", s.Born.UnixMilli(), "sequence", s.Sequence, "how", how)
+		"address", s.Address.String(), "build", s.Version, "leaving", s.Leaving, "born", s.Born.UnixMilli(), "sequence", s.Sequence, "how", how)
 }
 
 // Dump returns the usable upstreams.
--- a/exchange.go
+++ b/exchange.go
@@ -50,5 +50,6 @@
 	HeaderBegun       = "Redwingshunt-Begun"   // from upstreams: "no" if a refused request was not started
 	HeaderResume      = "Redwingshunt-Resume"  // from upstreams: "yes" if the events of a stream are numbered and it can be resumed
 	HeaderLastEvent   = "Last-Event-ID"        // to upstreams: number of the last event received, to resume after it
+	HeaderResumes     = "Redwingshunt-Resumes" // from callers: ID of the request that began the stream which this one takes up
 	HeaderIdempotency = "Idempotency-Key"      // from callers
 )
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return placed, err
 	}
-	x.upstream, x.predicted = placed.Upstream.ID, placed.Predicted
+	x.upstream, x.build, x.predicted = placed.Upstream.ID, placed.Upstream.Version, placed.Predicted
 	if x.avoid == nil {
 		x.avoid = redwingshunt.NewSet[redwingshunt.UpstreamID]()
 	}
@@ -367,6 +367,6 @@
 		event = last
 	}
 	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
-		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
+		"address", placed.Upstream.Address.String(), "build", placed.Upstream.Version, "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
 		"predicted", placed.Predicted.String(), "event", event, "error", reason, "decision", decision)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -226,6 +226,7 @@
 	mayHaveRun     bool // an attempt may have begun
 	avoid          redwingshunt.Set[redwingshunt.UpstreamID]
 	upstream       redwingshunt.UpstreamID // of the last attempt
+	build          string                  // software version of that upstream
 	firstByte      time.Duration
 	predicted      time.Duration // time until the first event, for the last attempt
 	started        bool          // a byte of the response was sent to the caller
@@ -426,7 +427,7 @@
 	attributes := []slog.Attr{
 		slog.String("request", x.id), slog.String("outcome", outcome), slog.Int("status", x.status),
 		slog.String("service", string(x.service)), slog.String("account", string(x.account)),
-		slog.String("upstream", string(x.upstream)), slog.Int("tries", x.tries), slog.Int("sent", x.sent),
+		slog.String("upstream", string(x.upstream)), slog.String("build", x.build), slog.Int("tries", x.tries), slog.Int("sent", x.sent),
 		slog.Duration("predicted", x.predicted), slog.Duration("first", x.firstByte), slog.Duration("total", time.Since(x.arrived)),
 	}
 	if x.route != nil {
@@ -435,6 +436,9 @@
 	if suppressed > 0 {
 		attributes = append(attributes, slog.Int("untold", suppressed))
 	}
+	if resumes := x.resumes(); resumes != "" {
+		attributes = append(attributes, slog.String("resumes", resumes))
+	}
 	if last, known := x.events.last.Get(); known {
 		attributes = append(attributes, slog.Uint64("event", last))
 	}
