Remember the software versions that a service had lately

An instance knew the version of each upstream and not which versions a service had a moment ago, so one that had just started could not tell whether a stream may have begun at a version that has left. The enroller keeps when each version was announced first and last, for two minutes after the last time. A restarted instance asks a voter for the whole roll until it has it, also if it has heard of upstreams meanwhile; the answer carries the versions and the age of what the sender knows.

Package pinner decides from that whether streams have to be recorded and at which version one without a record began.

--- a/enroller/codec.go
+++ b/enroller/codec.go
@@ -12,7 +12,14 @@
 
 // encode returns a roll message with entries, or with a request for all entries.
 func encode(entries []Announced, request bool) redwingshunt.Message {
-	roll := &wire.Roll{Ask: request}
+	roll := newRoll(entries)
+	roll.Ask = request
+	return message(roll)
+}
+
+// newRoll returns a roll with entries.
+func newRoll(entries []Announced) *wire.Roll {
+	roll := &wire.Roll{}
 	for _, announced := range entries {
 		address, err := announced.State.Address.MarshalBinary()
 		if err != nil {
@@ -26,6 +33,11 @@
 			Age: uint32(announced.Age / time.Millisecond), Ttl: uint32(announced.State.TTL / time.Millisecond),
 		})
 	}
+	return roll
+}
+
+// message returns a roll as a message.
+func message(roll *wire.Roll) redwingshunt.Message {
 	payload, err := proto.Marshal(roll)
 	if err != nil {
 		payload = nil // unreachable: all strings are valid UTF-8
@@ -53,3 +65,39 @@
 	}
 	return state, time.Duration(record.GetAge()) * time.Millisecond, nil
 }
+
+// encodeVersions returns the versions of all services, with ages in place of times,
+// since the clocks of instances differ.
+func encodeVersions(now time.Time, services map[redwingshunt.ServiceID][]redwingshunt.VersionSpan) []*wire.VersionSpan {
+	var encoded []*wire.VersionSpan
+	for service, spans := range services {
+		for _, span := range spans {
+			encoded = append(encoded, &wire.VersionSpan{
+				Service: string(service), Version: span.Version, First: age(now, span.First), Last: age(now, span.Last),
+			})
+		}
+	}
+	return encoded
+}
+
+func decodeVersions(now time.Time, encoded []*wire.VersionSpan) map[redwingshunt.ServiceID][]redwingshunt.VersionSpan {
+	services := make(map[redwingshunt.ServiceID][]redwingshunt.VersionSpan)
+	for _, span := range encoded {
+		service := redwingshunt.ServiceID(span.GetService())
+		services[service] = append(services[service], redwingshunt.VersionSpan{
+			Version: span.GetVersion(), First: now.Add(-milliseconds(span.GetFirst())), Last: now.Add(-milliseconds(span.GetLast())),
+		})
+	}
+	return services
+}
+
+// maxAge bounds ages in messages.
+const maxAge = 365 * 24 * time.Hour
+
+// age returns the milliseconds from a time until now.
+func age(now, at time.Time) uint64 { return uint64(min(max(now.Sub(at), 0), maxAge).Milliseconds()) }
+
+// milliseconds returns an age in a message, at most maxAge.
+func milliseconds(n uint64) time.Duration {
+	return time.Duration(min(n, uint64(maxAge.Milliseconds()))) * time.Millisecond
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -7,6 +7,9 @@
 // roll requests the roll of others. An instance that reports an outdated incarnation
 // is sent the current state.
 //
+// The enroller also keeps the history of the software versions of each service. An
+// instance that starts requests it together with the roll, from a voter if there is one.
+//
 // Table resolves conflicting announcements; it reads no clock and sends nothing.
 //
 // # Usage
@@ -27,6 +30,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/pinner"
 	"github.com/redwingshunt/redwingshunt/wire"
 )
 
@@ -62,6 +66,7 @@
 
 	mu         sync.Mutex
 	table      *Table
+	history    *pinner.History
 	reported   map[redwingshunt.UpstreamID]time.Time     // upstreams sent in batches, by time of the last news
 	renewed    redwingshunt.Set[redwingshunt.UpstreamID] // announced to this instance since the last batch
 	batchSent  time.Time                                 // when the last batch was sent
@@ -74,13 +79,17 @@
 	updateMu sync.Mutex // held by update, so that the watcher is called in order
 }
 
-var _ redwingshunt.Roll = (*Enroller)(nil)
+var (
+	_ redwingshunt.Roll           = (*Enroller)(nil)
+	_ redwingshunt.VersionHistory = (*Enroller)(nil)
+)
 
 // New returns an enroller with an empty roll.
 func New(options Options) *Enroller {
 	e := &Enroller{
 		options:  options,
 		table:    NewTable(options.Timeout),
+		history:  pinner.NewHistory(options.Clock.Now()),
 		reported: make(map[redwingshunt.UpstreamID]time.Time),
 		renewed:  redwingshunt.NewSet[redwingshunt.UpstreamID](),
 		wake:     make(chan struct{}, 1),
@@ -104,6 +113,7 @@
 	e.mu.Lock()
 	newer, changed := e.table.Enroll(s, now)
 	if newer {
+		e.history.Observe(s.Service, s.Version, now)
 		e.reported[s.ID] = now
 		e.renewed.Add(s.ID)
 	}
@@ -196,10 +206,11 @@
 	if now.Sub(e.batchSent) >= batchPeriod {
 		due = e.due(now)
 		e.batchSent = now
+		e.history.Expire(now)
 	}
 	returned, recent := e.returned(now)
-	empty := e.table.Empty() && now.Sub(e.requested) >= requestPeriod
-	if empty {
+	lacking := (e.table.Empty() || !e.history.Joined(now)) && now.Sub(e.requested) >= requestPeriod
+	if lacking {
 		e.requested = now
 	}
 	usable := e.table.Usable(now)
@@ -212,7 +223,7 @@
 	for _, id := range returned {
 		e.options.Link.Send(id, encode(recent, false))
 	}
-	if empty {
+	if lacking {
 		e.requestRoll()
 	}
 	if changed && e.watch != nil {
@@ -278,13 +289,15 @@
 }
 
 // requestRoll requests the whole roll from one instance of the own region and from
-// one other instance.
+// one other instance, voters if there are any.
 func (e *Enroller) requestRoll() {
 	self := e.options.Members.Self()
+	live := e.options.Members.Live()
+	hasVoter := slices.ContainsFunc(live, func(m redwingshunt.Instance) bool { return m.Voter && m.ID != self.ID })
 	var near, far redwingshunt.InstanceID
-	for _, member := range e.options.Members.Live() {
+	for _, member := range live {
 		switch {
-		case member.ID == self.ID:
+		case member.ID == self.ID || hasVoter && !member.Voter:
 		case member.Region == self.Region && near == "":
 			near = member.ID
 		case far == "":
@@ -321,7 +334,11 @@
 			e.options.Logger.Warn("cannot decode roll entry", "from", string(from), "error", err.Error())
 			continue
 		}
-		if _, changed := e.table.Enroll(state, now.Add(-age)); changed {
+		newer, changed := e.table.Enroll(state, now.Add(-age))
+		if newer {
+			e.history.Observe(state.Service, state.Version, now.Add(-age))
+		}
+		if changed {
 			changes = append(changes, state)
 			if state.Leaving && broadcastsLeaves {
 				// Each voter repeats it, so that an instance that one of them
@@ -336,12 +353,19 @@
 			answer = append(answer, correction)
 		}
 	}
-	if roll.GetAsk() {
-		answer = e.table.All(now)
+	if roll.GetWhole() {
+		e.history.Join(decodeVersions(now, roll.GetVersions()), now.Add(-milliseconds(roll.GetAge())))
+	}
+	var reply *wire.Roll
+	switch {
+	case roll.GetAsk():
+		reply = e.whole(now)
+	case len(answer) > 0:
+		reply = newRoll(answer)
 	}
 	e.mu.Unlock()
-	if len(answer) > 0 {
-		e.options.Link.Send(from, encode(answer, false))
+	if reply != nil {
+		e.options.Link.Send(from, message(reply))
 	}
 	for _, state := range changes {
 		e.log(state, "told by "+string(from))
@@ -354,6 +378,23 @@
 	}
 }
 
+// whole returns all that this instance knows. The caller holds the lock.
+func (e *Enroller) whole(now time.Time) *wire.Roll {
+	roll := newRoll(e.table.All(now))
+	if e.history.Complete(now) {
+		roll.Whole, roll.Age = true, age(now, e.history.Since())
+		roll.Versions = encodeVersions(now, e.history.All())
+	}
+	return roll
+}
+
+// Versions implements redwingshunt.VersionHistory.
+func (e *Enroller) Versions(service redwingshunt.ServiceID) redwingshunt.ServiceVersions {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.history.Versions(e.options.Clock.Now(), service)
+}
+
 // fromRouter reports whether an instance is live and not a voter. Such an instance
 // relies on voters to forward the leaves that it detects.
 func (e *Enroller) fromRouter(from redwingshunt.InstanceID) bool {
--- a/interfaces.go
+++ b/interfaces.go
@@ -44,6 +44,7 @@
 	KindLoad                              // work that a router has outstanding at upstreams
 	KindLoadSum                           // sum of the loads of all other routers
 	KindParts                             // prompt parts with which upstreams die
+	KindOrigin                            // where streams began
 	KindEnd                               // number of kinds plus one; not a kind itself
 )
 
@@ -52,7 +53,7 @@
 	names := [...]string{
 		"unknown", "heartbeat", "membership", "announce", "demand", "grant", "charge",
 		"ledger", "log", "submit", "publish", "digest", "suspect", "claim", "survey",
-		"roll", "load", "load-sum", "parts",
+		"roll", "load", "load-sum", "parts", "origin",
 	}
 	if int(k) >= len(names) {
 		return names[0]
--- a/outcome.go
+++ b/outcome.go
@@ -44,6 +44,7 @@
 	ReasonStalled         Reason = "stalled"          // the response made no progress in time
 	ReasonRetryBudget     Reason = "retry-budget"     // the retry budget is exhausted
 	ReasonCancelled       Reason = "cancelled"        // the caller disconnected
+	ReasonOriginUnknown   Reason = "origin-unknown"   // it is not known which version of the upstreams began the stream
 	ReasonTruncated       Reason = "truncated"        // the response ended early and could not be resumed
 )
 
--- /dev/null
+++ b/pinner/infer.go
@@ -0,0 +1,92 @@
+package pinner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingshunt/redwingshunt"
+)
+
+// settleTime is how long a version has to be the only one until every instance that
+// serves requests knows that. Upstreams announce themselves several times within it.
+const settleTime = 5 * time.Second
+
+// noticeTime is the longest time until an announcement is known everywhere.
+const noticeTime = time.Second
+
+// NeedsRecord reports whether the origins of streams of a service must be known to
+// other instances: it has several versions, or may have.
+func NeedsRecord(now time.Time, v redwingshunt.ServiceVersions) bool {
+	return len(v.Spans) != 1 || !v.Joined || now.Sub(v.Since) < settleTime
+}
+
+// IsFirst reports whether a version is the one at which all streams without a record
+// began, so that its streams need not wait for a record.
+func IsFirst(now time.Time, v redwingshunt.ServiceVersions, version string) bool {
+	first, known := firstVersion(now, v)
+	return known && first == version
+}
+
+// firstVersion returns the version that was the only one before there were several. It
+// reports false if instances may not agree on it.
+func firstVersion(now time.Time, v redwingshunt.ServiceVersions) (version string, known bool) {
+	if !v.Complete || len(v.Spans) == 0 {
+		return "", false
+	}
+	first := v.Spans[0]
+	if now.Sub(first.Last) > retention-forgetMargin {
+		return "", false
+	}
+	if len(v.Spans) == 1 {
+		return first.Version, true
+	}
+	second := v.Spans[1]
+	settled := second.First.Sub(first.First) >= settleTime && second.First.Sub(v.Since) >= settleTime
+	return first.Version, settled
+}
+
+// Denial is the answer of a holder that has no record of a stream.
+type Denial struct {
+	Age time.Duration // for which the holder has lost no record
+}
+
+// Infer returns the version of a service at which a stream began of which holders have
+// no record, given the number of holders in the fleet, those that went lately included.
+// It reports false if the version is not known.
+func Infer(now time.Time, v redwingshunt.ServiceVersions, holders int, denials []Denial) (version string, known bool) {
+	version, known = firstVersion(now, v)
+	if !known || len(v.Spans) == 1 {
+		return version, known
+	}
+	second := v.Spans[1]
+	complete := 0
+	for _, d := range denials {
+		if d.Age > now.Sub(second.First)+noticeTime {
+			complete++
+		}
+	}
+	return version, holders > 0 && complete >= quorum(holders)
+}
+
+// quorum returns how many of the holders must have no record. Each record of another
+// version than the first has two copies before its stream begins, so one holder may be
+// missing if there are more than two.
+func quorum(holders int) int {
+	if holders <= copies {
+		return holders
+	}
+	return holders - copies + 1
+}
+
+// Merge returns what two instances know of the versions of a service.
+func Merge(a, b redwingshunt.ServiceVersions) redwingshunt.ServiceVersions {
+	h := &History{services: make(map[redwingshunt.ServiceID][]redwingshunt.VersionSpan)}
+	for _, span := range slices.Concat(a.Spans, b.Spans) {
+		h.add("", span)
+	}
+	merged := redwingshunt.ServiceVersions{Spans: h.services[""], Since: a.Since, Complete: a.Complete || b.Complete}
+	if b.Since.Before(a.Since) {
+		merged.Since = b.Since
+	}
+	return merged
+}
