Start no goroutine for a stream that arrives while the links close

A test of whole instances met a race, once in three runs: Exchange added to the group of goroutines beside Close, which waits for it. An instance that stops could wait for none of them, or panic. A stream now starts its goroutine under the lock that Close takes, and is refused after it. TestStreamsThatArriveDuringClose failed before.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -194,5 +194,17 @@
 	l.goroutines.Wait()
 }
 
+// startGoroutine runs f on a goroutine that Close waits for. It returns false after
+// Close.
+func (l *Linker) startGoroutine(f func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	l.goroutines.Go(f)
+	return true
+}
+
 // Dump returns the traffic counters by kind of message.
 func (l *Linker) Dump() any { return l.counters.snapshot() }
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
@@ -183,3 +185,34 @@
 }
 
 var _ redwingshunt.Link = (*Linker)(nil)
+
+// endedStream is the receiving end of a stream of which only the hello arrives.
+type endedStream struct {
+	wire.Instances_ExchangeServer
+	sent atomic.Bool
+}
+
+func (s *endedStream) Context() context.Context { return context.Background() }
+
+func (s *endedStream) Recv() (*wire.Frame, error) {
+	if s.sent.Swap(true) {
+		return nil, io.EOF
+	}
+	return &wire.Frame{Hello: &wire.Hello{Instance: "peer"}}, nil
+}
+
+// TestStreamsThatArriveDuringClose opens streams while the linker closes, under the race
+// detector.
+func TestStreamsThatArriveDuringClose(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		l := newLinker("self", netip.AddrPort{}, nil)
+		var wait sync.WaitGroup
+		for range 8 {
+			wait.Go(func() { _ = l.Exchange(&endedStream{}) })
+		}
+		l.Close()
+		wait.Wait()
+		is.True(trace.IsConnectionProblem(l.Exchange(&endedStream{})))
+	}
+}
--- a/linker/server.go
+++ b/linker/server.go
@@ -16,7 +16,7 @@
 // Exchange implements wire.InstancesServer. It receives the frames of one peer and
 // acknowledges them in batches. The error is trace.BadParameter for a stream
 // without a hello or with a payload that cannot be unpacked, and trace.AccessDenied for an instance that the certificate of
-// the peer doesn't name.
+// the peer doesn't name, and trace.ConnectionProblem after Close.
 func (l *Linker) Exchange(stream wire.Instances_ExchangeServer) error {
 	first, err := stream.Recv()
 	if err != nil {
@@ -40,7 +40,9 @@
 	defer cancel()
 	stop := context.AfterFunc(l.ctx, cancel)
 	defer stop()
-	l.goroutines.Go(func() { in.acknowledge(ctx.Done()) })
+	if !l.startGoroutine(func() { in.acknowledge(ctx.Done()) }) {
+		return trace.ConnectionProblem(nil, "the links of this instance are closed")
+	}
 	for frame := first; ; {
 		in.received(frame.GetSequence())
 		l.counters.received(frame)
