Count and log each end of a request of a route

Three ends could not be told apart or found in the logs: a refusal at the limit whose caller had disconnected had neither a record nor a line; a panic of the handler had a debug line of the server; and a cut response did not say that its upstream had been silent, for how long, or why no attempt followed. Now requests that were read equal the records of their ends, and a cut response says all of it.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -28,9 +29,10 @@
 // attemptResult is the result of an attempt.
 type attemptResult struct {
 	end          redwingshunt.PlacementEnd
-	done         bool // the caller has its response
-	mayHaveBegun bool // the upstream may have begun
-	sent         bool // a byte may have reached the upstream
+	done         bool          // the caller has its response
+	mayHaveBegun bool          // the upstream may have begun
+	sent         bool          // a byte may have reached the upstream
+	silent       time.Duration // at its end, since its last progress
 	err          error
 	reply        *bufferedResponse // error response of the upstream, sent if there is no other attempt
 }
@@ -53,7 +55,7 @@
 			if x.tries == 0 {
 				x.relayer.abandoned.Add(1)
 			}
-			return x.giveUp(ctx, last, nil)
+			return x.giveUp(ctx, last, nil, "the caller left")
 		}
 		err := x.checkParts()
 		if err == nil {
@@ -64,9 +66,11 @@
 			placed, err = x.place()
 		}
 		if err != nil {
-			return x.giveUp(ctx, last, err)
+			return x.giveUp(ctx, last, err, err.Error())
 		}
+		x.progressed = time.Now()
 		last = x.attempt(ctx, placed)
+		last.silent = time.Since(x.progressed)
 		x.relayer.options.Placer.End(placed.Ticket, last.end)
 		x.mayHaveRun = x.mayHaveRun || last.mayHaveBegun
 		if last.done {
@@ -77,12 +81,13 @@
 			x.sent++
 		}
 		if errors.Is(last.err, errPartRefused) {
-			x.logAttempt(placed, last, "not sent again: the prompt is refused")
-			return x.giveUp(ctx, last, x.newOutcome(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, http.StatusBadGateway, last.err.Error()))
+			const reason = "the prompt is refused"
+			x.logAttempt(placed, last, "not sent again: "+reason)
+			return x.giveUp(ctx, last, x.newOutcome(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, http.StatusBadGateway, last.err.Error()), reason)
 		}
 		if reason := x.retryObstacle(ctx); reason != "" {
 			x.logAttempt(placed, last, "not sent again: "+reason)
-			return x.giveUp(ctx, last, nil)
+			return x.giveUp(ctx, last, nil, reason)
 		}
 		x.logAttempt(placed, last, "sent again")
 	}
@@ -130,9 +135,9 @@
 	return obstacle
 }
 
-// giveUp ends a request for which no further attempt is made. It returns the
-// error for the caller, or nil if it has written the response of an upstream.
-func (x *exchange) giveUp(ctx context.Context, last attemptResult, refusal error) error {
+// giveUp ends a request for which no further attempt is made, for the given reason. It
+// returns the error for the caller, or nil if it has written the response of an upstream.
+func (x *exchange) giveUp(ctx context.Context, last attemptResult, refusal error, reason string) error {
 	timedOut := errors.Is(context.Cause(ctx), errDeadline)
 	ending := redwingshunt.EndingOf(ctx)
 	callerLeft := callerGone(ctx) || ctx.Err() != nil && !timedOut && ending.Reason == redwingshunt.ReasonCancelled
@@ -140,7 +145,7 @@
 	case x.started && callerLeft:
 		return errCallerLeft
 	case x.started:
-		return errResponseCut
+		return fmt.Errorf("%w: %w; silent for %s; no further attempt: %s", errResponseCut, last.err, last.silent.Round(time.Millisecond), reason)
 	case callerLeft:
 		return x.newOutcome(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed, redwingshunt.StatusClientClosed, "the caller went away")
 	case last.reply != nil:
@@ -202,6 +207,7 @@
 		return attemptResult{end: lostOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 	}
 	defer reply.Close()
+	x.progressed = time.Now()
 	x.applySignals(placed, reply)
 	dialect := x.relayer.options.Dialect
 	notRun := dialect.SaysNotRun(reply.Header)
@@ -368,5 +374,5 @@
 	}
 	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
 		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
-		"predicted", placed.Predicted.String(), "event", event, "error", reason, "decision", decision)
+		"predicted", placed.Predicted.String(), "event", event, "silent", v.silent.String(), "error", reason, "decision", decision)
 }
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -49,6 +49,9 @@
 var (
 	errFull = redwingshunt.NotRun(redwingshunt.ReasonQueueFull, http.StatusServiceUnavailable,
 		"this instance serves as many requests as it carries; use another").After(fullRetryAfter)
+	// abandonedRefusal ends a request whose caller disconnected before it was refused.
+	abandonedRefusal = redwingshunt.NotRun(redwingshunt.ReasonCancelled, redwingshunt.StatusClientClosed,
+		"the caller went away before it was refused")
 	fullBody   = append(responder.Encode(errFull, ""), '\n')
 	fullHeader = map[string][]string{
 		"Content-Type":             {"application/json"},
@@ -90,11 +93,12 @@
 	hint := &fullRetryHints[r.refused.Add(1)%fullRetrySteps]
 	r.refusalSlots <- struct{}{}
 	defer func() { <-r.refusalSlots }()
+	id := request.Header.Get(r.options.Dialect.Request)
 	if time.Since(arrived) > callerCheckAfter && callerGone(request.Context()) {
 		r.abandoned.Add(1)
+		r.recordRefusal(arrived, id, account, abandonedRefusal, 0)
 		panic(http.ErrAbortHandler)
 	}
-	id := request.Header.Get(r.options.Dialect.Request)
 	header := w.Header()
 	for name, value := range fullHeader {
 		header[name] = value
@@ -110,7 +114,7 @@
 		input, output := parseCount(request.Header.Get(r.options.Dialect.Count))
 		r.options.Placer.Refused(account, redwingshunt.ServiceTokens(input, output))
 	}
-	r.recordRefusal(arrived, id, account, hint.after)
+	r.recordRefusal(arrived, id, account, errFull, hint.after)
 	return complete
 }
 
@@ -157,16 +161,16 @@
 }
 
 // recordRefusal counts a refusal and logs it unless too many were logged.
-func (r *Relayer) recordRefusal(arrived time.Time, id string, account redwingshunt.AccountID, after time.Duration) {
+func (r *Relayer) recordRefusal(arrived time.Time, id string, account redwingshunt.AccountID, refusal *redwingshunt.OutcomeError, after time.Duration) {
 	if r.options.Observe != nil {
-		r.options.Observe(Record{Outcome: string(errFull.Reason), Total: time.Since(arrived)})
+		r.options.Observe(Record{Outcome: string(refusal.Reason), Total: time.Since(arrived)})
 	}
 	logged, suppressed := r.refusalLog.allow(arrived, maxFullLinesPerSecond)
 	if !logged {
 		return
 	}
-	r.options.Logger.Warn("request ended", "request", id, "account", string(account), "outcome", string(errFull.Reason), "status", errFull.Status,
-		"promise", string(errFull.Outcome), "detail", errFull.Detail, "after", after,
+	r.options.Logger.Warn("request ended", "request", id, "account", string(account), "outcome", string(refusal.Reason), "status", refusal.Status,
+		"promise", string(refusal.Outcome), "detail", refusal.Detail, "after", after,
 		"running", r.running.sum(), "untold", suppressed)
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,10 +27,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -197,10 +199,28 @@
 	stop := context.AfterFunc(r.base, func() { cancel(context.Cause(r.base)) })
 	defer stop()
 	defer func() { r.buffered.release(x.account, x.buffered) }()
+	defer x.recordPanic()
 	err := x.serve(ctx)
 	x.finish(ctx, err)
 }
 
+// recordPanic counts and logs a request that ends with a panic other than that of
+// finish. The server then closes the connection without a response.
+func (x *exchange) recordPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		x.relayer.options.Logger.Error("request ended by a panic", "request", x.id, "account", string(x.account),
+			"upstream", string(x.upstream), "started", x.started, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		if x.relayer.options.Observe != nil {
+			x.relayer.options.Observe(x.record(outcomePanic))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // exchange is the state of one request in flight.
 type exchange struct {
 	relayer *Relayer
@@ -231,6 +251,7 @@
 	started        bool          // a byte of the response was sent to the caller
 	status         int           // sent to the caller
 	buffered       int           // bytes, counted against Options.BufferBytes
+	progressed     time.Time     // start of the last attempt, or its last progress
 	bodyUnread     bool          // refused before the body was read
 	bodyIncomplete bool          // the rest of the body did not arrive within bodyRestTimeout
 	events         eventSplitter
@@ -254,6 +275,14 @@
 	return true
 }
 
+// Values of Record.Outcome other than a Reason.
+const (
+	outcomeAnswered = "answered" // by an upstream
+	outcomeBroken   = "broken"   // the response was cut off
+	outcomeLeft     = "left"     // the caller disconnected within the response
+	outcomePanic    = "panic"    // a defect of this program
+)
+
 // errResponseCut ends a request of which the caller has part of the response.
 var errResponseCut = errors.New("the response was cut off after a part of it was sent")
 
@@ -381,13 +410,13 @@
 // finish sends the caller an error not yet sent, logs the end of the request and
 // cuts the connection if the response is incomplete.
 func (x *exchange) finish(ctx context.Context, err error) {
-	outcome := "answered"
+	outcome := outcomeAnswered
 	var refusal *redwingshunt.OutcomeError
 	switch {
 	case errors.Is(err, errResponseCut):
-		outcome = "broken"
+		outcome = outcomeBroken
 	case errors.Is(err, errCallerLeft):
-		outcome = "left"
+		outcome = outcomeLeft
 	case err != nil:
 		refusal = redwingshunt.OutcomeOf(err)
 		outcome = string(refusal.Reason)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -99,6 +99,7 @@
 		}
 		if len(complete) > 0 {
 			if splitter.HasData(complete) {
+				x.progressed = time.Now()
 				stall.reset()
 			}
 			if began.IsZero() {
