--- a/relayer/takeup.go
+++ b/relayer/takeup.go
@@ -79,11 +79,24 @@
 	return nil
 }
 
+// pinVersion notes the version of the upstream that begins the stream. A standby of
+// another version cannot continue it.
+func (x *exchange) pinVersion(version string) {
+	if x.started {
+		return
+	}
+	x.version = redwingshunt.Some(version)
+	if x.standby != nil && x.standby.placed.Upstream.Version != version {
+		x.dropStandby("the stream began at another version")
+	}
+}
+
 // recordOrigin makes known where the stream began, before its first event is sent.
 func (x *exchange) recordOrigin(ctx context.Context) {
 	if x.started || !x.isPinned() {
 		return
 	}
-	origin := redwingshunt.Origin{Service: x.service, Version: x.build}
+	version, _ := x.version.Get()
+	origin := redwingshunt.Origin{Service: x.service, Version: version}
 	x.relayer.options.Origins.Begin(ctx, x.streamKey(), origin, x.patience.Add(takeUpSlack))
 }
--- a/relayer/version_test.go
+++ b/relayer/version_test.go
@@ -1,8 +1,11 @@
 package relayer
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -176,3 +179,30 @@
 		})
 	}
 }
+
+// TestStandbyOfAnotherVersionIsDropped has a stream begin with a comment after an upstream
+// of another version was asked, and break off.
+func TestStandbyOfAnotherVersionIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setUpstreams(f.streaming)
+	first, err := mimic.StartScripted(func(connection net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(connection, streamHead+"Transfer-Encoding: chunked\r\n\r\n", request.Header.Get(redwingshunt.HeaderRequest))
+		time.Sleep(firstByteSlack + 150*time.Millisecond) // the route's objective is 50 ms
+		fmt.Fprint(connection, "8\r\n: note\n\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+	})
+	is.NoErr(err)
+	t.Cleanup(first.Stop)
+	f.placer.upstreams[0].Address = first.Address()
+	f.placer.upstreams[0].Version, f.placer.upstreams[1].Version = "v1", "v2"
+	second := f.startSilent(t, 1, mimic.SilentOptions{Events: 5, Point: mimic.BeforeHead, For: time.Second, Times: 1})
+	got := f.send(t, "/resumable/a", nil)
+	is.True(got.err != nil) // cut off
+	is.Equal(got.body, ": note\n\n")
+	is.Equal(second.Runs("r1"), 1) // it was asked
+}
