Keep the entry of a live upstream when another writer contradicts it

An announcement without a start took over the start of the entry that was known under its ID and the time of day as its sequence number. It replaced the service and the address of an upstream that reports its start, and outranked its announcements from then on. After the leave of such an upstream it came back as a new incarnation. An announcement with the start of the known entry could change its service, address and version as well.

An announcement without a start is now older than any incarnation that reports one, as design 0013 has it. An incarnation keeps its service, place and version while it announces itself; what contradicts that is ignored. Without a reported start a restart cannot be told from another writer, so the address and the version may change there and the service may not. A restart that reports its start, a reused address and an entry that has expired are replaced as before.

Whether a start was reported is told from the sequence number, since assigned ones are times after the start. So the messages between instances stay the same, and an instance of the version before is understood.

--- a/enroller/table.go
+++ b/enroller/table.go
@@ -27,8 +27,10 @@
 //
 // Announcements may be delayed, duplicated and received through several instances.
 // For each ID the newest incarnation applies, and within it the highest sequence
-// number. At each address the newest incarnation of all IDs applies, since an
-// address is reassigned after its upstream has gone.
+// number. An incarnation keeps its service, place and version: an announcement that
+// changes one of them comes from another writer. At each address the newest
+// incarnation of all IDs applies, since an address is reassigned after its upstream
+// has gone.
 type Table struct {
 	timeout       time.Duration
 	entries       map[redwingshunt.UpstreamID]*entry
@@ -63,13 +65,16 @@
 func (t *Table) Enroll(s redwingshunt.UpstreamState, announcedAt time.Time) (newer, changed bool) {
 	known := t.entries[s.ID]
 	if s.Born.IsZero() {
+		if known != nil && reportsStart(known.state) {
+			return false, false // older than any incarnation that reports its start
+		}
 		s.Born, s.Sequence = assignIncarnation(known, announcedAt)
 	}
 	s.Born = time.UnixMilli(s.Born.UnixMilli()) // the precision in messages
 	if at, ok := t.dismissed[s.ID]; ok && s.Born.Before(at) {
 		s.Leaving = true
 	}
-	if known != nil && notNewer(s, known.state) {
+	if known != nil && (notNewer(s, known.state) || t.contradicts(s, known, announcedAt)) {
 		return false, false
 	}
 	if t.lastAnnounced.Before(announcedAt) {
@@ -103,6 +108,27 @@
 	return known.state.Born, max(sequence, known.state.Sequence+1)
 }
 
+// reportsStart reports whether the upstream sent the start in a state. A sequence
+// number that assignIncarnation returned is a time since that start.
+func reportsStart(s redwingshunt.UpstreamState) bool {
+	return s.Born.UnixMilli() > 0 && s.Sequence < uint64(s.Born.UnixMilli())
+}
+
+// contradicts reports whether an announcement changes what an incarnation keeps for
+// its life, while that incarnation still announces itself. Without a reported start,
+// a restart under the same ID may change the address and the version.
+func (t *Table) contradicts(s redwingshunt.UpstreamState, known *entry, announcedAt time.Time) bool {
+	if !s.Born.Equal(known.state.Born) || announcedAt.Sub(known.lastAnnounced) > cmp.Or(known.state.TTL, t.timeout) {
+		return false
+	}
+	renewed := s.Upstream
+	renewed.Slots = known.state.Slots
+	if reportsStart(known.state) {
+		return renewed != known.state.Upstream
+	}
+	return renewed.Service != known.state.Service
+}
+
 // Correction returns the known announcement for the ID of a state that is outdated:
 // it belongs to an older incarnation, or its incarnation has left in the meantime.
 // The second result reports whether the state is outdated.
