Log announcements that are ignored

An announcement that is late, of an older incarnation or of another writer was acknowledged and left no line. The heartbeats of a worker that were outranked by that of another writer could not be seen in the log.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -107,7 +107,13 @@
 		e.reported[s.ID] = now
 		e.renewed.Add(s.ID)
 	}
+	known, _, _ := e.table.Get(s.ID, now)
 	e.mu.Unlock()
+	if !newer {
+		e.options.Logger.Info("announcement ignored", "upstream", string(s.ID), "service", string(s.Service),
+			"address", s.Address.String(), "leaving", s.Leaving, "born", s.Born.UnixMilli(), "sequence", s.Sequence,
+			"knownService", string(known.State.Service), "knownBorn", known.State.Born.UnixMilli(), "knownSequence", known.State.Sequence)
+	}
 	if changed {
 		e.log(s, "announced here")
 		e.broadcast([]Announced{{State: s}})
