Read an answer that announces the largest length

An upstream that answered with Content-Length: ended the request with a panic: one byte was added to the length before it was bounded, the sum overflowed, and the buffer was made with a negative capacity. The server recovered it and closed the connection of the caller, who got no status, and no other upstream was tried. The length is now bounded first.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -318,7 +318,7 @@
 // readResponse reads the body of a response to its end. With an error of the upstream
 // it returns the part that arrived.
 func (x *exchange) readResponse(reply *carrier.Reply) ([]byte, error) {
-	body := make([]byte, 0, min(max(reply.Length, 0)+1, responseChunkBytes))
+	body := make([]byte, 0, min(max(reply.Length, 0), responseChunkBytes-1)+1)
 	for {
 		n, err := reply.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -74,6 +74,8 @@
 		"safe, in chunks":                 {"/safe/a", "Transfer-Encoding: chunked", "2000\r\n" + kilobytes + "\r\n", 0, 0, 200, false},
 		"safe, beyond the buffer space":   {"/safe/a", "Connection: close", kilobytes, 0, 1 << 20, 200, false},
 		"safe, byte by byte":              {"/safe/a", "Content-Length: 1000000", "z", slow, 0, 200, false},
+		"safe, largest length":            {"/safe/a", "Content-Length: 9223372036854775807", kilobytes, 0, 0, 200, false},
+		"once, largest length":            {"/once/a", "Content-Length: 9223372036854775807", kilobytes, 0, 0, 502, false},
 		"once, until the connection ends": {"/once/a", "Connection: close", kilobytes, 0, 0, 502, false},
 		"once, byte by byte":              {"/short/a", "Content-Length: 1000000", "z", slow, 0, 504, false},
 		"stream, endless event":           {"/stream/a", stream, kilobytes, 0, 0, 502, false},
