End the attempt of a request that panics

A panic in a request is recovered by the server, but the attempt stayed counted at its upstream for good: its slot, its memory and its part of the account were not given back, since the end was reported after the attempt had returned. It is now reported in a deferred call, as failed unless the attempt returned something else. What else a request books (requests in flight, buffer space, the suspect, the watch of its prompt) was already given back by deferred calls.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -67,7 +67,6 @@
 			return x.giveUp(ctx, last, err)
 		}
 		last = x.attempt(ctx, placed)
-		x.relayer.options.Placer.End(placed.Ticket, last.end)
 		x.mayHaveRun = x.mayHaveRun || last.mayHaveBegun
 		if last.done {
 			complete = true
@@ -174,11 +173,14 @@
 }
 
 // attempt sends the request to one upstream and relays its response, unless a part of
-// its prompt is refused before the response begins.
-func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) attemptResult {
+// its prompt is refused before the response begins. It ends the placement, also when
+// it panics: the server recovers panics of a request.
+func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed) (result attemptResult) {
+	result.end = redwingshunt.EndFailed
+	defer func() { x.relayer.options.Placer.End(placed.Ticket, result.end) }()
 	watched, done := x.watchParts(ctx)
 	defer done()
-	result := x.exchangeWith(watched, placed)
+	result = x.exchangeWith(watched, placed)
 	if !result.done && errors.Is(context.Cause(watched), errPartRefused) {
 		result.err = errPartRefused
 	}
