Refuse an announcement with text after its end

POST /v1/upstreams read the first JSON value of the body and believed it, whatever followed. A body that cannot be read in full now names no upstream.

TestOddAnnouncementIsRefused "trailing text" and "trailing object": 200 before.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -19,6 +19,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -93,6 +95,10 @@
 		refuse(w, http.StatusBadRequest, "the announcement does not parse: "+err.Error())
 		return
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		refuse(w, http.StatusBadRequest, "the announcement goes on after its end")
+		return
+	}
 	if problem := h.complete(&a); problem != "" {
 		refuse(w, http.StatusBadRequest, problem)
 		return
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/announcer"
 )
@@ -45,6 +47,7 @@
 		`{"id":"d","service":"desk","address":"[::]:80","slots":-1}`,
 		`{"id":"d","service":"other","address":"127.0.0.1:80","slots":1}`,
 		`{"id":"d","id":"e","unknown":1}`,
+		`{"id":"d","service":"desk","address":"127.0.0.1:80","slots":4}x`,
 		`[`,
 	} {
 		f.Add(seed)
@@ -78,3 +81,37 @@
 		}
 	})
 }
+
+// TestOddAnnouncementIsRefused guards against an announcement of another writer that is
+// believed although it cannot be read in full.
+func TestOddAnnouncementIsRefused(t *testing.T) {
+	valid := `{"id":"d","service":"desk","address":"127.0.0.1:80","slots":4,"version":"v1","ttl":6000}`
+	tests := map[string]struct {
+		body   string
+		status int
+	}{
+		"valid":             {valid, 200},
+		"white space after": {valid + " \n", 200},
+		"trailing text":     {valid + "x", 400},
+		"trailing object":   {valid + `{"id":"e"}`, 400},
+		"cut off":           {valid[:len(valid)-1], 400},
+		"service missing":   {strings.Replace(valid, `"service":"desk",`, "", 1), 404},
+		"address missing":   {strings.Replace(valid, `"address":"127.0.0.1:80",`, "", 1), 400},
+		"slots null":        {strings.Replace(valid, `"slots":4`, `"slots":null`, 1), 400},
+		"id missing":        {strings.Replace(valid, `"id":"d",`, "", 1), 400},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := &fakeDirectory{}
+			handler := announcer.New(announcer.Options{
+				Directory: d, Configuration: d, Now: func() time.Time { return time.Unix(0, 0) },
+				Self: func() redwingshunt.Instance { return redwingshunt.Instance{Region: "north"} },
+			})
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/upstreams", strings.NewReader(test.body)))
+			is.Equal(w.Code, test.status)
+			is.Equal(d.count == 1, test.status == 200)
+		})
+	}
+}
