Refuse a deadline that is no number with 400

A request with the deadline "NaN" passed the check, since no comparison with it holds, and was refused with 503 as if its time had run out; the caller would send it again.

TestAdmission "deadline, no number": 503 before.

--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -20,12 +20,15 @@
 		change func(*http.Request)
 		status int
 	}{
-		"no route":      {"/other/a", nil, 404},
-		"other host":    {"/safe/a", func(r *http.Request) { r.Host = "x" }, 404},
-		"no key":        {"/safe/a", func(r *http.Request) { r.Header.Del("Redwingshunt-Key") }, 401},
-		"wrong key":     {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Key", "x") }, 401},
-		"no identifier": {"/safe/a", func(r *http.Request) { r.Header.Del(redwingshunt.HeaderRequest) }, 400},
-		"bad deadline":  {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Deadline", "soon") }, 400},
+		"no route":            {"/other/a", nil, 404},
+		"other host":          {"/safe/a", func(r *http.Request) { r.Host = "x" }, 404},
+		"no key":              {"/safe/a", func(r *http.Request) { r.Header.Del("Redwingshunt-Key") }, 401},
+		"wrong key":           {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Key", "x") }, 401},
+		"no identifier":       {"/safe/a", func(r *http.Request) { r.Header.Del(redwingshunt.HeaderRequest) }, 400},
+		"bad deadline":        {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Deadline", "soon") }, 400},
+		"deadline, no number": {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Deadline", "NaN") }, 400},
+		"deadline, infinite":  {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Deadline", "Inf") }, 400},
+		"deadline, negative":  {"/safe/a", func(r *http.Request) { r.Header.Set("Redwingshunt-Deadline", "-1") }, 400},
 		"body too large": {"/safe/a", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 70_000))), 70_000
 		}, 413},
--- a/relayer/read.go
+++ b/relayer/read.go
@@ -59,7 +59,7 @@
 	}
 	if text := header.Get(dialect.Deadline); text != "" {
 		left, err := strconv.ParseFloat(text, 64)
-		if err != nil || left <= 0 || left > 1e9 {
+		if err != nil || !(left > 0 && left <= 1e9) { // NaN too
 			return redwingshunt.NotRun(redwingshunt.ReasonInvalidRequest, http.StatusBadRequest,
 				"the header "+dialect.Deadline+" is no number of milliseconds")
 		}
