--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -63,7 +63,6 @@
 		x.progressed = time.Now()
 		last = x.attempt(ctx, placed, ready)
 		last.silent = time.Since(x.progressed)
-		x.relayer.options.Placer.End(placed.Ticket, last.end)
 		x.mayHaveRun = x.mayHaveRun || last.mayHaveBegun
 		if last.done {
 			complete = true
@@ -196,12 +195,15 @@
 }
 
 // attempt sends the request to one upstream, unless it is ready, and relays the response.
-// It ends the attempt if a part of the prompt is refused before the response begins.
-func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed, ready *standby) attemptResult {
+// It ends the attempt if a part of the prompt is refused before the response begins. It
+// ends the placement, also when it panics: the server recovers panics of a request.
+func (x *exchange) attempt(ctx context.Context, placed redwingshunt.Placed, ready *standby) (result attemptResult) {
+	result.end = redwingshunt.EndFailed
+	defer func() { x.relayer.options.Placer.End(placed.Ticket, result.end) }()
 	watched, done := x.watchParts(ctx, ready)
 	defer done()
 	stall := x.watchStall(ctx, placed)
-	result := x.exchangeWith(watched, placed, ready, stall)
+	result = x.exchangeWith(watched, placed, ready, stall)
 	if !result.done && errors.Is(context.Cause(watched), errPartRefused) {
 		result.err = errPartRefused
 	}
@@ -307,7 +309,7 @@
 // readResponse reads the body of a response to its end. With an error of the upstream
 // it returns the part that arrived.
 func (x *exchange) readResponse(reply *carrier.Reply) ([]byte, error) {
-	body := make([]byte, 0, min(max(reply.Length, 0)+1, responseChunkBytes))
+	body := make([]byte, 0, min(max(reply.Length, 0), responseChunkBytes-1)+1)
 	for {
 		n, err := reply.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
