--- a/journaler/fake_test.go
+++ b/journaler/fake_test.go
@@ -16,17 +16,19 @@
 // fakeFile is a file with its current and its durable content.
 type fakeFile struct {
 	disk   *fakeDisk
+	name   string
 	data   []byte
 	synced []byte
 }
 
 // fakeDisk is a file system that loses unsynced data in a crash. Of each file a
-// random prefix of the unsynced bytes remains, with some blocks zeroed; of the
-// file names either all or none of the unsynced changes remain.
+// random prefix of the unsynced bytes remains, with some blocks zeroed; each change of a
+// file name that was not synced remains or not by itself.
 type fakeDisk struct {
 	random   *rand.Rand
 	names    map[string]*fakeFile
 	durable  map[string]*fakeFile
+	changes  []func(names map[string]*fakeFile) // of names since the folder was synced
 	calls    int
 	crashAt  int // number of the call that crashes; zero means none
 	capacity int // bytes; zero means unlimited
@@ -53,9 +55,12 @@
 
 // restart restores the content that survived a crash.
 func (d *fakeDisk) restart() {
-	if d.random.IntN(2) == 0 {
-		d.durable = maps.Clone(d.names)
+	for _, change := range d.changes {
+		if d.random.IntN(2) == 0 {
+			change(d.durable)
+		}
 	}
+	d.changes = nil
 	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
 		f := d.durable[name]
 		f.data = d.tear(f.synced, f.data)
@@ -68,6 +73,12 @@
 // kill ends the process that uses the disk, which keeps what was written.
 func (d *fakeDisk) kill() { d.crashAt, d.crashed = 0, false }
 
+// changeNames changes the names of files, durably once the folder is synced.
+func (d *fakeDisk) changeNames(change func(names map[string]*fakeFile)) {
+	change(d.names)
+	d.changes = append(d.changes, change)
+}
+
 // tear returns what a crash leaves of data whose first part is synced.
 func (d *fakeDisk) tear(synced, data []byte) []byte {
 	const block = 64
@@ -110,8 +121,9 @@
 	if err := d.countCall(); err != nil {
 		return nil, err
 	}
-	d.names[name] = &fakeFile{disk: d}
-	return d.names[name], nil
+	file := &fakeFile{disk: d, name: name}
+	d.changeNames(func(names map[string]*fakeFile) { names[name] = file })
+	return file, nil
 }
 
 func (d *fakeDisk) Append(name string) (File, error) { return d.names[name], d.countCall() }
@@ -120,8 +132,11 @@
 	if err := d.countCall(); err != nil {
 		return err
 	}
-	d.names[to] = d.names[from]
-	delete(d.names, from)
+	file := d.names[from]
+	d.changeNames(func(names map[string]*fakeFile) {
+		names[to] = file
+		delete(names, from)
+	})
 	return nil
 }
 
@@ -129,7 +144,7 @@
 	if err := d.countCall(); err != nil {
 		return err
 	}
-	delete(d.names, name)
+	d.changeNames(func(names map[string]*fakeFile) { delete(names, name) })
 	return nil
 }
 
@@ -137,7 +152,7 @@
 	if err := d.countCall(); err != nil {
 		return err
 	}
-	d.durable = maps.Clone(d.names)
+	d.durable, d.changes = maps.Clone(d.names), nil
 	return nil
 }
 
@@ -164,6 +179,9 @@
 		return err
 	}
 	f.synced = slices.Clone(f.data)
+	if f.disk.names[f.name] == f {
+		f.disk.durable[f.name] = f // a new file becomes durable with its own sync
+	}
 	return nil
 }
 
--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -99,7 +99,8 @@
 }
 
 // removeStaleFiles removes unfinished and superseded files, and returns the name
-// of the current journal file, or "" if there is none.
+// of the current journal file, or "" if there is none. The process before may have
+// ended before it synced the name of the current file, so that is done first.
 func (j *Journal) removeStaleFiles(names []string) (string, error) {
 	slices.Sort(names)
 	newest := ""
@@ -108,6 +109,11 @@
 			newest = name
 		}
 	}
+	if newest != "" {
+		if err := j.files.Sync(); err != nil {
+			return "", err
+		}
+	}
 	for _, name := range names {
 		superseded := strings.HasPrefix(name, journalPrefix) && name != newest
 		if superseded || strings.HasSuffix(name, temporarySuffix) {
