Form no second log from replaced founders

A founder that was replaced as a voter could form a second, empty log beside the living one, and with it every instance that asked it lost sight of what had been acknowledged. It needs all founders to have been replaced and the leader not to answer for a moment, as at a change of the leader.

Cause: an instance whose folder loses its vote starts again within its process, with the settings of its first start. They still name the founders, or make it bootstrap the log. The folder that it then creates is empty, and so are those of the other replaced founders: each of them truly reports that it has no state, which was all that was asked.

A folder that was created in place of one that lost its vote knows that from the files that were set aside. Such an instance neither bootstraps the log nor reports to package bootstrapper that it never had state.

A founder whose disk is lost as well cannot know; it still finds state at the other founders unless they all were replaced.

--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -54,6 +54,7 @@
 	rotateSize    int64 // bytes at which the journal is compacted next
 	truncated     int64 // bytes of a torn tail that Open removed
 	folder        replicator.FolderID
+	successor     bool // see Successor
 	start         uint64
 	groups        map[redwingshunt.GroupID]*replicator.Stored
 	writeErr      error
@@ -82,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	j.successor = slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, lostPrefix) })
 	newest, err := j.removeStaleFiles(names)
 	if err != nil {
 		return err
@@ -343,6 +345,10 @@
 // Folder returns the identity of the folder.
 func (j *Journal) Folder() replicator.FolderID { return j.folder }
 
+// Successor reports whether the folder was created in place of one that SetAside put
+// aside.
+func (j *Journal) Successor() bool { return j.successor }
+
 // Start returns the number of this start on the folder. It grows with each Open.
 func (j *Journal) Start() uint64 { return j.start }
 
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -262,7 +262,7 @@
 	m.n.mu.Lock()
 	defer m.n.mu.Unlock()
 	var live []redwingshunt.Instance
-	for _, id := range []redwingshunt.InstanceID{"a", "b", "c", "d", "e"} {
+	for _, id := range []redwingshunt.InstanceID{"a", "b", "c", "d", "e", "f", "g"} {
 		if m.n.running[id] != nil {
 			live = append(live, redwingshunt.Instance{ID: id, Region: redwingshunt.RegionID(id), Voter: true})
 		}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -12,7 +12,7 @@
 )
 
 // errAlreadySeeded means that an initial membership exists already.
-var errAlreadySeeded = errors.New("another initial voter already has state; add this instance with replace")
+var errAlreadySeeded = errors.New("an initial voter has state, or this one had it; add this instance with replace")
 
 // states returns the number of groups that have state in the folder.
 func (r *Recorder) states() uint32 {
@@ -59,7 +59,7 @@
 	switch {
 	case local.hadLeader:
 		return true, nil // the leaders replicate to the others
-	case local.states == 0 && voters.states > 0:
+	case local.states == 0 && (voters.states > 0 || r.journal.Successor()):
 		return false, errAlreadySeeded
 	case local.states == 0:
 		membership = replicator.NewMembership(voters.ids...)
@@ -146,10 +146,11 @@
 	r.bootstrap(ctx, initial)
 }
 
-// Seeded reports whether the folder of this instance has state.
+// Seeded reports whether the folder of this instance has state, or had it before it lost
+// its vote.
 func (r *Recorder) Seeded(ctx context.Context) (bool, error) {
 	local, err := r.localState(ctx)
-	return local.states > 0, err
+	return local.states > 0 || err == nil && r.journal.Successor(), err
 }
 
 // Unfinished returns the instances of the initial membership while the folder of
