Take a stopped log for no empty folder when the log is formed

When the log of one founder had stopped, as after a write to a full disk, while another founder formed the log, the first one became a voter with the folder number 0. No folder has that number, so the log began with one voter fewer than wanted until the founder had joined in its own place.

Cause: an instance whose log has stopped refuses each request. The refusal has no folder and no count of groups with state, and was read as the report of an empty folder, since only a missing reply counted as a failure.

A reply without a folder is now a failure, and forming the log is tried again.

TestStoppedLogIsNoEmptyFolder failed before this change: the first founder had state while the second one could not have any.

--- a/recorder/form_test.go
+++ b/recorder/form_test.go
@@ -56,3 +56,30 @@
 		is.Equal(value, "7")
 	})
 }
+
+// TestStoppedLogIsNoEmptyFolder forms the log while the log of a founder has stopped, for
+// example on a full disk. The founder must not become a voter with an unknown folder.
+func TestStoppedLogIsNoEmptyFolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := emptyNetwork(t, 1)
+		n.explicitForm = true
+		names := []redwingshunt.InstanceID{"a", "b", "c"}
+		for _, name := range names {
+			n.start(name)
+		}
+		n.running["b"].stop()
+		is.NoErr(<-n.running["b"].ended) // it still answers that its log has stopped
+		forming, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		n.running["a"].Form(forming, names)
+		seeded, err := n.running["a"].Seeded(t.Context())
+		is.NoErr(err)
+		is.True(!seeded)
+		n.crash("b")
+		n.start("b")
+		n.running["a"].Form(t.Context(), names)
+		time.Sleep(10 * time.Second)
+		is.NoErr(n.checkVoters("a", names...))
+	})
+}
--- a/recorder/seed.go
+++ b/recorder/seed.go
@@ -93,6 +93,9 @@
 		if err != nil {
 			return voters, err
 		}
+		if reply.GetFolder() == 0 {
+			return voters, errStopped // its log has stopped, so it cannot tell what the folder has
+		}
 		id := replicator.MemberID{Instance: instance, Folder: replicator.FolderID(reply.GetFolder())}
 		voters.ids = append(voters.ids, id)
 		voters.states += reply.GetStates()
