Revoke folders that were removed from the log without a notice

Spare instances were used up one by one. Each time a seat of the log became free, for example because the disk of a voter was full for longer than it takes to replace it, an instance that had begun to take it and did not get it could never take a seat again: "the data folder of the new voter is not empty", at each attempt, until an operator emptied its folder. After a few such seats a lost voter was not replaced any more, and the next loss ended the log.

Cause: a member learns that it was removed from the reply to a pre-vote. A learner never campaigns, so one with state that was removed, because another spare asked for the seat at the same moment or because its own disk was full, kept its folder. So did a voter that was away while all voters that it knew were replaced: it campaigned for ever at folders that are gone, and by its own view was a voter with nothing to join.

A folder that hears of no leader in any of its groups now asks for the leaders, and asks these to be revoked if none of them knows it. A leader does so only if the removal is committed, the folder is of no later term, and what it has committed can be of the same log. The folder is then set aside like that of any removed voter, and the next start creates one that can join.

Ruled out: allowing a folder with state to be added again, since it may be of another log.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -64,6 +64,9 @@
 	if r.options.Bootstrap {
 		go r.bootstrap(ctx, r.options.Initial)
 	}
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	go r.queryMembership(running)
 	r.loop(ctx.Done(), func() bool { return false })
 	if r.failed != nil {
 		return trace.Wrap(r.failed)
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -142,6 +142,8 @@
 		c.retire()
 	case Restarted:
 		c.handleRestarted(e.Instance)
+	case LeaderFound:
+		c.handleLeaderFound(e.Leader)
 	}
 	c.tick()
 	c.flush()
@@ -199,7 +201,7 @@
 		c.handleRevoked(m)
 		return
 	}
-	if c.checkRolledBackDisk(m) || c.checkRemoved(m) || !c.checkTerm(m) {
+	if c.checkRolledBackDisk(m) || c.checkRemoved(m) || m.Kind == MessageMemberQuery || !c.checkTerm(m) {
 		return
 	}
 	switch m.Kind {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -298,20 +298,46 @@
 	return false
 }
 
-// checkRemoved reports whether a message is a pre-vote request of a replica that
-// was removed from the membership, and revokes that replica's vote if so. A
+// checkRemoved reports whether a message is a pre-vote request or a member query of a
+// replica that was removed from the membership, and revokes that replica's vote if so. A
 // replica that a later leader added sends a larger term and is not affected.
 func (c *Core) checkRemoved(m Message) bool {
-	if m.Kind != MessagePreVote || m.Term > c.hardState.Term+1 || !c.changeAllowed() {
+	switch {
+	case m.Kind == MessagePreVote && m.Term <= c.hardState.Term+1:
+	case m.Kind == MessageMemberQuery && m.Term <= c.hardState.Term && c.mayHaveCommitted(m.Index, m.LogTerm):
+	default:
 		return false
 	}
-	if _, known := c.membership().Find(m.From); known {
+	if _, known := c.membership().Find(m.From); known || !c.changeAllowed() {
 		return false
 	}
 	c.send(Message{Kind: MessageRevoked, To: m.From, Start: m.Start})
 	return true
 }
 
+// mayHaveCommitted reports whether an entry that another replica has committed can be of
+// this log. It cannot tell for entries that are compacted.
+func (c *Core) mayHaveCommitted(index, term uint64) bool {
+	own, known := c.log.term(index)
+	return index <= c.commit && (!known || own == term)
+}
+
+// LeaderSilent reports whether the replica has state, does not lead, and has not heard
+// of a leader for the longest election timeout.
+func (c *Core) LeaderSilent() bool {
+	return !c.hardState.Lost && c.log.last() > 0 && c.role != RoleLeader && c.now-c.leaderHeard >= ElectionTimeout+ElectionSpread
+}
+
+// handleLeaderFound asks a leader of which the replica does not hear whether the replica
+// is still a member.
+func (c *Core) handleLeaderFound(leader MemberID) {
+	if leader == c.self || !c.LeaderSilent() {
+		return
+	}
+	term, _ := c.log.term(c.commit)
+	c.send(Message{Kind: MessageMemberQuery, To: leader, Index: c.commit, LogTerm: term})
+}
+
 // handleRevoked stops the replica from voting ever again.
 func (c *Core) handleRevoked(m Message) {
 	if m.Start != c.start {
--- a/replicator/events.go
+++ b/replicator/events.go
@@ -3,8 +3,8 @@
 import "github.com/redwingshunt/redwingshunt"
 
 // Event is an input of a core: Tick, Received, Proposed, ChangeProposed,
-// Persisted, Snapshotted, SnapshotLoaded, TransferProposed, Restarted, Leaving
-// or Retired.
+// Persisted, Snapshotted, SnapshotLoaded, TransferProposed, Restarted, LeaderFound,
+// Leaving or Retired.
 type Event interface{ event() }
 
 // Tick reports that time has passed.
@@ -59,6 +59,12 @@
 // another leader without waiting for ElectionTimeout.
 type Restarted struct{ Instance redwingshunt.InstanceID }
 
+// LeaderFound reports which member leads the group to a replica for which LeaderSilent
+// holds. The replica asks that leader whether it is still a member: a learner that was
+// removed, or a voter all of whose former fellow members were replaced, does not learn
+// of it otherwise.
+type LeaderFound struct{ Leader MemberID }
+
 // Leaving requests that the replica does not stand for election, or stands again. It
 // still votes. A replica that hands its seat over would otherwise campaign once it was
 // removed, and lose the votes of the groups in which it still counts.
@@ -77,6 +83,7 @@
 func (SnapshotLoaded) event()   {}
 func (TransferProposed) event() {}
 func (Restarted) event()        {}
+func (LeaderFound) event()      {}
 func (Leaving) event()          {}
 func (Retired) event()          {}
 
@@ -185,8 +192,9 @@
 	MessageCommit // commit index; has no reply
 	MessageSnapshot
 	MessageSnapshotReply
-	MessageCampaign // leadership transfer: the receiver starts an election at once
-	MessageRevoked  // the receiver, if it has the given start number, may never vote again
+	MessageCampaign    // leadership transfer: the receiver starts an election at once
+	MessageRevoked     // the receiver, if it has the given start number, may never vote again
+	MessageMemberQuery // asks a leader to revoke the vote of the sender if that is no member any more
 )
 
 // Message is a message between two replicas of a group.
@@ -196,7 +204,7 @@
 	To      MemberID
 	Term    uint64
 	Start   uint64 // start number of the sender; in MessageRevoked that of the receiver
-	Index   uint64 // index before Entries; last index of a candidate; acknowledged index; bytes of a snapshot received
+	Index   uint64 // index before Entries; last index of a candidate; commit index of a member query; acknowledged index; bytes of a snapshot received
 	LogTerm uint64 // term of the entry at Index
 	Commit  uint64 // commit index; in a rejection the conflict hint; in a snapshot reply the index of the snapshot
 	Entries []Entry
