Let no group of the log grow when two instances want one seat

After a few replaced voters a log had four voters instead of three. It then needs three of them to commit and bears the loss of one, as before, but the fourth takes an instance that would be the spare.

Cause: an instance that joins decides by a membership that it has read before, and nothing refused its request when that was out of date:

- the successor of a voter was promoted while the voter, which had returned, was not removed yet; a second instance still got the same seat, because only learners counted as rivals;
- the voter to be replaced was gone when the request arrived; the instance was then added without replacing anybody;
- two instances took one free seat, or one took it while the learner for which the seat had been made free was silent and later came back.

The leader now decides at the moment of the change: it adds no member in place of one that is gone or has a promoted successor, and none to a free seat while a learner of which it hears is on its way there. Join takes the wanted number of voters, and package bootstrapper waits for a learner or replaces it if the leader does not hear of it.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -98,11 +98,28 @@
 		return Join{Lost: lostVoter}
 	}
 	if v.Membership.Voters() < c.options.Wanted {
-		return Join{}
+		return c.joinFreeSeat(v)
 	}
 	return nil
 }
 
+// joinFreeSeat returns the action if the log has fewer voters than wanted. A learner is
+// already on its way to the seat unless the leader does not hear of it; if it came back
+// after another one has the seat, the log would grow.
+func (c *Core) joinFreeSeat(v View) Action {
+	lostLearner := Join{}
+	for _, member := range v.Membership {
+		switch {
+		case member.Voter || member.ID == v.Own:
+		case slices.Contains(v.Silent, member.ID):
+			lostLearner.Lost = member.ID.Instance
+		default:
+			return nil
+		}
+	}
+	return lostLearner
+}
+
 // formMembership returns Form if this instance must create the first membership,
 // or send it to the other founders.
 func (c *Core) formMembership(v View) Action {
--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,11 @@
 	return replicator.MemberID{Instance: id, Folder: folder}
 }
 
+// withLearner returns a membership with a learner that replaces no member.
+func withLearner(m replicator.Membership, id redwingshunt.InstanceID) replicator.Membership {
+	return append(slices.Clone(m), replicator.Member{ID: member(id, 1)})
+}
+
 func TestDecide(t *testing.T) {
 	all := []redwingshunt.Instance{instance("a"), instance("b"), instance("c")}
 	abc := replicator.NewMembership(member("a", 1), member("b", 1), member("c", 1))
@@ -49,6 +55,9 @@
 		"voter silent":           {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc, Silent: []replicator.MemberID{member("b", 1)}}, false, Join{Lost: "b"}},
 		"old folder silent":      {"d", nil, View{Live: append(all[:3:3], instance("d")), Own: member("d", 1), Membership: abc, Silent: []replicator.MemberID{member("b", 9)}}, false, nil},
 		"too few voters":         {"d", nil, View{Live: all, Own: member("d", 1), Membership: abc[:2]}, false, Join{}},
+		"own place is free":      {"d", nil, View{Live: all, Own: member("d", 1), Membership: withLearner(abc[:2], "d")}, false, Join{}},
+		"free seat is taken":     {"d", nil, View{Live: all, Own: member("d", 1), Membership: withLearner(abc[:2], "e")}, false, nil},
+		"taker of seat silent":   {"d", nil, View{Live: all, Own: member("d", 1), Membership: withLearner(abc[:2], "e"), Silent: []replicator.MemberID{member("e", 1)}}, false, Join{Lost: "e"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/joiner.go
+++ b/daemon/joiner.go
@@ -115,7 +115,7 @@
 			"own", view.Own.String(), "uptime", began.Sub(j.started).String())
 		joinContext, done := context.WithTimeout(ctx, membershipChangeTimeout)
 		defer done()
-		if err := log.Join(joinContext, action.Lost); err != nil {
+		if err := log.Join(joinContext, action.Lost, j.daemon.settings.Wanted); err != nil {
 			j.daemon.logger.Warn("joining the log did not complete", "error", err.Error())
 			return
 		}
--- a/recorder/fake_test.go
+++ b/recorder/fake_test.go
@@ -19,6 +19,9 @@
 	"github.com/redwingshunt/redwingshunt/journaler"
 )
 
+// wantedVoters is the number of voters that instances that join the log want.
+const wantedVoters = 3
+
 // network is a set of instances and the links between them, with message loss,
 // duplicates, delays and partitions that follow from a fixed seed.
 type network struct {
@@ -173,10 +176,10 @@
 	n.loss = ratio
 }
 
-// leader returns the instance that leads group 1, or "".
+// leader returns the instance that leads the last group, or "".
 func (n *network) leader() redwingshunt.InstanceID {
 	for name, p := range n.running {
-		if g := p.Status().Groups[1]; g.Role == "leader" && !n.isolated[name] {
+		if g := p.Status().Groups[n.groups-1]; g.Role == "leader" && !n.isolated[name] {
 			return name
 		}
 	}
--- a/recorder/handover.go
+++ b/recorder/handover.go
@@ -34,12 +34,15 @@
 }
 
 // Join makes the folder of this instance a voter of all groups in place of the folder of
-// lost, which may be this instance with another folder, or in addition if lost is empty.
+// lost, which may be this instance with another folder, or in addition if lost is empty
+// and there are fewer voters than wanted.
 // Of several instances that join for one seat, the first one whose addition is committed
 // gets it, unless the leader does not hear of it any more; the others get ErrSeatTaken,
 // wrapped.
-func (r *Recorder) Join(ctx context.Context, lost redwingshunt.InstanceID) error {
-	return r.replaceInGroups(ctx, replacement{recorder: r, oldVoter: lost, newVoter: r.options.Self, onlyReplace: true})
+func (r *Recorder) Join(ctx context.Context, lost redwingshunt.InstanceID, wanted int) error {
+	return r.replaceInGroups(ctx, replacement{
+		recorder: r, oldVoter: lost, newVoter: r.options.Self, onlyReplace: true, wanted: wanted,
+	})
 }
 
 // setLeaving makes the replicas of this instance stand for election or not.
@@ -71,10 +74,12 @@
 }
 
 // seatTaken reports whether the new voter cannot take the seat of the old one: it is a
-// member in place of another one, or the old voter is no member any more.
+// member in place of another one, or the old voter is no member any more. A free seat is
+// taken once there are as many voters as wanted.
 func (p *replacement) seatTaken(m replicator.Membership, newVoter replicator.MemberID) bool {
 	if p.oldVoter == "" {
-		return false
+		_, known := m.Find(newVoter)
+		return !known && m.Voters() >= p.wanted
 	}
 	var seats []replicator.MemberID
 	for _, old := range m.Instance(p.oldVoter) {
@@ -89,16 +94,17 @@
 	return len(seats) > 0 && !slices.Contains(seats, member.Replaces)
 }
 
-// rival returns the learner that is taking the seat of the old voter for another
-// instance and of which the leader hears, if any.
+// rival returns the member that is taking the seat of the old voter, or a free one, for
+// another instance, if any: a voter, or a learner of which the leader hears.
 func (p *replacement) rival(m replicator.Membership, newVoter replicator.MemberID, silent []*wire.LogMember) (replicator.MemberID, bool) {
 	for _, member := range m {
-		old, present := m.Find(member.Replaces)
-		if member.Voter || member.ID.Instance == newVoter.Instance || !present || old.ID.Instance != p.oldVoter {
+		old, replaces := m.Find(member.Replaces)
+		sameSeat := replaces && old.ID.Instance == p.oldVoter || !replaces && !member.Voter && p.oldVoter == ""
+		if member.ID.Instance == newVoter.Instance || !sameSeat {
 			continue
 		}
 		heard := !slices.ContainsFunc(silent, func(s *wire.LogMember) bool { return encoder.ParseMember(s).ID == member.ID })
-		if heard {
+		if member.Voter || heard {
 			return member.ID, true
 		}
 	}
--- a/recorder/operate.go
+++ b/recorder/operate.go
@@ -97,6 +97,7 @@
 	oldVoter    redwingshunt.InstanceID
 	newVoter    redwingshunt.InstanceID
 	onlyReplace bool   // the new voter takes the seat of the old one or none, see ErrSeatTaken
+	wanted      int    // voters, if there is no old voter
 	lastFailure string // why the last query or change failed
 }
 
--- a/recorder/orphan_test.go
+++ b/recorder/orphan_test.go
@@ -47,7 +47,7 @@
 	n.crash(lost)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	is.NoErr(n.running[name].Join(ctx, lost))
+	is.NoErr(n.running[name].Join(ctx, lost, wantedVoters))
 }
 
 // TestRemovedLearnerCanJoinAgain guards against spare instances that are used up one by
--- a/recorder/rejoin_test.go
+++ b/recorder/rejoin_test.go
@@ -210,7 +210,7 @@
 		errs := make(chan error, 2)
 		for _, id := range []redwingshunt.InstanceID{"d", "e"} {
 			p := n.running[id]
-			go func() { errs <- p.Join(ctx, lost) }()
+			go func() { errs <- p.Join(ctx, lost, wantedVoters) }()
 		}
 		first, second := <-errs, <-errs
 		t.Log(first, second, time.Since(began))
--- a/replicator/member_query_test.go
+++ b/replicator/member_query_test.go
@@ -63,7 +63,7 @@
 			for _, action := range leader.core.Step(n.now, Received{query}) {
 				if send, ok := action.(Send); ok && send.Message.Kind == MessageRevoked {
 					revoked = true
-					n.step(removed, Received{send.Message})
+					n.step(removed, Received(send))
 				}
 			}
 			is.Equal(revoked, test.revoked)
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -1,5 +1,7 @@
 package replicator
 
+import "slices"
+
 // changeAllowed reports whether this replica leads and may change the membership
 // now: it has committed an entry of its term, and the last change is committed.
 func (c *Core) changeAllowed() bool {
@@ -41,8 +43,8 @@
 		return nil, false
 	}
 	replaced := change.Replaced
-	if _, known := current.Find(replaced); !known {
-		replaced = MemberID{}
+	if c.seatTaken(replaced, change.Add) {
+		return nil, false
 	}
 	next := current
 	for _, member := range current {
@@ -58,6 +60,22 @@
 	return next.with(Member{ID: change.Add, Replaces: replaced}), true
 }
 
+// seatTaken reports whether a member that is to be added would make the group grow,
+// because another one has the seat of the replaced member or is taking the free seat.
+func (c *Core) seatTaken(replaced, added MemberID) bool {
+	current := c.membership()
+	if _, known := current.Find(replaced); !known && !replaced.IsZero() {
+		return true
+	}
+	return slices.ContainsFunc(current, func(m Member) bool {
+		if !replaced.IsZero() {
+			return m.Voter && m.Replaces == replaced
+		}
+		_, replaces := current.Find(m.Replaces)
+		return !m.Voter && !replaces && m.ID.Instance != added.Instance && c.alive(m.ID)
+	})
+}
+
 // appendMembership appends an entry with a membership, which takes effect at
 // once.
 func (c *Core) appendMembership(next Membership) {
