--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -284,7 +284,7 @@
 // rotate replaces the file by a compacted one. The new file is renamed into place
 // after it is synced, so each of its frames states that all bytes before it are
 // synced. If writing the new file fails, for example on a full disk, the current
-// file stays in use and compaction is retried at a larger size.
+// file stays in use and compaction is retried after some more records.
 func (j *Journal) rotate() error {
 	data, err := j.compactedData()
 	if err != nil {
@@ -295,7 +295,7 @@
 		if j.file == nil {
 			return err
 		}
-		j.rotateSize = rotateFactor * j.size
+		j.rotateSize = j.size + j.minRotateSize
 		return nil
 	}
 	if err := renameTemporary(j.files, name); err != nil {
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -135,6 +135,33 @@
 	}
 }
 
+// TestFailedCompactionIsRepeated guards against a journal that outgrows its disk: there is
+// no room for one compaction, and there is some soon after.
+func TestFailedCompactionIsRepeated(t *testing.T) {
+	const rotate = 4000
+	is := is.New(t)
+	disk := newFakeDisk(1)
+	j, err := openTestJournal(disk)
+	is.NoErr(err)
+	write := func(n int) {
+		is.NoErr(j.Write([]Record{{Group: 1, Persist: replicator.Persist{HardState: &replicator.HardState{Term: uint64(n)}}}}))
+	}
+	written := 0
+	for ; j.rotateSize == rotate; written++ {
+		disk.capacity = disk.used() + 100 // a record fits, a compacted file does not
+		write(written)
+	}
+	disk.capacity = 0
+	largest := j.Size()
+	for range 10 * written {
+		written++
+		write(written)
+		largest = max(largest, j.Size())
+	}
+	is.True(j.number > 1)
+	is.True(largest <= 2*rotate+100)
+}
+
 func TestCorruptionInTheMiddleIsRefused(t *testing.T) {
 	is := is.New(t)
 	disk := newFakeDisk(1)
