--- a/recorder/options.go
+++ b/recorder/options.go
@@ -133,7 +133,10 @@
 	}
 	r.journal = journal
 	r.self.Folder = journal.Folder()
-	return r.openGroups()
+	if err := r.openGroups(); err != nil {
+		return errors.Join(err, journal.Close())
+	}
+	return nil
 }
 
 // openGroups creates the replicas of all groups from the stored state.
--- a/recorder/rejoin_test.go
+++ b/recorder/rejoin_test.go
@@ -11,8 +11,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/replicator"
+	"github.com/redwingshunt/redwingshunt/wire"
 )
 
 const (
@@ -262,3 +266,32 @@
 	}
 	is.NoErr(file.Close())
 }
+
+// TestFailedOpenReleasesFolder opens a folder with a snapshot that cannot be read. Once it
+// can be read, the same process must be able to open the folder.
+func TestFailedOpenReleasesFolder(t *testing.T) {
+	is := is.New(t)
+	n := emptyNetwork(t, 1)
+	n.groups = 1
+	disk := journaler.Disk{Folder: n.folder("a")}
+	journal, err := journaler.Open(journaler.Options{Files: disk, Folder: newFolderID()})
+	is.NoErr(err)
+	meta := replicator.SnapshotMeta{Index: 1, Term: 1}
+	state, err := proto.Marshal(&wire.LogState{Machine: []byte("0")})
+	is.NoErr(err)
+	first := replicator.Persist{Snapshot: &replicator.Snapshot{SnapshotMeta: meta, Data: state}}
+	is.NoErr(journal.Write([]journaler.Record{{Persist: first}}))
+	is.NoErr(journal.Close())
+	options := Options{
+		Self: "a", Link: link{n, "a"}, Clock: clock{}, Files: disk, Groups: 1,
+		Machines: func(redwingshunt.GroupID) redwingshunt.StateMachine { return &register{} },
+	}
+	const snapshot = "snapshot-0-1-1"
+	is.NoErr(disk.Rename(snapshot, "elsewhere"))
+	_, err = New(options)
+	is.True(err != nil)
+	is.NoErr(disk.Rename("elsewhere", snapshot))
+	r, err := New(options)
+	is.NoErr(err)
+	is.NoErr(r.journal.Close())
+}
