--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -54,6 +54,7 @@
 	rotateSize    int64 // bytes at which the journal is compacted next
 	truncated     int64 // bytes of a torn tail that Open removed
 	folder        replicator.FolderID
+	successor     bool // see Successor
 	start         uint64
 	groups        map[redwingshunt.GroupID]*replicator.Stored
 	writeErr      error
@@ -82,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	j.successor = slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, lostPrefix) })
 	newest, err := j.removeStaleFiles(names)
 	if err != nil {
 		return err
@@ -99,7 +101,8 @@
 }
 
 // removeStaleFiles removes unfinished and superseded files, and returns the name
-// of the current journal file, or "" if there is none.
+// of the current journal file, or "" if there is none. The process before may have
+// ended before it synced the name of the current file, so that is done first.
 func (j *Journal) removeStaleFiles(names []string) (string, error) {
 	slices.Sort(names)
 	newest := ""
@@ -108,6 +111,11 @@
 			newest = name
 		}
 	}
+	if newest != "" {
+		if err := j.files.Sync(); err != nil {
+			return "", err
+		}
+	}
 	for _, name := range names {
 		superseded := strings.HasPrefix(name, journalPrefix) && name != newest
 		if superseded || strings.HasSuffix(name, temporarySuffix) {
@@ -119,7 +127,8 @@
 	return newest, nil
 }
 
-// load reads a journal file and truncates its torn tail.
+// load reads a journal file, truncates its torn tail and syncs the rest, which the
+// process before may have written without a sync: later frames state that it is synced.
 func (j *Journal) load(name string) error {
 	if _, err := fmt.Sscanf(name, journalPrefix+"%x", &j.number); err != nil {
 		return trace.BadParameter("%s is no journal", name)
@@ -140,11 +149,10 @@
 	}
 	j.size, j.truncated = int64(end), int64(len(data)-end)
 	j.rotateSize = max(j.minRotateSize, j.size)
-	if j.truncated == 0 {
-		return nil
-	}
-	if err := j.file.Truncate(j.size); err != nil {
-		return err
+	if j.truncated > 0 {
+		if err := j.file.Truncate(j.size); err != nil {
+			return err
+		}
 	}
 	return j.file.Sync()
 }
@@ -276,7 +284,7 @@
 // rotate replaces the file by a compacted one. The new file is renamed into place
 // after it is synced, so each of its frames states that all bytes before it are
 // synced. If writing the new file fails, for example on a full disk, the current
-// file stays in use and compaction is retried at a larger size.
+// file stays in use and compaction is retried after some more records.
 func (j *Journal) rotate() error {
 	data, err := j.compactedData()
 	if err != nil {
@@ -287,7 +295,7 @@
 		if j.file == nil {
 			return err
 		}
-		j.rotateSize = rotateFactor * j.size
+		j.rotateSize = j.size + j.minRotateSize
 		return nil
 	}
 	if err := renameTemporary(j.files, name); err != nil {
@@ -337,6 +345,10 @@
 // Folder returns the identity of the folder.
 func (j *Journal) Folder() replicator.FolderID { return j.folder }
 
+// Successor reports whether the folder was created in place of one that SetAside put
+// aside.
+func (j *Journal) Successor() bool { return j.successor }
+
 // Start returns the number of this start on the folder. It grows with each Open.
 func (j *Journal) Start() uint64 { return j.start }
 
