Keep a connection whose next header the server has begun to read

A caller's request could be lost: its connection was closed as idle although the first part of its header had arrived and been read.

The listener now notes that bytes were read since a connection became idle. The limit of the header itself still bounds a slow one. Between the read and the note of it a gap of some instructions is left.

TestSweepLeavesRequestBeingRead failed before: two connections closed instead of one.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -95,7 +95,11 @@
 		}
 		timer.Stop()
 	}
-	return l.Listener.Accept()
+	accepted, err := l.Listener.Accept()
+	if socket, ok := accepted.(*net.TCPConn); ok && err == nil {
+		return &connection{TCPConn: socket}, nil
+	}
+	return accepted, err
 }
 
 // Close closes the listener and ends a waiting Accept.
@@ -114,6 +118,9 @@
 		a.open.Add(-1)
 		a.wakeAccept()
 	}
+	if c := connectionOf(connection); c != nil && state == http.StateIdle {
+		c.received.Store(false)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.idle.remove(connection)
@@ -161,7 +168,17 @@
 func (a *Acceptor) Sweep(now time.Time, limits Limits) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.idle.closeExpired(now, limits.Idle) + a.fresh.closeExpired(now, limits.First)
+	return a.idle.closeExpired(now, limits.Idle, hasReceived) + a.fresh.closeExpired(now, limits.First, carrier.HasUnread)
+}
+
+// hasReceived reports whether a caller has sent a part of a request on an idle
+// connection.
+func hasReceived(c net.Conn) bool {
+	if carrier.HasUnread(c) { // first, since the server may read the bytes meanwhile
+		return true
+	}
+	read := connectionOf(c)
+	return read != nil && read.received.Load()
 }
 
 // queue holds waiting connections in the order in which their wait started.
@@ -203,9 +220,8 @@
 }
 
 // closeExpired closes the connections that have waited for longer than a limit and
-// returns their number. It skips connections with received data that the server has
-// not read yet. A limit of zero closes none.
-func (q *queue) closeExpired(now time.Time, limit time.Duration) int {
+// returns their number. It skips connections that are in use. A limit of zero closes none.
+func (q *queue) closeExpired(now time.Time, limit time.Duration, inUse func(net.Conn) bool) int {
 	closed := 0
 	for e := q.order.Front(); e != nil && limit > 0; {
 		longest := e.Value.(waitingConn)
@@ -213,7 +229,7 @@
 			break
 		}
 		e = e.Next()
-		if carrier.HasUnread(longest.connection) {
+		if inUse(longest.connection) {
 			continue
 		}
 		q.remove(longest.connection)
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -258,3 +258,46 @@
 		})
 	}
 }
+
+// TestSweepLeavesRequestBeingRead guards against a connection that is closed while the
+// server has read the first part of its next header.
+func TestSweepLeavesRequestBeingRead(t *testing.T) {
+	is := is.New(t)
+	u := New(0, 0)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = u.TrackConnState
+	server.Listener = u.LimitListener(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	c, silent := dial(t, server), dial(t, server)
+	c.ask(t)
+	silent.ask(t)
+	var connection net.Conn
+	eventually(t, "the connections are not idle", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for k := range u.idle.byConn {
+			if k.RemoteAddr().String() == c.socket.LocalAddr().String() {
+				connection = k
+			}
+		}
+		return u.idle.order.Len() == 2
+	})
+	_, err := c.socket.Write([]byte("GET / HTTP/1.1\r\nHo"))
+	is.NoErr(err)
+	eventually(t, "the server does not read", func() bool { return !carrier.HasUnread(connection) })
+	time.Sleep(50 * time.Millisecond)                                          // the bytes have arrived and are read
+	is.Equal(u.Sweep(time.Now().Add(time.Hour), Limits{Idle: time.Minute}), 1) // the silent one
+	_, err = c.socket.Write([]byte("st: h\r\n\r\n"))
+	is.NoErr(err)
+	response, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusOK)
+	eventually(t, "the connection is not idle", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.idle.order.Len() == 1
+	})
+	is.Equal(u.Sweep(time.Now().Add(time.Hour), Limits{Idle: time.Minute}), 1) // idle again
+}
