Await the answer on the open connection when a new one is answered

Requests of models and services ended with a silent connection, and streams were cut, although their upstream was sound: it had been silent for half a second, and when it went on it answered the probe on a new connection a moment before the one on an open connection. The first answer canceled the other probe, so the open connections counted as silent and all quiet requests on them were ended.

The same class as attempts that are given up before their upstream is known to have failed: one's own cancellation was read as the silence of the other. The probe on the open connection now has 100 ms more than the new one.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -11,9 +11,10 @@
 //	0 ms    request sent on an open connection
 //	300 ms  no byte received: probe on the connection kept for probes
 //	500 ms  no response: probe on a new connection
-//	502 ms  response on the new connection, so the open ones are silent: drop them
-//	        all and end the requests on them that receive nothing with ErrSilent;
-//	        they can be retried
+//	502 ms  response on the new connection
+//	602 ms  still none on the open one, so the open ones are silent: drop them all
+//	        and end the requests on them that receive nothing with ErrSilent; they
+//	        can be retried
 //
 // A probe connection that was opened after the others went silent proves nothing;
 // the stall limit of the service then applies to the requests on them. When the
@@ -50,7 +51,10 @@
 	maxCheckInterval = 4 * time.Second
 	// probeTimeout is how long a probe may take before a new connection is tried.
 	probeTimeout = 200 * time.Millisecond
-	openTimeout  = time.Second // of the connection for probes
+	// probeGrace is how much longer than a new connection an open one may take to
+	// answer a probe.
+	probeGrace  = 100 * time.Millisecond
+	openTimeout = time.Second // of the connection for probes
 	// idleTimeout is how long a connection without a request is kept open.
 	idleTimeout = 20 * time.Second
 	// unused is how long the state of an upstream without requests is kept.
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -14,6 +14,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -190,6 +191,40 @@
 	is.True(strings.HasPrefix(text, "late"))
 }
 
+// TestUpstreamThatGoesOnIsNotSilent guards against a request that ends since an upstream,
+// silent for a while, answered on a new connection a moment sooner than on the open ones.
+func TestUpstreamThatGoesOnIsNotSilent(t *testing.T) {
+	const moment = 30 * time.Millisecond
+	is := is.New(t)
+	var probes atomic.Int64
+	goesOn := make(chan struct{})
+	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodOptions {
+			switch probes.Add(1) {
+			case 1: // opens the probe connection
+				return
+			case 3: // on a new connection
+				close(goesOn)
+				return
+			}
+		}
+		<-goesOn
+		time.Sleep(moment)
+		if r.Method != http.MethodOptions {
+			time.Sleep(moment)
+			_, _ = w.Write([]byte("late"))
+		}
+	}))
+	upstream.Config.DisableGeneralOptionsHandler = true
+	upstream.Start()
+	defer upstream.Close()
+	c := connector.New(connector.Options{Dial: (&net.Dialer{}).DialContext})
+	defer c.CloseIdleConnections()
+	text, err := get(t.Context(), c, upstream.URL)
+	is.NoErr(err)
+	is.Equal(text, "late")
+}
+
 // BenchmarkSilent measures the time to serve the next request after the open
 // connections have gone silent.
 func BenchmarkSilent(b *testing.B) {
--- a/connector/generation.go
+++ b/connector/generation.go
@@ -101,7 +101,7 @@
 // stays outstanding while a new connection is tried: an upstream that is just
 // busy answers both.
 func (g *generation) isSilent() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*probeTimeout+probeGrace)
 	defer cancel()
 	answered := make(chan bool, 1)
 	go func() { answered <- !g.probeLost && g.probe(ctx, g.probeTransport) }()
@@ -115,9 +115,11 @@
 	}
 	fresh := g.connector.newTransport()
 	defer fresh.CloseIdleConnections()
-	reachable := g.probe(ctx, fresh)
-	if reachable {
-		cancel()
+	freshCtx, cancelFresh := context.WithTimeout(ctx, probeTimeout)
+	defer cancelFresh()
+	reachable := g.probe(freshCtx, fresh)
+	if reachable { // an upstream that was silent may be about to answer the other probe
+		defer time.AfterFunc(probeGrace, cancel).Stop()
 	}
 	if <-answered {
 		return false
