Specify at which version a stream goes on

A take-up that goes on at another version joins what does not fit together, and whether that can happen depends on the order of records, first events and lost memories. spec/stream.pml has two routers and three holders whose views are late within a phase, a version that is joined by a second one, forgotten and back, and losses of memory. Checked: a stream goes on at the version that began it or is refused, and it is not refused where its router lives and has told two holders.

--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -40,6 +40,9 @@
 	prevote    = run{"prevote.pml", nil}
 	claim      = run{"claim.pml", nil}
 	forming    = run{"form.pml", nil}
+	second     = run{"stream.pml", nil}
+	together   = run{"stream.pml", []string{"-DSTART=SECOND"}}
+	returning  = run{"stream.pml", []string{"-DSTART=FORGET", "-DLAST=RETURN", "-DHOLDER_LOSSES=1"}}
 )
 
 // with returns the run with one rule taken away.
@@ -121,6 +124,9 @@
 		"pre-vote":                     prevote,
 		"claim":                        claim,
 		"first membership":             forming,
+		"second version":               second,
+		"two versions at once":         together,
+		"first version returns":        returning,
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -153,6 +159,15 @@
 		"founders not asked":               forming.with("ASK_NOBODY"),
 		"first membership of any folder":   forming.with("ANY_FOLDER"),
 		"first membership overwritten":     forming.with("OVERWRITE"),
+		"event before acknowledgement":     second.with("EVENT_EARLY"),
+		"one copy of a record":             second.with("ONE_COPY"),
+		"restarted holder denies":          second.with("YOUNG_DENIES"),
+		"holder without history denies":    second.with("UNINFORMED_DENIES"),
+		"one denial for a single version":  second.with("NEAREST"),
+		"partial history after a restart":  second.with("PARTIAL_HISTORY"),
+		"living streams not recorded":      second.with("SEND_NOTHING"),
+		"first of two versions guessed":    together.with("UNSETTLED"),
+		"returned version stays first":     returning.with("KEEP_FIRST"),
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
