--- a/custodian/custodian_test.go
+++ b/custodian/custodian_test.go
@@ -140,6 +140,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sent++
+	if f.nodes[n.self] != n { // it has ended or is cut off
+		return
+	}
 	if f.lose > 0 {
 		f.lose--
 		return
