Hand the lead over before a log with a full disk stops

Cause: a log whose write fails ended at once. Only a planned stop transferred the lead.

The lead is now transferred in both cases. That is safe without a disk: the leader acknowledges nothing that is not written, what others have written commits without it, and the voter that takes over is elected by the logs of the others.

--- a/recorder/full_disk_test.go
+++ b/recorder/full_disk_test.go
@@ -21,6 +21,7 @@
 	"github.com/redwingshunt/redwingshunt"
 	"github.com/redwingshunt/redwingshunt/bootstrapper"
 	"github.com/redwingshunt/redwingshunt/journaler"
+	"github.com/redwingshunt/redwingshunt/replicator"
 )
 
 // diskSpace is the room on one disk. A full disk refuses every change of a file or a
@@ -432,3 +433,28 @@
 		}
 	}
 }
+
+// TestLeaderWithFullDiskHandsOver guards against changes that wait for an election timeout
+// when the disk of the leader is full: it must hand the lead over before its log stops.
+func TestLeaderWithFullDiskHandsOver(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, seed, "a", "b", "c")
+			for range 5 {
+				_, err := f.propose("router", "+", 5*time.Second)
+				is.NoErr(err)
+			}
+			leader, ok := f.leaderStatus(1)
+			is.True(ok)
+			f.spaces[leader.Leader].fill(int(seed)*20, false)
+			began := time.Now()
+			for range 3 {
+				_, err := f.propose("router", "+", 5*time.Second)
+				is.NoErr(err)
+			}
+			t.Log(time.Since(began))
+			is.True(time.Since(began) < replicator.ElectionTimeout)
+		})
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -50,9 +50,9 @@
 	err  error
 }
 
-// Run takes part in the groups until ctx ends, then transfers the leadership of
-// the groups that this instance leads. It returns ErrFolderLost, another error
-// that stopped the log, or nil.
+// Run takes part in the groups until ctx ends or the log fails, then transfers the
+// leadership of the groups that this instance leads. It returns ErrFolderLost, another
+// error that stopped the log, or nil.
 func (r *Recorder) Run(ctx context.Context) error {
 	defer close(r.done)
 	if r.journal == nil {
@@ -67,12 +67,9 @@
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	go r.queryMembership(running)
-	r.loop(ctx.Done(), func() bool { return false })
-	if r.failed != nil {
-		return trace.Wrap(r.failed)
-	}
+	r.loop(ctx.Done(), func() bool { return r.failed != nil })
 	r.transferLeadership()
-	return nil
+	return trace.Wrap(r.failed)
 }
 
 // close stops the writer and releases the folder.
@@ -87,7 +84,8 @@
 }
 
 // transferLeadership transfers leadership to other voters before this one stops.
-// It waits at most transferTimeout.
+// It waits at most transferTimeout. That is safe after a failed write too: what is not
+// written is not acknowledged, and the others vote by their own logs.
 func (r *Recorder) transferLeadership() {
 	for _, g := range r.orderedGroups() {
 		g.step(replicator.TransferProposed{})
@@ -108,12 +106,11 @@
 	return false
 }
 
-// loop handles events until stop is closed, finished returns true or the log has
-// failed.
+// loop handles events until stop is closed or finished returns true.
 func (r *Recorder) loop(stop <-chan struct{}, finished func() bool) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for r.failed == nil && !finished() {
+	for !finished() {
 		select {
 		case <-stop:
 			return
