Log when a folder asks to lose its vote

The log showed that a folder had lost its vote, but not that the instance had asked for it, nor in how many groups.

--- a/recorder/orphan.go
+++ b/recorder/orphan.go
@@ -21,6 +21,7 @@
 			continue
 		}
 		if leaders, removed := r.removedFrom(ctx, silent); removed {
+			r.options.Logger.Info("no leader of the log knows this folder; asking to lose its vote", "member", r.self.String(), "groups", len(silent))
 			_ = r.runInLoop(ctx, func() {
 				for id, leader := range leaders {
 					r.groups[id].step(replicator.LeaderFound{Leader: leader})
