--- a/recorder/full_disk_test.go
+++ b/recorder/full_disk_test.go
@@ -329,6 +329,34 @@
 	return others[random.IntN(len(others))]
 }
 
+// fillDisk fills the disk of an instance for a while: of a voter, of one that is taking a
+// seat, or of any other. In some cases its process is killed and started again meanwhile.
+func (f *fleet) fillDisk(random *rand.Rand, all []redwingshunt.InstanceID) {
+	name := all[random.IntN(len(all))]
+	if random.IntN(4) > 0 {
+		name = f.victim(random)
+	}
+	if leader, ok := f.leaderStatus(1); ok && random.IntN(2) == 0 {
+		for _, m := range leader.Members {
+			if !m.Voter {
+				name = m.Instance
+			}
+		}
+	}
+	if name == "" {
+		time.Sleep(time.Second)
+		return
+	}
+	f.spaces[name].fill(random.IntN(3000), random.IntN(2) == 0)
+	time.Sleep(time.Duration(500+random.IntN(4500)) * time.Millisecond)
+	if random.IntN(3) == 0 {
+		f.end(name)
+		f.begin(name)
+	}
+	time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
+	f.spaces[name].free()
+}
+
 // checkValue returns an error unless an instance reads a register in which all answered
 // additions are counted, and no others but those with an unknown outcome.
 func (f *fleet) checkValue(name redwingshunt.InstanceID, answered, unknown int) error {
@@ -382,8 +410,8 @@
 	return &requests
 }
 
-// TestFullDisksInTurn fills the disks of voters one after another, never two at once, for
-// less and for more time than it takes to replace a voter. Afterwards a change must be
+// TestFullDisksInTurn fills the disks of instances one after another, never two at once,
+// for less and for more time than it takes to replace a voter. Afterwards a change must be
 // committed in time, nothing acknowledged may be lost, and all seats must be held by live
 // voters; then each spare must still be able to take the seat of a lost voter.
 func TestFullDisksInTurn(t *testing.T) {
@@ -406,14 +434,7 @@
 					var c clients
 					requests := c.run(f, seed, stop)
 					for range hits {
-						name := f.victim(random)
-						if name == "" {
-							time.Sleep(time.Second)
-							continue
-						}
-						f.spaces[name].fill(random.IntN(3000), random.IntN(2) == 0)
-						time.Sleep(time.Duration(500+random.IntN(9500)) * time.Millisecond)
-						f.spaces[name].free()
+						f.fillDisk(random, all)
 						time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
 					}
 					close(stop)
