End the forming of the log when the log ends

A log that had stopped, as when its folder lost its vote, went on trying to form the initial membership until its daemon stopped: each attempt asked the other founders.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -61,11 +61,11 @@
 	}
 	go r.runWriter()
 	defer r.close()
-	if r.options.Bootstrap {
-		go r.bootstrap(ctx, r.options.Initial)
-	}
 	running, stop := context.WithCancel(ctx)
 	defer stop()
+	if r.options.Bootstrap {
+		go r.bootstrap(running, r.options.Initial)
+	}
 	go r.queryMembership(running)
 	r.loop(ctx.Done(), func() bool { return r.failed != nil })
 	r.transferLeadership()
