Count no denial of a holder that cannot know, and begin no stream without its record

Now a majority of the voters of the log have to know no other version, a holder without the history of others counts for nothing, and a stream that must wait ends its request with 502 if two of three voters do not have its record within 1.5 s.

--- a/custodian/codec.go
+++ b/custodian/codec.go
@@ -35,7 +35,7 @@
 }
 
 func encodeVersions(now time.Time, service redwingshunt.ServiceID, v redwingshunt.ServiceVersions) *wire.ServiceVersions {
-	encoded := &wire.ServiceVersions{Service: string(service), Since: age(now, v.Since), Complete: v.Complete}
+	encoded := &wire.ServiceVersions{Service: string(service), Since: age(now, v.Since), Complete: v.Complete, Joined: v.Joined}
 	for _, span := range v.Spans {
 		encoded.Spans = append(encoded.Spans, &wire.VersionSpan{
 			Version: span.Version, First: age(now, span.First), Last: age(now, span.Last),
@@ -47,7 +47,7 @@
 func decodeVersions(now time.Time, encoded []*wire.ServiceVersions) map[redwingshunt.ServiceID]redwingshunt.ServiceVersions {
 	versions := make(map[redwingshunt.ServiceID]redwingshunt.ServiceVersions, len(encoded))
 	for _, e := range encoded {
-		v := redwingshunt.ServiceVersions{Since: now.Add(-milliseconds(e.GetSince())), Complete: e.GetComplete()}
+		v := redwingshunt.ServiceVersions{Since: now.Add(-milliseconds(e.GetSince())), Complete: e.GetComplete(), Joined: e.GetJoined()}
 		for _, span := range e.GetSpans() {
 			v.Spans = append(v.Spans, redwingshunt.VersionSpan{
 				Version: span.GetVersion(), First: now.Add(-milliseconds(span.GetFirst())), Last: now.Add(-milliseconds(span.GetLast())),
--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -5,7 +5,7 @@
 // Each instance remembers the streams that began on it. While a service has, or may
 // have, upstreams of several software versions, the origin of each stream is also
 // recorded at two holders, for all but the first version before its first event is
-// sent. A take-up of a stream is looked up here, then at the nearest holder, then at
+// sent; without them the request ends. A take-up of a stream is looked up here, then at the nearest holder, then at
 // all; their answers also tell of versions that this instance has not heard of. Records
 // and questions to a holder share messages while several are not answered.
 //
@@ -31,16 +31,16 @@
 )
 
 const (
-	// recordTimeout is how long a stream waits for its holders. After it, the stream goes
-	// on; the record is still sent until the holders have it.
-	recordTimeout = 250 * time.Millisecond
+	// recordTimeout is how long a stream waits for its holders. After it, the request
+	// ends; its caller may send it again.
+	recordTimeout = 1500 * time.Millisecond
 	// nearTimeout and farTimeout are how long a take-up waits for the nearest holder,
 	// and for the others.
-	nearTimeout = 100 * time.Millisecond
-	farTimeout  = 300 * time.Millisecond
+	nearTimeout = 150 * time.Millisecond
+	farTimeout  = 500 * time.Millisecond
 	// seenTime is how long a holder that went counts as one that may have had a record.
 	// No stream that began before lasts that long.
-	seenTime = time.Minute
+	seenTime = 2 * time.Minute
 	// cutOffTime is how long an instance that saw holders before and sees none now counts
 	// as cut off. After it, its history holds nothing of that time.
 	cutOffTime = 2 * time.Minute
@@ -66,6 +66,7 @@
 	Members  redwingshunt.Members
 	Link     redwingshunt.Link
 	Versions redwingshunt.VersionHistory
+	Voters   int // of the log, when it is whole; zero if unknown
 	Clock    redwingshunt.Clock
 	Logger   *slog.Logger
 }
@@ -86,7 +87,7 @@
 	live       map[redwingshunt.InstanceID]redwingshunt.Incarnation
 	lost       redwingshunt.Option[time.Time]        // when an instance last ended or restarted
 	seen       map[redwingshunt.InstanceID]time.Time // holders, those that went lately included, by when they were live
-	unrecorded int                                   // streams that went on without a record
+	unrecorded int                                   // requests that ended without a record
 	counts     map[finding]int
 }
 
@@ -162,7 +163,7 @@
 		}
 		c.expire(now, id, l)
 	}
-	for _, h := range pinner.Copies(holders) {
+	for _, h := range pinner.Copies(holders, false) {
 		if c.holders[h.ID] != h.Incarnation {
 			c.recordAll(now, h.ID, c.recorded.Sorted()...)
 		}
@@ -199,21 +200,22 @@
 }
 
 // Begin implements redwingshunt.Origins.
-func (c *Custodian) Begin(ctx context.Context, key redwingshunt.StreamKey, origin redwingshunt.Origin, until time.Time) {
+func (c *Custodian) Begin(ctx context.Context, key redwingshunt.StreamKey, origin redwingshunt.Origin, until time.Time) error {
 	now := c.options.Clock.Now()
 	record := pinner.Record{Key: key, Origin: origin, Until: until}
 	versions := c.options.Versions.Versions(origin.Service)
-	needed := pinner.NeedsRecord(now, versions)
+	needed, waits := pinner.NeedsRecord(now, versions), pinner.MustWait(now, versions, origin.Version)
 	var holders []redwingshunt.Instance
 	if needed {
-		holders, _ = c.currentHolders()
-		holders = pinner.Copies(holders)
+		all, _ := c.currentHolders()
+		holders = pinner.Copies(all, waits)
 	}
 	var acknowledged chan answer
-	if pinner.MustWait(now, versions, origin.Version) {
+	if waits {
 		acknowledged = make(chan answer, len(holders))
 	}
 	c.mu.Lock()
+	missing := pinner.Acknowledgements(c.fleetHolders(len(holders)))
 	for _, h := range holders {
 		c.enqueue(now, h.ID, &item{record: record, isRecord: true, done: acknowledged})
 	}
@@ -227,25 +229,30 @@
 	}
 	c.own.Put(now, record)
 	c.mu.Unlock()
-	if acknowledged == nil {
-		return
+	if !waits {
+		return nil
 	}
 	timer := time.NewTimer(recordTimeout)
 	defer timer.Stop()
-	for missing := len(holders); missing > 0; missing-- {
+	for ; missing > 0; missing-- {
 		select {
 		case <-acknowledged:
 		case <-ctx.Done():
-			return
+			return context.Cause(ctx)
 		case <-timer.C:
 			c.logUnrecorded(origin, missing)
-			return
+			return redwingshunt.ErrUnrecorded
 		}
 	}
+	return nil
 }
 
-// logUnrecorded counts a stream that goes on although holders did not acknowledge its
-// record, and logs it now and then.
+// fleetHolders returns the number of holders in the fleet, those that went lately
+// included, of which some are live. The caller holds the lock.
+func (c *Custodian) fleetHolders(live int) int { return max(len(c.seen), live, c.options.Voters) }
+
+// logUnrecorded counts a stream that does not begin because holders did not acknowledge
+// its record, and logs it now and then.
 func (c *Custodian) logUnrecorded(origin redwingshunt.Origin, missing int) {
 	c.mu.Lock()
 	c.unrecorded++
@@ -307,7 +314,7 @@
 	key, isNamed := named.Get()
 	holders, all := c.currentHolders()
 	c.mu.Lock()
-	known := max(len(c.seen), len(holders))
+	known := c.fleetHolders(len(holders))
 	alone := len(holders) == 0 && c.options.Clock.Now().Sub(c.lastSeen) > cutOffTime
 	c.mu.Unlock()
 	versions := c.options.Versions.Versions(service)
@@ -317,18 +324,16 @@
 			if a.found && isNamed {
 				return a.origin, true
 			}
-			denials = append(denials, pinner.Denial{Age: a.age, Lost: a.lost})
+			denials = append(denials, pinner.Denial{Age: a.age, Lost: a.lost, Informed: a.versions.Joined})
 			known = max(known, a.holders)
 			versions = pinner.Merge(versions, a.versions)
 		}
 		return redwingshunt.Origin{}, false
 	}
-	isSingle := func() bool { // an answer is needed, since this instance may be cut off
-		return versions.Complete && len(versions.Spans) == 1 && (len(denials) > 0 || alone)
-	}
+	isOnly := func() bool { return pinner.IsOnly(versions, known, denials) && (len(denials) > 0 || alone) }
 	near := min(1, len(holders))
 	origin, found := ask(holders[:near], nearTimeout)
-	if !found && !isSingle() {
+	if !found && !isOnly() {
 		origin, found = ask(holders[near:], farTimeout)
 	}
 	switch {
@@ -340,7 +345,7 @@
 	case len(versions.Spans) == 0:
 		return redwingshunt.Origin{}, foundNot, redwingshunt.NotRun(redwingshunt.ReasonNoUpstream, http.StatusServiceUnavailable,
 			"no upstream of the service is known").After(redwingshunt.RetrySoon)
-	case isSingle():
+	case isOnly():
 		return redwingshunt.Origin{Service: service, Version: versions.Spans[0].Version}, foundSingle, nil
 	case !isNamed:
 		return redwingshunt.Origin{}, foundNot,
@@ -365,7 +370,7 @@
 type state struct {
 	Own        int             `json:"own"`        // records of streams that began here
 	Held       int             `json:"held"`       // records of other instances
-	Unrecorded int             `json:"unrecorded"` // streams that no holder acknowledged in time
+	Unrecorded int             `json:"unrecorded"` // requests that ended because too few holders acknowledged in time
 	Found      map[finding]int `json:"found"`      // taken-up streams by how their origin was found
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -200,7 +200,7 @@
 		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
 	})
 	d.custodian = custodian.New(custodian.Options{
-		Members: d.members, Link: d.linker, Versions: d.enroller, Clock: wallClock{}, Logger: d.logger,
+		Members: d.members, Link: d.linker, Versions: d.enroller, Voters: d.settings.Wanted, Clock: wallClock{}, Logger: d.logger,
 	})
 	d.gatherer = gatherer.NewRelay(gatherer.Options{
 		Members: d.members, Link: d.linker, Clock: wallClock{}, Logger: d.logger,
--- a/origin.go
+++ b/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"io"
 	"time"
 )
@@ -36,9 +37,10 @@
 // stream continues it at the right software version.
 type Origins interface {
 	// Begin records the origin of a stream until a time. The first event must not be
-	// sent to the caller before it returns: from then on other instances find the
-	// origin even if this instance ends.
-	Begin(ctx context.Context, key StreamKey, origin Origin, until time.Time)
+	// sent to the caller before it returns nil: from then on other instances find the
+	// origin even if this instance ends. After an error no event must be sent; it is
+	// ErrUnrecorded unless ctx has ended.
+	Begin(ctx context.Context, key StreamKey, origin Origin, until time.Time) error
 	// Find returns the origin of a stream that its caller takes up and that, if
 	// nothing else is known, began at the given service. The caller may not have named
 	// the stream. The error is an OutcomeError with OutcomeNotRun: the origin is not
@@ -46,6 +48,10 @@
 	Find(ctx context.Context, key Option[StreamKey], service ServiceID) (Origin, error)
 }
 
+// ErrUnrecorded means that a stream must not begin, because too few instances have
+// recorded where.
+var ErrUnrecorded = errors.New("too few instances recorded where the stream begins")
+
 // VersionSpan is a software version of a service with the times at which it was
 // announced first and last.
 type VersionSpan struct {
--- a/pinner/holders.go
+++ b/pinner/holders.go
@@ -12,6 +12,9 @@
 const (
 	// copies is the number of holders of each record.
 	copies = 2
+	// spareCopies is the number of holders beyond copies that get a record for which a
+	// stream waits, so that one that does not answer holds it up for no longer.
+	spareCopies = 1
 	// maxHolders bounds the holders of a fleet without voters.
 	maxHolders = 16
 )
@@ -39,9 +42,14 @@
 	return holders, true
 }
 
-// Copies returns the holders to which an instance sends its records.
-func Copies(holders []redwingshunt.Instance) []redwingshunt.Instance {
-	return holders[:min(copies, len(holders))]
+// Copies returns the holders to which an instance sends its records, with a spare one for
+// streams that wait for them.
+func Copies(holders []redwingshunt.Instance, waits bool) []redwingshunt.Instance {
+	n := copies
+	if waits {
+		n += spareCopies
+	}
+	return holders[:min(n, len(holders))]
 }
 
 // distance orders instances by zone and region.
--- a/pinner/infer.go
+++ b/pinner/infer.go
@@ -57,16 +57,20 @@
 type Denial struct {
 	Age  time.Duration                      // for which the holder has lost no record
 	Lost redwingshunt.Option[time.Duration] // since the holder saw an instance end or restart
+	// Informed reports that the holder has the history of the versions; one that has just
+	// restarted knows nothing of them.
+	Informed bool
 }
 
-// Infer returns the version of a service at which a stream began of which holders have
-// no record, given the number of holders in the fleet, those that went lately included.
-// It reports false if the version is not known: an instance that lives has sent the
-// records of its streams, so there is no such stream unless an instance was lost.
+// Infer returns the version, of several that a service has, at which a stream began of
+// which holders have no record, given the number of holders in the fleet, those that went
+// lately included. It reports false if the version is not known: an instance that lives
+// has sent the records of its streams, so there is no such stream unless an instance was
+// lost.
 func Infer(now time.Time, v redwingshunt.ServiceVersions, holders int, denials []Denial) (version string, known bool) {
 	version, known = firstVersion(now, v)
-	if !known || len(v.Spans) == 1 {
-		return version, known
+	if !known || len(v.Spans) == 1 { // see IsOnly
+		return "", false
 	}
 	second := v.Spans[1]
 	if now.Sub(second.First) > inferTime {
@@ -77,13 +81,33 @@
 		if since, ok := d.Lost.Get(); ok && since < 2*inferTime {
 			lost = true
 		}
-		if d.Age > now.Sub(second.First)+noticeTime {
+		if d.Informed && d.Age > now.Sub(second.First)+noticeTime {
 			complete++
 		}
 	}
 	return version, lost && holders > 0 && complete >= quorum(holders)
 }
 
+// IsOnly reports whether the only version of a service that is known is the only one that
+// there is: a majority of the holders know no other. Those that do may be cut off from
+// this instance, and hold the record of its stream.
+func IsOnly(v redwingshunt.ServiceVersions, holders int, denials []Denial) bool {
+	if len(v.Spans) != 1 || !v.Complete {
+		return false
+	}
+	informed := 0
+	for _, d := range denials {
+		if d.Informed {
+			informed++
+		}
+	}
+	return informed > holders/2 || holders == 0
+}
+
+// Acknowledgements returns how many holders must have a record before the stream begins,
+// given their number in the fleet.
+func Acknowledgements(holders int) int { return min(holders, copies) }
+
 // quorum returns how many of the holders must have no record. Each record of another
 // version than the first has two copies before its stream begins, so one holder may be
 // missing if there are more than two.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -77,6 +77,10 @@
 			x.logAttempt(placed, last, "not sent again: "+reason)
 			return x.giveUp(ctx, last, x.newOutcome(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, http.StatusBadGateway, last.err.Error()), reason)
 		}
+		if errors.Is(last.err, redwingshunt.ErrUnrecorded) {
+			x.logAttempt(placed, last, "not sent again: "+last.err.Error())
+			return x.giveUp(ctx, last, nil, last.err.Error())
+		}
 		if !x.admitted && x.relayer.options.Suspects != nil {
 			x.dropStandby("its upstream died with the request")
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -260,6 +260,7 @@
 	bodyIncomplete bool          // the rest of the body did not arrive within bodyRestTimeout
 	events         eventSplitter
 	version        redwingshunt.Option[string] // software version that began the stream
+	takesUp        bool                        // the caller takes up a stream that an earlier request began
 	patience       time.Time                   // how long the caller itself waits
 }
 
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -115,7 +115,9 @@
 				x.reportAnswered(began)
 			}
 			x.pinVersion(placed.Upstream.Version)
-			x.recordOrigin(ctx)
+			if err := x.recordOrigin(ctx); err != nil {
+				return attemptResult{end: failedOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
+			}
 			if !x.forward(reply, complete) {
 				return attemptResult{end: redwingshunt.EndLeft, sent: true, mayHaveBegun: true, err: errResponseCut}
 			}
--- a/relayer/takeup.go
+++ b/relayer/takeup.go
@@ -75,7 +75,7 @@
 		return redwingshunt.NotRun(redwingshunt.ReasonNoUpstream, http.StatusServiceUnavailable,
 			"the route does not lead any more to the service that began the stream")
 	}
-	x.service, x.version = origin.Service, redwingshunt.Some(origin.Version)
+	x.service, x.version, x.takesUp = origin.Service, redwingshunt.Some(origin.Version), true
 	return nil
 }
 
@@ -91,12 +91,13 @@
 	}
 }
 
-// recordOrigin makes known where the stream began, before its first event is sent.
-func (x *exchange) recordOrigin(ctx context.Context) {
-	if x.started || !x.isPinned() {
-		return
+// recordOrigin makes known where the stream begins, before its first event is sent. After
+// an error no event may be sent, now or by another attempt: holders may have the record.
+func (x *exchange) recordOrigin(ctx context.Context) error {
+	if x.started || x.takesUp || !x.isPinned() {
+		return nil
 	}
 	version, _ := x.version.Get()
 	origin := redwingshunt.Origin{Service: x.service, Version: version}
-	x.relayer.options.Origins.Begin(ctx, x.streamKey(), origin, x.patience.Add(takeUpSlack))
+	return x.relayer.options.Origins.Begin(ctx, x.streamKey(), origin, x.patience.Add(takeUpSlack))
 }
