Tell why take-ups are refused in the test of stream versions

TestTakenUpStreamStaysAtItsVersion failed beside other work on the machine (load 20 to 32 on 8 cores): in 3 of 6 runs the share of take-ups that go on was under half of that of new streams, down to 0 of 24, and the output did not say why. No run joined versions.

The test logs the refusals now: no holder answered within its 400 ms, the instance did not have the versions yet in three tries, or no version was known although upstreams were. That short waits refuse take-ups on a starved machine stays.

--- a/daemon/stream_version_test.go
+++ b/daemon/stream_version_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -311,6 +312,8 @@
 	key   string
 	tries int
 
+	refusals []string // of its tries to take the stream up or to begin one
+
 	mu      sync.Mutex
 	resumes string   // request ID of the attempt that brought the first event
 	events  []string // the version of each event, in order
@@ -352,6 +355,7 @@
 	status     int // zero without an answer
 	events     int
 	retryAfter time.Duration
+	detail     string // of a refusal
 }
 
 // send sends one attempt to a router, with the header of a take-up once it has an event.
@@ -383,6 +387,9 @@
 	defer response.Body.Close()
 	answer := versionAnswer{status: response.StatusCode, retryAfter: retryAfterOf(response.Header)}
 	if response.StatusCode != http.StatusOK {
+		var refusal struct{ Error struct{ Message string } }
+		_ = json.NewDecoder(response.Body).Decode(&refusal) // other answers have no message
+		answer.detail = refusal.Error.Message
 		return answer
 	}
 	for lines := bufio.NewScanner(response.Body); answer.events < events && lines.Scan(); {
@@ -428,6 +435,7 @@
 		if answer.events == events {
 			return true
 		}
+		c.refusals = append(c.refusals, fmt.Sprint(answer.status, " ", answer.detail))
 		time.Sleep(max(answer.retryAfter, 100*time.Millisecond<<i))
 	}
 	return false
@@ -509,6 +517,13 @@
 		})
 	}
 	wait.Wait()
+	refusals := make(map[string]int)
+	for _, c := range callers {
+		for _, refusal := range c.refusals {
+			refusals[refusal]++
+		}
+	}
+	f.t.Logf("refused take-ups: %v", refusals)
 	return continued, begun
 }
 
@@ -645,9 +660,12 @@
 			atLeast: versionStreams,
 		},
 	}
+	fleets := make(chan struct{}, 3) // at the same time
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			fleets <- struct{}{}
+			defer func() { <-fleets }()
 			is := is.New(t)
 			f := startVersionFleet(t)
 			callers := test.begin(f)
