Refuse a stream that another instance opens while the links are closed

An instance that shuts down waits for the goroutines of its links. A stream that arrived meanwhile started one more, which the wait group does not allow: the wait may end too early, or the program may end with a panic. The race detector reported it in TestPlannedStopOfVoter, in 2 of 11 runs on a machine at load 15, with the linker as it was landed; nothing else was seen of it.

A goroutine of an incoming stream is now started under the lock under which Close ends the links, and not after that.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -186,6 +186,17 @@
 	}
 }
 
+// start runs a function in a goroutine, or returns false after Close.
+func (l *Linker) start(run func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	l.goroutines.Go(run)
+	return true
+}
+
 // Close ends all streams and waits for their goroutines.
 func (l *Linker) Close() {
 	l.mu.Lock()
--- a/linker/server.go
+++ b/linker/server.go
@@ -40,7 +40,9 @@
 	defer cancel()
 	stop := context.AfterFunc(l.ctx, cancel)
 	defer stop()
-	l.goroutines.Go(func() { in.acknowledge(ctx.Done()) })
+	if !l.start(func() { in.acknowledge(ctx.Done()) }) {
+		return trace.ConnectionProblem(nil, "the instance is shutting down")
+	}
 	for frame := first; ; {
 		in.received(frame.GetSequence())
 		l.counters.received(frame)
