Spare a silent upstream that accepts no connection

When an attempt makes no progress its upstream is probed beside it. One that accepts no connection keeps the requests that it runs, since it may go on, and gets no new ones for 0.5 s, neither by placement nor over kept connections.

Since attempts are no longer given up at once, nothing kept new requests off an upstream that had died in the dark: before, the failed probe closed its idle connections and the end of the attempt ejected it.

TestSilentUnreachableUpstreamIsSpared.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,10 @@
 // any of it, so that a broken one can still be replaced by another attempt. A
 // stream is relayed event by event; if its upstream fails in the middle, a
 // resumable stream continues at another upstream after the last event relayed.
+//
+// An upstream that makes no progress for a while may only be silent. Its attempt is
+// given up once another upstream has taken an idempotent request over, see stall.go.
+//
 // # Usage
 //
 //	r := relayer.New(relayer.Options{
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -216,3 +216,37 @@
 	is.Equal(second.Runs("r1"), 1)
 	is.Equal(f.placer.budget, 9) // one retry
 }
+
+// TestSilentUnreachableUpstreamIsSpared guards against new requests on kept connections to
+// a silent upstream that accepts no new one. The request that runs there goes on.
+func TestSilentUnreachableUpstreamIsSpared(t *testing.T) {
+	tests := map[string]struct {
+		unreachable bool
+		pauses      []time.Duration
+	}{
+		"accepts connections":    {},
+		"accepts no connections": {unreachable: true, pauses: []time.Duration{unreachablePause}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFixture(t)
+			f.setUpstreams(f.streaming)
+			f.placer.budget = 0
+			silent := f.startSilent(t, 0, mimic.SilentOptions{Events: 5, Point: mimic.BetweenEvents, For: silentFor, Times: 1})
+			got := make(chan callerView, 1)
+			go func() { got <- f.send(t, "/resumable/a", nil) }()
+			eventually(t, func() bool { return silent.Silences() == 1 })
+			if test.unreachable {
+				silent.Stop()
+			}
+			response := <-got
+			is.NoErr(response.err)
+			is.Equal(response.body, events())
+			f.placer.mu.Lock()
+			defer f.placer.mu.Unlock()
+			is.Equal(f.placer.pauses, test.pauses)
+		})
+	}
+}
--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -33,6 +33,9 @@
 	stallRecheck = 250 * time.Millisecond
 	// standbyPoll is the interval at which the state of a standby is read.
 	standbyPoll = 10 * time.Millisecond
+	// unreachablePause is how long a silent upstream that accepts no connection gets no
+	// new requests.
+	unreachablePause = 500 * time.Millisecond
 	// standbyOverlap is how long two upstreams may have the request. A refusal arrives
 	// within a round trip between regions and some work.
 	standbyOverlap = 250 * time.Millisecond
@@ -50,6 +53,7 @@
 	x            *exchange
 	watch        carrier.Watch
 	eventTimeout time.Duration // timeout after the first progress
+	probe        func()        // called at the first check, then nil
 	replaced     bool          // check has returned errStalled
 }
 
@@ -62,6 +66,7 @@
 	s := &stallWatch{x: x, eventTimeout: max(eventPauseFactor*x.route.Pause, minEventTimeout)}
 	s.watch.At = time.Now().Add(placed.Predicted + x.route.Aim + firstByteSlack)
 	s.watch.Check = func() (time.Time, error) { return s.check(ctx) }
+	s.probe = func() { go x.relayer.spareUnreachable(ctx, placed) }
 	return s
 }
 
@@ -93,6 +98,10 @@
 // the time of the next check.
 func (s *stallWatch) check(ctx context.Context) (time.Time, error) {
 	x := s.x
+	if s.probe != nil {
+		s.probe()
+		s.probe = nil
+	}
 	if x.standby == nil && !x.startStandby(ctx) {
 		return time.Now().Add(stallRecheck), nil
 	}
@@ -108,6 +117,16 @@
 	return time.Now().Add(standbyPoll), nil
 }
 
+// spareUnreachable keeps new requests off a silent upstream that accepts no connection.
+// Those that are running there may still complete.
+func (r *Relayer) spareUnreachable(ctx context.Context, placed redwingshunt.Placed) {
+	if r.options.Carrier.Alive(ctx, placed.Upstream.Address) || ctx.Err() != nil {
+		return
+	}
+	r.options.Carrier.CloseIdle(placed.Upstream.Address)
+	r.options.Placer.Pause(placed.Ticket, unreachablePause)
+}
+
 // standby is an attempt that runs beside one that makes no progress.
 type standby struct {
 	placed    redwingshunt.Placed
