Number an attempt by its place also while a standby runs

The line of an attempt that was given up for a standby had the number of the standby. TestStalledUpstreamIsLeftInTime looks at it and failed before.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,6 +30,7 @@
 	done         bool          // the caller has its response
 	mayHaveBegun bool          // the upstream may have begun
 	sent         bool          // a byte may have reached the upstream
+	number       int           // of the attempt, from 1
 	silent       time.Duration // at its end, since its last progress
 	err          error
 	reply        *bufferedResponse // error response of the upstream, sent if there is no other attempt
@@ -60,8 +61,13 @@
 		if err != nil {
 			return x.giveUp(ctx, last, err, err.Error())
 		}
+		number := x.tries
+		if ready != nil {
+			number = ready.number
+		}
 		x.progressed = time.Now()
 		last = x.attempt(ctx, placed, ready)
+		last.number = number
 		last.silent = time.Since(x.progressed)
 		x.relayer.options.Placer.End(placed.Ticket, last.end)
 		x.mayHaveRun = x.mayHaveRun || last.mayHaveBegun
@@ -356,6 +362,6 @@
 		event = last
 	}
 	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
-		"address", placed.Upstream.Address.String(), "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
+		"address", placed.Upstream.Address.String(), "attempt", v.number, "sent", v.sent, "ran", v.mayHaveBegun,
 		"predicted", placed.Predicted.String(), "event", event, "silent", v.silent.String(), "error", reason, "decision", decision)
 }
--- a/relayer/silence_test.go
+++ b/relayer/silence_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"regexp"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/logger"
 	"github.com/redwingshunt/redwingshunt/mimic"
 )
 
@@ -130,6 +133,8 @@
 			f := newFixture(t)
 			f.setUpstreams(f.streaming)
 			f.streaming[0].Misbehave(mimic.Hang, -1)
+			log := &logger.Memory{}
+			f.relayer.options.Logger = slog.New(slog.NewJSONHandler(log, nil))
 			other := f.startSilent(t, 1, mimic.SilentOptions{Events: 5, Point: mimic.BeforeHead, For: hangs, Times: 1})
 			got := make(chan callerView, 1)
 			go func() { got <- f.send(t, "/resumable/a", nil) }()
@@ -141,6 +146,7 @@
 			is.NoErr(response.err)
 			is.Equal(response.body, events())
 			is.Equal(f.placer.budget, 9) // one retry
+			is.True(regexp.MustCompile(`"upstream":"w0","address":"[^"]*","attempt":1,`).MatchString(log.String()))
 		})
 	}
 }
--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -130,6 +130,7 @@
 // standby is an attempt that runs beside one that makes no progress.
 type standby struct {
 	placed    redwingshunt.Placed
+	number    int                     // of the attempt
 	upstream  redwingshunt.UpstreamID // of the attempt that makes no progress
 	predicted time.Duration           // of the same
 	ctx       context.Context         // of the standby
@@ -163,6 +164,7 @@
 		x.forget(b)
 		return false
 	}
+	b.number = x.tries
 	b.ctx, b.cancel = context.WithCancelCause(ctx)
 	call := x.newCall(b.placed)
 	stillValid := call.StillValid
@@ -224,6 +226,7 @@
 		b.reply.Close()
 	}
 	b.cancel(nil)
+	result.number = b.number
 	result.sent = b.sentAt.Load() != nil
 	result.mayHaveBegun = result.sent && result.end != redwingshunt.EndRefused
 	x.mayHaveRun = x.mayHaveRun || result.mayHaveBegun
