Complete the calls of operators before a stopped instance closes

A change or a read of the document that was in progress at a voter whose disk filled up ended with a closed connection, or waited for its own limit and then was "unknown", although the rest of the fleet could commit it.

Cause: an instance whose log fails stops at once in order to start again. It closed its links to the other voters, and the connections of operators, while such calls waited for them. A planned stop did the same, unless handing the seat over took longer than the call.

A stop now refuses further calls that need the log, as not committed, and waits at most 1.5 s for those in progress, which other voters complete. Then the servers for operators have a second to write the last answers.

TestFailedLogAnswersChanges has 20 changes in progress when the log fails. A leader that fails hands the lead over first, so the time is enough for that.

--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -47,14 +47,45 @@
 		d.logger.Warn("claims or answers could not be handed over", "unrecorded", unrecorded, "answers", left)
 	}
 	<-handedOver
+	d.finishChanges(ctx)
 	d.dispatcher.Close()
 	d.control.close()
 	d.linker.Close()
 	d.grpc.Stop()
-	_ = d.admin.Close()
+	d.closeAdmin()
 	d.logger.Info("stopped")
 }
 
+// changesTimeout limits the time in which changes and reads of the document that wait
+// for the log are completed, through another voter if the log of this instance has
+// failed.
+const changesTimeout = 1500 * time.Millisecond
+
+// finishChanges refuses further calls of operators that need the log, and waits at most
+// changesTimeout for those in progress.
+func (d *Daemon) finishChanges(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	d.control.submitter.Close()
+	for d.control.submitter.Pending() > 0 && ctx.Err() == nil {
+		redwingshunt.Pause(ctx, finishPollInterval)
+	}
+	if pending := d.control.submitter.Pending(); pending > 0 {
+		d.logger.Warn("changes or reads of the document could not be completed", "pending", pending)
+	}
+}
+
+// responseTimeout limits the time in which the last answers are written.
+const responseTimeout = time.Second
+
+func (d *Daemon) closeAdmin() {
+	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+	defer cancel()
+	if d.admin.Shutdown(ctx) != nil {
+		_ = d.admin.Close()
+	}
+}
+
 // abortTimeout limits the time in which aborted requests notify their callers.
 const abortTimeout = 2 * time.Second
 
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -23,6 +23,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -59,6 +60,8 @@
 // Submitter implements redwingshunt.Submitter.
 type Submitter struct {
 	options Options
+	pending atomic.Int64
+	closed  atomic.Bool
 }
 
 var _ redwingshunt.Submitter = (*Submitter)(nil)
@@ -96,6 +99,13 @@
 	return registrar.Replaced(reply), nil
 }
 
+// Pending returns the number of changes and reads that wait for the log.
+func (s *Submitter) Pending() int { return int(s.pending.Load()) }
+
+// Close makes all later changes and reads fail with redwingshunt.ErrNotCommitted. Those
+// that are pending continue.
+func (s *Submitter) Close() { s.closed.Store(true) }
+
 // likelyRefused reports whether the change would be refused according to the
 // configuration in force on this instance, which may be stale.
 func (s *Submitter) likelyRefused(submission redwingshunt.Submission) bool {
@@ -146,6 +156,11 @@
 // commit proposes a command until a reply arrives or ctx is done. The command must
 // be idempotent, since a retry may execute it again.
 func (s *Submitter) commit(ctx context.Context, command []byte) (*wire.RegistrarReply, error) {
+	s.pending.Add(1)
+	defer s.pending.Add(-1)
+	if s.closed.Load() {
+		return nil, trace.Wrap(redwingshunt.ErrNotCommitted)
+	}
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = minRetryDelay, maxRetryDelay
 	unknown := false
