--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -368,6 +368,6 @@
 		event = last
 	}
 	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
-		"address", placed.Upstream.Address.String(), "build", placed.Upstream.Version, "attempt", v.number, "sent", v.sent, "ran", v.mayHaveBegun,
+		"address", placed.Upstream.Address.String(), "attempt", v.number, "sent", v.sent, "ran", v.mayHaveBegun, "build", placed.Upstream.Version,
 		"predicted", placed.Predicted.String(), "event", event, "silent", v.silent.String(), "error", reason, "decision", decision)
 }
