Keep the probe on the open connection outstanding over an upstream's silence

Requests of models and services ended with a silent connection, and streams were cut, when their upstream had been silent for about a second and gone on: the probe on the open connection was canceled after half a second and counted as lost for good, so the next check, the one after the upstream went on, compared nothing with the answer on a new connection and ended all quiet requests.

The probe now ends with its generation only. An upstream that goes on answers it about when it answers the new connection; one that has lost its connections does not.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -19,7 +19,8 @@
 // A probe connection that was opened after the others went silent proves nothing;
 // the stall limit of the service then applies to the requests on them. When the
 // first probe is answered, the request is just slow. The next probe follows when
-// it has received nothing for twice as long.
+// it has received nothing for twice as long. If neither probe is answered, the first one
+// stays outstanding, since an upstream that goes on answers it.
 //
 // # Usage
 //
--- a/connector/generation.go
+++ b/connector/generation.go
@@ -16,12 +16,15 @@
 	transport      *http.Transport
 	probeTransport *http.Transport // a single connection, for probes only
 
-	mu        sync.Mutex
-	flights   map[*flight]struct{}
-	checking  bool
-	probeLost bool // the probe connection has gone silent
-	dead      bool // all connections have, while new ones work
-	lastUsed  time.Time
+	ctx         context.Context // until close
+	cancel      context.CancelFunc
+	outstanding *openProbe // the last one; used by isSilent only
+
+	mu       sync.Mutex
+	flights  map[*flight]struct{}
+	checking bool
+	dead     bool // all connections have gone silent, while new ones work
+	lastUsed time.Time
 }
 
 // newGeneration returns a generation that has no connections yet.
@@ -34,6 +37,7 @@
 		flights:        make(map[*flight]struct{}),
 		lastUsed:       time.Now(),
 	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.probeTransport.MaxConnsPerHost = 1
 	g.probeTransport.IdleConnTimeout = 0
 	return g
@@ -60,8 +64,9 @@
 	return len(g.flights) == 0 && now.Sub(g.lastUsed) >= unused
 }
 
-// close closes the connections without a request.
+// close closes the connections without a request and ends the probe.
 func (g *generation) close() {
+	g.cancel()
 	g.transport.CloseIdleConnections()
 	g.probeTransport.CloseIdleConnections()
 }
@@ -98,40 +103,68 @@
 
 // isSilent reports whether the open connections carry nothing while new ones
 // work, and drops the generation in that case. The probe on the open connection
-// stays outstanding while a new connection is tried: an upstream that is just
-// busy answers both.
+// stays outstanding while a new connection is tried, and until the next check if that
+// one does not work either: an upstream that was silent answers both when it goes on.
 func (g *generation) isSilent() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*probeTimeout+probeGrace)
-	defer cancel()
-	answered := make(chan bool, 1)
-	go func() { answered <- !g.probeLost && g.probe(ctx, g.probeTransport) }()
-	select {
-	case ok := <-answered:
-		if ok {
-			return false
-		}
-		answered <- false
-	case <-time.After(probeTimeout):
+	if g.outstanding == nil || g.outstanding.isAnswered() {
+		g.outstanding = g.startProbe()
+	}
+	open := g.outstanding
+	open.wait(probeTimeout)
+	if open.isAnswered() {
+		return false
 	}
 	fresh := g.connector.newTransport()
 	defer fresh.CloseIdleConnections()
-	freshCtx, cancelFresh := context.WithTimeout(ctx, probeTimeout)
-	defer cancelFresh()
-	reachable := g.probe(freshCtx, fresh)
-	if reachable { // an upstream that was silent may be about to answer the other probe
-		defer time.AfterFunc(probeGrace, cancel).Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if !g.probe(ctx, fresh) {
+		return false // the upstream is unreachable; the stall limit applies
 	}
-	if <-answered {
+	open.wait(probeGrace) // an upstream that was silent may be about to answer it
+	if open.isAnswered() || g.ctx.Err() != nil {
 		return false
 	}
-	g.probeLost = true
-	if !reachable {
-		return false // the upstream is unreachable; the stall limit applies
-	}
 	g.connector.drop(g)
 	return true
 }
 
+// openProbe is a probe on the connection that is kept for probes.
+type openProbe struct {
+	done     chan struct{} // closed once answered is set
+	answered bool
+}
+
+// startProbe sends a probe that ends with the generation at the latest.
+func (g *generation) startProbe() *openProbe {
+	p := &openProbe{done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.answered = g.probe(g.ctx, g.probeTransport)
+	}()
+	return p
+}
+
+// wait returns once the probe has ended, or after a timeout.
+func (p *openProbe) wait(timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+	}
+}
+
+// isAnswered reports whether the probe has been answered.
+func (p *openProbe) isAnswered() bool {
+	select {
+	case <-p.done:
+		return p.answered
+	default:
+		return false
+	}
+}
+
 // open opens the probe connection.
 func (g *generation) open() {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
