--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -47,7 +47,8 @@
 )
 
 // Limits holds the maximum time between two requests of a connection, and the
-// maximum time until the header of its first request is received; zero is unlimited.
+// maximum time until the header of its first request is received, or that of a next one
+// after its first byte; zero is unlimited.
 type Limits struct{ Idle, First time.Duration }
 
 // Acceptor counts the connections of one server. It is safe for concurrent use.
@@ -119,7 +120,7 @@
 		a.wakeAccept()
 	}
 	if c := connectionOf(connection); c != nil && state == http.StateIdle {
-		c.received.Store(false)
+		c.received.Store(nil)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -168,17 +169,23 @@
 func (a *Acceptor) Sweep(now time.Time, limits Limits) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.idle.closeExpired(now, limits.Idle, hasReceived) + a.fresh.closeExpired(now, limits.First, carrier.HasUnread)
+	receives := func(c net.Conn) bool { return receivesHeader(c, now, limits.First) }
+	return a.idle.closeExpired(now, limits.Idle, receives) + a.fresh.closeExpired(now, limits.First, carrier.HasUnread)
 }
 
-// hasReceived reports whether a caller has sent a part of a request on an idle
-// connection.
-func hasReceived(c net.Conn) bool {
+// receivesHeader reports whether a caller has sent a part of a request on an idle
+// connection and the limit of a header, if there is one, has not passed since. The server
+// limits the time of a header only after its first four bytes.
+func receivesHeader(c net.Conn, now time.Time, limit time.Duration) bool {
 	if carrier.HasUnread(c) { // first, since the server may read the bytes meanwhile
 		return true
 	}
 	read := connectionOf(c)
-	return read != nil && read.received.Load()
+	if read == nil {
+		return false
+	}
+	since := read.received.Load()
+	return since != nil && (limit <= 0 || now.Sub(*since) <= limit)
 }
 
 // queue holds waiting connections in the order in which their wait started.
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -3,21 +3,23 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 )
 
-// connection is a connection of a caller that tells whether the server has read from it
-// since it became idle. The state that the server reports changes only once the header
+// connection is a connection of a caller that tells since when the server has read from
+// it after it became idle. The state that the server reports changes only once the header
 // of a request is complete.
 type connection struct {
 	*net.TCPConn
-	received atomic.Bool
+	received atomic.Pointer[time.Time] // nil if it has not
 }
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.received.Load() {
-		c.received.Store(true)
+	if n > 0 && c.received.Load() == nil {
+		now := time.Now()
+		c.received.Store(&now)
 	}
 	return n, err
 }
