Send no standby of a request whose last standby died with its upstream

A stream was cut and a third upstream ran a request that must wait: after the upstream of a standby had died with the request, the next standby was sent without being admitted. Once it had taken the request over, the attempt before it was given up, the standby was dropped since the request was no longer admitted, and admission refused it.

The same class as attempts that are given up before their replacement is sure. There is no further standby now until the request has been admitted again; the silent attempt goes on.

--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -129,6 +129,9 @@
 	if ctx.Err() != nil || x.started && x.events.partial || x.checkParts() != nil {
 		return false
 	}
+	if !x.admitted && x.relayer.options.Suspects != nil {
+		return false // the standby before died with the request
+	}
 	progress := x.progress()
 	progress.MayHaveRun, progress.Sent = true, x.sent+1
 	if progress.Obstacle() != "" {
--- /dev/null
+++ b/relayer/standby_test.go
@@ -0,0 +1,54 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/redwingshunt/redwingshunt"
+	"github.com/redwingshunt/redwingshunt/mimic"
+)
+
+// lossThenRefusal is a Suspects that admits no request any more after a loss.
+type lossThenRefusal struct {
+	lossCounter
+}
+
+func (s *lossThenRefusal) Admit(context.Context, redwingshunt.Fingerprint) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost > 0 {
+		return redwingshunt.NotRun(redwingshunt.ReasonSuspect, 422, "suspect")
+	}
+	return nil
+}
+
+// TestStandbyAfterLossAwaitsAdmission guards against a request that is sent to a third
+// upstream although it must wait, since the second one died with it.
+func TestStandbyAfterLossAwaitsAdmission(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	suspects := &lossThenRefusal{}
+	f.relayer.options.Suspects = suspects
+	f.setUpstreams(f.streaming)
+	f.startSilent(t, 0, mimic.SilentOptions{Events: 5, Point: mimic.BetweenEvents, For: 2500 * time.Millisecond, Times: 1})
+	var dying *mimic.Scripted
+	dying, err := mimic.StartScripted(func(connection net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(connection))
+		dying.Stop()
+	})
+	is.NoErr(err)
+	f.placer.upstreams[1].Address = dying.Address()
+	f.placer.upstreams = append(f.placer.upstreams, redwingshunt.Upstream{ID: "w2", Service: "s", Slots: 8})
+	third := f.startSilent(t, 2, mimic.SilentOptions{Events: 5})
+	got := f.send(t, "/resumable/a", nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, events())
+	is.Equal(suspects.lost, 1)
+	is.Equal(third.Runs("r1"), 0)
+}
