Keep the attempt when a part of its prompt is refused beside a standby

A stream of a silent upstream was cut when a part of its prompt was refused while a standby had the request: the attempt was given up for the standby, and the part was checked only after that, which ended the request. The part is now checked before the attempt is given up; the standby is dropped, as an upstream that has not begun must, and the attempt goes on.

--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -172,6 +172,9 @@
 // why it cannot.
 func (x *exchange) standbyState() (taken bool, err error) {
 	b := x.standby
+	if err := x.checkParts(); err != nil {
+		return false, err
+	}
 	select {
 	case <-b.done:
 		if b.err != nil {
--- a/relayer/standby_test.go
+++ b/relayer/standby_test.go
@@ -52,3 +52,22 @@
 	is.Equal(suspects.lost, 1)
 	is.Equal(third.Runs("r1"), 0)
 }
+
+// TestPartRefusedDuringOverlap has a part of the prompt refused while two upstreams have the request.
+func TestPartRefusedDuringOverlap(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setUpstreams(f.streaming)
+	silent := f.startSilent(t, 0, mimic.SilentOptions{Events: 5, Point: mimic.BetweenEvents, For: silentFor, Times: 1})
+	f.streaming[1].Misbehave(mimic.Hang, -1)
+	done := make(chan callerView, 1)
+	go func() {
+		done <- f.send(t, "/resumable/a", func(r *http.Request) { r.Header.Set(redwingshunt.DefaultDialect().Prompt, "p1:10,p2:20") })
+	}()
+	eventually(t, func() bool { return f.streaming[1].Runs("r1") == 1 })
+	f.parts.refuseAll()
+	got := <-done
+	is.Equal(silent.Runs("r1"), 1)
+	is.NoErr(got.err)
+	is.Equal(got.body, events())
+}
