Recover a panic of a standby

A defect on the path of a standby would have ended the process with all its requests: a standby is sent in a goroutine of its own, whose panics the server does not recover. It is now a failed attempt and logged, and the attempt before it goes on.

--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -161,12 +163,25 @@
 	}
 	go func() {
 		defer close(b.done)
+		defer x.recoverStandby(b)
 		b.reply, b.err = x.relayer.options.Carrier.Send(b.ctx, call) //nolint:bodyclose // closed by dropStandby or exchangeWith
 	}()
 	x.standby = b
 	return true
 }
 
+// recoverStandby turns a panic of a standby into a failure. The server recovers only
+// those of the goroutine of a request.
+func (x *exchange) recoverStandby(b *standby) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	b.err = &carrier.Failure{Sent: b.sentAt.Load() != nil, Err: fmt.Errorf("the attempt panicked: %v", cause)}
+	x.relayer.options.Logger.Error("attempt ended by a panic", "request", x.id, "upstream", string(b.placed.Upstream.ID),
+		"cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
 // standbyState reports whether the standby has taken the request over: its response has
 // begun, or it has had the request for standbyOverlap without a refusal. The error says
 // why it cannot.
--- a/relayer/standby_test.go
+++ b/relayer/standby_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,3 +72,47 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, events())
 }
+
+// countingPlacer gives each attempt a ticket and counts the open ones.
+type countingPlacer struct {
+	*listPlacer
+	tickets atomic.Uint64
+	ended   atomic.Uint64
+	panics  bool // of the second call of StillValid
+	calls   atomic.Uint64
+}
+
+func (p *countingPlacer) Place(placement *redwingshunt.Placement) (redwingshunt.Placed, error) {
+	placed, err := p.listPlacer.Place(placement)
+	if err == nil {
+		placed.Ticket = p.tickets.Add(1)
+	}
+	return placed, err
+}
+
+func (p *countingPlacer) End(ticket uint64, end redwingshunt.PlacementEnd) {
+	p.ended.Add(1)
+	p.listPlacer.End(ticket, end)
+}
+
+func (p *countingPlacer) StillValid(ticket uint64) bool {
+	if p.calls.Add(1) == 2 && p.panics {
+		panic("defect")
+	}
+	return p.listPlacer.StillValid(ticket)
+}
+
+// TestPanicOfStandbyKeepsProcess guards against a process that ends since a standby, which
+// has a goroutine of its own, panics.
+func TestPanicOfStandbyKeepsProcess(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	placer := &countingPlacer{listPlacer: f.placer, panics: true}
+	f.relayer.options.Placer = placer
+	f.setUpstreams(f.streaming)
+	f.startSilent(t, 0, mimic.SilentOptions{Events: 5, Point: mimic.BetweenEvents, For: silentFor, Times: 1})
+	got := f.send(t, "/resumable/a", nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, events())
+	is.Equal(placer.tickets.Load(), placer.ended.Load())
+}
