Drop a standby that would repeat an event

A stream was cut when its upstream sent an event that has a number and no data while a standby had the request: such an event is no progress, so the standby was kept, but it had been asked for what follows the event before. Its first event came twice, which ends an attempt. A standby is now dropped once the caller has an event after the one that the standby follows.

--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -113,10 +113,11 @@
 // standby is an attempt that runs beside one that makes no progress.
 type standby struct {
 	placed    redwingshunt.Placed
-	upstream  redwingshunt.UpstreamID // of the attempt that makes no progress
-	build     string                  // of the same
-	predicted time.Duration           // of the same
-	ctx       context.Context         // of the standby
+	upstream  redwingshunt.UpstreamID     // of the attempt that makes no progress
+	build     string                      // of the same
+	predicted time.Duration               // of the same
+	after     redwingshunt.Option[uint64] // number of the event after which it continues the stream
+	ctx       context.Context             // of the standby
 	cancel    context.CancelCauseFunc
 	sentAt    atomic.Pointer[time.Time] // start of sending; nil before it
 
@@ -139,7 +140,7 @@
 	if progress.Obstacle() != "" {
 		return false
 	}
-	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, done: make(chan struct{})}
+	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, after: x.lastRelayed(), done: make(chan struct{})}
 	var err error
 	if b.placed, err = x.place(); err != nil {
 		x.tries--
--- a/relayer/standby_test.go
+++ b/relayer/standby_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -116,3 +118,32 @@
 	is.Equal(got.body, events())
 	is.Equal(placer.tickets.Load(), placer.ended.Load())
 }
+
+// TestEventWithoutData has the first upstream send an event that has a number and no data
+// while another one is asked.
+func TestEventWithoutData(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setUpstreams(f.streaming)
+	first, err := mimic.StartScripted(func(connection net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(connection, streamHead+"Transfer-Encoding: chunked\r\n\r\n15\r\nid: 1\ndata: token 1\n\n\r\n", request.Header.Get(redwingshunt.HeaderRequest))
+		time.Sleep(minEventTimeout + 100*time.Millisecond)
+		fmt.Fprint(connection, "7\r\nid: 2\n\n\r\n")
+		time.Sleep(500 * time.Millisecond)
+		for i := 3; i <= 5; i++ {
+			fmt.Fprintf(connection, "15\r\nid: %d\ndata: token %d\n\n\r\n", i, i)
+		}
+		fmt.Fprint(connection, "0\r\n\r\n")
+	})
+	is.NoErr(err)
+	t.Cleanup(first.Stop)
+	f.placer.upstreams[0].Address = first.Address()
+	f.startSilent(t, 1, mimic.SilentOptions{Events: 5, Point: mimic.BeforeHead, For: 400 * time.Millisecond, Times: 1})
+	got := f.send(t, "/resumable/a", nil)
+	is.NoErr(got.err)
+	is.Equal(got.body, strings.Replace(events(), "data: token 2\n", "", 1))
+}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -78,9 +78,7 @@
 func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, stall *stallWatch) attemptResult {
 	x.events.pending = nil
 	x.events.lenient = !isEventStream(reply.Header)
-	if _, known := x.events.last.Get(); !known {
-		x.events.last = x.lastEventID()
-	}
+	x.events.last = x.lastRelayed()
 	var began time.Time // arrival of the first event of this attempt
 	answered := false
 	chunk := make([]byte, streamChunkBytes)
@@ -105,6 +103,9 @@
 				x.progressed = time.Now()
 				stall.progress()
 			}
+			if x.standby != nil && x.standby.after != x.events.last {
+				x.dropStandby("the stream has gone on without data")
+			}
 			if began.IsZero() {
 				began = time.Now()
 				x.responseBegun()
@@ -164,6 +165,14 @@
 	return redwingshunt.EndFailed
 }
 
+// lastRelayed returns the number of the event after which the stream goes on, if any.
+func (x *exchange) lastRelayed() redwingshunt.Option[uint64] {
+	if _, known := x.events.last.Get(); known {
+		return x.events.last
+	}
+	return x.lastEventID()
+}
+
 // lastEventID returns the number of the event after which the caller itself
 // resumes the stream, if any.
 func (x *exchange) lastEventID() redwingshunt.Option[uint64] {
