Test callers that leave beside a standby, and requests that have none

Both upstreams are left within 500 ms of the caller, and each placement is ended; a request that must not be sent twice gets no second placement at any point of silence.

--- a/relayer/standby_test.go
+++ b/relayer/standby_test.go
@@ -147,3 +147,78 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, strings.Replace(events(), "data: token 2\n", "", 1))
 }
+
+// TestCallerLeavesBesideStandby has a caller leave while two upstreams have its request.
+func TestCallerLeavesBesideStandby(t *testing.T) {
+	for path, after := range map[string]time.Duration{
+		"/resumable/a": 50 * time.Millisecond, "/safe/a": 50 * time.Millisecond, "/resumable/b": 230 * time.Millisecond,
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFixture(t)
+			placer := &countingPlacer{listPlacer: f.placer}
+			f.relayer.options.Placer = placer
+			both := f.streaming
+			if path == "/safe/a" {
+				both = f.plain
+			}
+			f.setUpstreams(both)
+			both[0].Misbehave(mimic.Hang, -1)
+			both[1].Misbehave(mimic.Hang, -1)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				request, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader("a body"))
+				request.Host = "h"
+				request.Header.Set(redwingshunt.HeaderRequest, "r1")
+				request.Header.Set("Redwingshunt-Key", key)
+				if response, err := http.DefaultClient.Do(request); err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+			eventually(t, func() bool { return both[1].Runs("r1") == 1 })
+			time.Sleep(after)
+			cancel()
+			began := time.Now()
+			eventually(t, func() bool { return both[0].Left("r1") && both[1].Left("r1") && f.relayer.Running() == 0 })
+			is.True(time.Since(began) < 500*time.Millisecond)
+			is.Equal(placer.tickets.Load(), placer.ended.Load())
+			<-done
+		})
+	}
+}
+
+// TestNonIdempotentRequestsHaveNoStandby has upstreams of requests that must not be sent
+// twice fall silent.
+func TestNonIdempotentRequestsHaveNoStandby(t *testing.T) {
+	for path, events := range map[string]int{"/once/a": 0, "/stream/a": 5, "/single/a": 0} {
+		for name, point := range silencePoints {
+			if events == 0 && point == mimic.WithinEvent || path == "/stream/a" && point < mimic.BetweenEvents {
+				continue
+			}
+			t.Run(path+", "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newFixture(t)
+				placer := &countingPlacer{listPlacer: f.placer}
+				f.relayer.options.Placer = placer
+				want := "whole body"
+				f.setUpstreams(f.plain)
+				if events > 0 {
+					want = mimic.Events(events)
+					f.setUpstreams(f.streaming)
+				}
+				f.startSilent(t, 0, mimic.SilentOptions{Events: events, Point: point, For: silentFor, Times: 1})
+				got := f.send(t, path, nil)
+				is.NoErr(got.err)
+				is.Equal(got.body, want)
+				is.Equal(f.plain[1].Runs("r1")+f.streaming[1].Runs("r1"), 0)
+				is.Equal(placer.tickets.Load(), uint64(1))
+				is.Equal(placer.ended.Load(), uint64(1))
+			})
+		}
+	}
+}
