Show that attempts are given up for a standby that refuses late or is as slow

A standby counts as having taken the request over 250 ms after it was sent, whether or not its upstream has answered. If it refuses, fails or breaks off after that, the sound but silent attempt has been given up, and the stream is cut unless a third upstream, the attempts of the route and the budget are left. An upstream that is silent itself when it gets the standby, and full when it goes on, does that.

A safe request whose upstreams all send their bodies steadily, but for longer than the predicted time, the objective and 0.7 s, is given up at each of them in turn and ends with 504. That is older than standbys.

Not fixed: waiting for longer would let two upstreams work on a request for longer than they may.

--- a/relayer/standby_test.go
+++ b/relayer/standby_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -222,3 +223,73 @@
 		}
 	}
 }
+
+// TestStandbyThatRefusesLate has the upstream that took a stream over refuse it, after the
+// first one, which was only silent, was given up.
+func TestStandbyThatRefusesLate(t *testing.T) {
+	for name, budget := range map[string]int{"budget of one": 1, "budget": 10} {
+		for reply, text := range map[string]string{"refuses": "HTTP/1.1 503 Service Unavailable\r\nX-Begun: no\r\n", "fails": "HTTP/1.1 500 Internal Server Error\r\n", "breaks off": ""} {
+			t.Run(name+", "+reply, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newFixture(t)
+				f.placer.budget = budget
+				f.setUpstreams(f.streaming)
+				silent := f.startSilent(t, 0, mimic.SilentOptions{Events: 5, Point: mimic.BetweenEvents, For: silentFor, Times: 1})
+				late, err := mimic.StartScripted(func(connection net.Conn) {
+					request, err := http.ReadRequest(bufio.NewReader(connection))
+					if err != nil {
+						return
+					}
+					time.Sleep(300 * time.Millisecond)
+					if text != "" {
+						fmt.Fprintf(connection, text+"Content-Length: 0\r\n%s: %s\r\n\r\n", redwingshunt.HeaderRequest, request.Header.Get(redwingshunt.HeaderRequest))
+					}
+				})
+				is.NoErr(err)
+				t.Cleanup(late.Stop)
+				f.placer.upstreams[1].Address = late.Address()
+				got := f.send(t, "/resumable/a", nil)
+				is.Equal(silent.Runs("r1"), 1)
+				if os.Getenv("REDWINGSHUNT_RED") != "" { // see KNOWN-RED.txt
+					is.NoErr(got.err)
+					is.Equal(got.body, events())
+				}
+			})
+		}
+	}
+}
+
+// TestAnswerThatArrivesIsNotGivenUp guards against an answer that is given up although its
+// bytes arrive all the time.
+func TestAnswerThatArrivesIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.setUpstreams(f.plain)
+	for i := range 2 {
+		slow, err := mimic.StartScripted(func(connection net.Conn) {
+			request, err := http.ReadRequest(bufio.NewReader(connection))
+			if err != nil {
+				return
+			}
+			const pieces = 28
+			fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n%s: w%d.r1\r\n\r\n", pieces,
+				redwingshunt.HeaderRequest, request.Header.Get(redwingshunt.HeaderRequest), redwingshunt.DefaultDialect().Signature, i)
+			for range pieces {
+				if _, err := connection.Write([]byte("x")); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		is.NoErr(err)
+		t.Cleanup(slow.Stop)
+		f.placer.upstreams[i].Address = slow.Address()
+	}
+	got := f.send(t, "/safe/a", nil)
+	is.NoErr(got.err)
+	if os.Getenv("REDWINGSHUNT_RED") != "" { // see KNOWN-RED.txt
+		is.Equal(got.status, 200)
+		is.Equal(got.body, strings.Repeat("x", 28))
+	}
+}
