--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -63,8 +63,8 @@
 	return string(body), err
 }
 
-// TestSilenceBesideChange has all upstreams fall silent and replaces the document
-// meanwhile. It guards against requests that were read and end without an answer or a
+// TestSilenceBesideChange has all upstreams fall silent and replaces the document, or
+// stops the instance, meanwhile. It guards against requests that were read and end without an answer or a
 // line, over kept and new connections, also if the retry budget is used up.
 func TestSilenceBesideChange(t *testing.T) {
 	const silence = 1500 * time.Millisecond
@@ -89,7 +89,8 @@
 				d.Routes[i].Targets = append(d.Routes[i].Targets, redwingshunt.Target{Service: "other", Weight: 9})
 			}
 		},
-		"account": func(d *redwingshunt.Document) { d.Accounts[0].Keys = nil },
+		"account":      func(d *redwingshunt.Document) { d.Accounts[0].Keys = nil },
+		"planned stop": nil,
 	}
 	points := map[string]mimic.SilencePoint{
 		"before the request": mimic.BeforeRequest, "before the head": mimic.BeforeHead, "within the head": mimic.WithinHead,
@@ -179,7 +180,11 @@
 					}
 					eventually(t, func() bool { return upstreams[0].Silences()+upstreams[2].Silences() > 0 })
 					time.Sleep(100 * time.Millisecond)
-					replace(2)
+					if apply == nil {
+						go func() { _ = n.stop() }()
+					} else {
+						replace(2)
+					}
 					requests.Wait()
 					is.Equal(failures, nil)
 					eventually(t, func() bool {
