Forget the prompt of a placement that was not sent

A placer counted prompt parts as cached at an upstream that never got them. A standby is placed before the retry budget is asked, every 250 ms for each silent stream, and its parts stayed cached when the budget was used up; so did those of a choice that did not hold any more. Later requests with these parts were sent there in vain, and parts that are cached were evicted from the model.

Parts that only an unsent placement added are now removed at its end.

--- a/placer/parts.go
+++ b/placer/parts.go
@@ -27,15 +27,29 @@
 	return partCache{byID: make(map[string]*list.Element), order: list.New()}
 }
 
-// touch adds a part, or marks it as the most recently used one.
-func (c *partCache) touch(part redwingshunt.Part, now time.Time) {
+// touch adds a part, or marks it as the most recently used one. It reports whether the
+// part is new.
+func (c *partCache) touch(part redwingshunt.Part, now time.Time) bool {
 	if e, ok := c.byID[part.ID]; ok {
 		e.Value = cachedPart{part, now}
 		c.order.MoveToFront(e)
-		return
+		return false
 	}
 	c.byID[part.ID] = c.order.PushFront(cachedPart{part, now})
 	c.tokens += part.Tokens
+	return true
+}
+
+// remove removes parts that were added at a time and not used since.
+func (c *partCache) remove(parts []redwingshunt.Part, added time.Time) {
+	for _, part := range parts {
+		e, ok := c.byID[part.ID]
+		if !ok || !e.Value.(cachedPart).used.Equal(added) {
+			continue
+		}
+		c.tokens -= c.order.Remove(e).(cachedPart).part.Tokens
+		delete(c.byID, part.ID)
+	}
 }
 
 // evict removes the least recently used parts until the rest fits a limit in
--- a/placer/pause.go
+++ b/placer/pause.go
@@ -53,7 +53,8 @@
 	if t == nil || redwingshunt.Elapsed(t.placed, now) > maxSendDelay {
 		return false
 	}
-	return c.upstreams[t.upstream.Key()] == t.upstream && !t.upstream.pausedUntil.After(now)
+	t.valid = c.upstreams[t.upstream.Key()] == t.upstream && !t.upstream.pausedUntil.After(now)
+	return t.valid
 }
 
 // unavailableUntil returns the time at which an upstream accepts new work again.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -133,6 +133,8 @@
 	placed    time.Time
 	predicted time.Duration
 	begun     bool
+	valid     bool                // StillValid was true, so it may have been sent
+	added     []redwingshunt.Part // parts of the prompt that were not cached before
 }
 
 // New returns a core without upstreams.
@@ -300,7 +302,7 @@
 	c.shares.admit(now, t.account, t.tokens)
 	if s.isEngine {
 		t.unread, t.memory = o.unread, p.Tokens()+p.Output
-		o.upstream.cache(p.Prompt, now, cacheLimit(s))
+		t.added = o.upstream.cache(p.Prompt, now, cacheLimit(s))
 	}
 	c.tickets[c.lastTicket] = t
 	o.upstream.book(t)
@@ -334,6 +336,9 @@
 	if !t.begun {
 		c.shares.refund(now, t.placed, t.account, t.tokens)
 	}
+	if !t.valid && !t.begun && end == redwingshunt.EndLeft {
+		t.upstream.parts.remove(t.added, t.placed)
+	}
 	t.upstream.end(t, now, end)
 }
 
--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -44,11 +44,15 @@
 	return &upstream{Upstream: s.Upstream, started: s.Born, slowdown: 1, duration: defaultDuration, parts: newPartCache()}
 }
 
-func (u *upstream) cache(prompt []redwingshunt.Part, now time.Time, limit int64) {
+// cache notes that a prompt is about to be cached, and returns the parts that were not.
+func (u *upstream) cache(prompt []redwingshunt.Part, now time.Time, limit int64) (added []redwingshunt.Part) {
 	for _, part := range prompt {
-		u.parts.touch(part, now)
+		if u.parts.touch(part, now) {
+			added = append(added, part)
+		}
 	}
 	u.parts.evict(limit)
+	return added
 }
 
 func (u *upstream) book(t *ticket) {
