Eject an upstream once for all attempts that stall in one silence

New requests were refused with no-upstream for seconds after all upstreams of a service had gone on: an attempt that was silent before the head and was given up for a standby counted as a loss of the upstream, and each loss doubles the time for which the upstream gets no work. Four of them at once, in one silence of 1.3 s, ejected it for 4 s.

The same class as attempts that are given up before their upstream has failed: one's own cancellation was read as the failure of the other. A stalled attempt now has an end of its own. Losses count as before.

--- a/placer/upstream.go
+++ b/placer/upstream.go
@@ -88,9 +88,12 @@
 		u.fullUntil = now.Add(fullPenalty)
 	case redwingshunt.EndFailed:
 		u.failureRate += (1 - u.failureRate) * averageWeight
-	case redwingshunt.EndLost:
+	case redwingshunt.EndLost, redwingshunt.EndStalled:
 		u.failureRate += (1 - u.failureRate) * averageWeight
-		u.failures++
+		// Attempts that stall together show one silence.
+		if end == redwingshunt.EndLost || u.failures == 0 || t.placed.After(u.ejectedUntil) {
+			u.failures++
+		}
 		ejection := min(baseEjection<<min(u.failures-1, 8), maxEjection)
 		u.ejectedUntil = now.Add(ejection)
 	case redwingshunt.EndLeft:
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -230,10 +230,10 @@
 	if err != nil {
 		var failure *carrier.Failure
 		if errors.As(err, &failure) && !failure.Sent {
-			return attemptResult{end: lostOrLeft(ctx), err: err}
+			return attemptResult{end: lostOrLeft(ctx, err), err: err}
 		}
 		x.reportLoss(ctx, placed, err, loss{progress: redwingshunt.LostBeforeHeader})
-		return attemptResult{end: lostOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
+		return attemptResult{end: lostOrLeft(ctx, err), sent: true, mayHaveBegun: true, err: err}
 	}
 	defer reply.Close()
 	x.progressed = time.Now()
@@ -268,9 +268,13 @@
 	return nil
 }
 
-// lostOrLeft returns EndLost, or EndLeft if the request itself has ended.
-func lostOrLeft(ctx context.Context) redwingshunt.PlacementEnd {
-	if ctx.Err() != nil {
+// lostOrLeft returns EndLost, EndStalled if a standby replaces the attempt, or EndLeft if
+// the request itself has ended.
+func lostOrLeft(ctx context.Context, err error) redwingshunt.PlacementEnd {
+	switch {
+	case errors.Is(err, errStalled):
+		return redwingshunt.EndStalled
+	case ctx.Err() != nil:
 		return redwingshunt.EndLeft
 	}
 	return redwingshunt.EndLost
--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -260,7 +260,7 @@
 		if failure.Sent {
 			x.reportLoss(b.ctx, b.placed, b.err, loss{progress: redwingshunt.LostBeforeHeader})
 		}
-		return attemptResult{end: lostOrLeft(b.ctx), err: b.err}
+		return attemptResult{end: lostOrLeft(b.ctx, b.err), err: b.err}
 	}
 	x.applySignals(b.placed, b.reply)
 	if failed := x.rejectHeader(b.reply); failed != nil {
--- a/route.go
+++ b/route.go
@@ -111,6 +111,7 @@
 	EndFailed                       // the upstream aborted the attempt or responded with an error
 	EndLost                         // the upstream was unreachable or stopped responding
 	EndLeft                         // the caller disconnected
+	EndStalled                      // the upstream was silent and is replaced; it may go on
 )
 
 // Placed is the upstream chosen for an attempt.
