--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -130,11 +132,12 @@
 // standby is an attempt that runs beside one that makes no progress.
 type standby struct {
 	placed    redwingshunt.Placed
-	number    int                     // of the attempt
-	upstream  redwingshunt.UpstreamID // of the attempt that makes no progress
-	build     string                  // of the same
-	predicted time.Duration           // of the same
-	ctx       context.Context         // of the standby
+	number    int                         // of the attempt
+	upstream  redwingshunt.UpstreamID     // of the attempt that makes no progress
+	build     string                      // of the same
+	predicted time.Duration               // of the same
+	after     redwingshunt.Option[uint64] // number of the event after which it continues the stream
+	ctx       context.Context             // of the standby
 	cancel    context.CancelCauseFunc
 	sentAt    atomic.Pointer[time.Time] // start of sending; nil before it
 
@@ -149,12 +152,15 @@
 	if ctx.Err() != nil || x.started && x.events.partial || x.checkParts() != nil {
 		return false
 	}
+	if !x.admitted && x.relayer.options.Suspects != nil {
+		return false // the standby before died with the request
+	}
 	progress := x.progress()
 	progress.MayHaveRun, progress.Sent = true, x.sent+1
 	if progress.Obstacle() != "" {
 		return false
 	}
-	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, done: make(chan struct{})}
+	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, after: x.lastRelayed(), done: make(chan struct{})}
 	var err error
 	if b.placed, err = x.place(); err != nil {
 		x.tries--
@@ -179,17 +185,33 @@
 	}
 	go func() {
 		defer close(b.done)
+		defer x.recoverStandby(b)
 		b.reply, b.err = x.relayer.options.Carrier.Send(b.ctx, call) //nolint:bodyclose // closed by dropStandby or exchangeWith
 	}()
 	x.standby = b
 	return true
 }
 
+// recoverStandby turns a panic of a standby into a failure. The server recovers only
+// those of the goroutine of a request.
+func (x *exchange) recoverStandby(b *standby) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	b.err = &carrier.Failure{Sent: b.sentAt.Load() != nil, Err: fmt.Errorf("the attempt panicked: %v", cause)}
+	x.relayer.options.Logger.Error("attempt ended by a panic", "request", x.id, "upstream", string(b.placed.Upstream.ID),
+		"cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
 // standbyState reports whether the standby has taken the request over: its response has
 // begun, or it has had the request for standbyOverlap without a refusal. The error says
 // why it cannot.
 func (x *exchange) standbyState() (taken bool, err error) {
 	b := x.standby
+	if err := x.checkParts(); err != nil {
+		return false, err
+	}
 	select {
 	case <-b.done:
 		if b.err != nil {
@@ -260,7 +282,7 @@
 		if failure.Sent {
 			x.reportLoss(b.ctx, b.placed, b.err, loss{progress: redwingshunt.LostBeforeHeader})
 		}
-		return attemptResult{end: lostOrLeft(b.ctx), err: b.err}
+		return attemptResult{end: lostOrLeft(b.ctx, b.err), err: b.err}
 	}
 	x.applySignals(b.placed, b.reply)
 	if failed := x.rejectHeader(b.reply); failed != nil {
