--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -20,10 +20,11 @@
 const (
 	// firstByteSlack is how long an upstream may stay silent beyond its predicted
 	// time and the objective of the route before another one is asked for an idempotent
-	// request. Callers tolerate two seconds plus four times the objective.
+	// request. Callers tolerate two seconds, four times the objective or eight times the
+	// pause, whichever is longest.
 	firstByteSlack = 700 * time.Millisecond
 	// eventPauseFactor is the multiple of the route's target pause for which an
-	// upstream may stay silent within a stream. Callers tolerate eight times.
+	// upstream may stay silent within a stream.
 	eventPauseFactor = 4
 	// minEventTimeout is the minimum timeout within a stream, since an engine that
 	// runs out of memory preempts its newest request for a while.
