Let no stream of the only version wait for holders

An instance that is cut off from announcements for two minutes goes on with the upstreams it knows. Its streams waited for holders that it could not reach, since the only version had not been announced lately, and ended with 502 after 1.5 s. Found by reading; the new case of TestMustWait failed before.

--- a/custodian/custodian.go
+++ b/custodian/custodian.go
@@ -319,6 +319,7 @@
 	c.mu.Unlock()
 	versions := c.options.Versions.Versions(service)
 	var denials []pinner.Denial
+	isOnly := func() bool { return pinner.IsOnly(versions, known, denials) && (len(denials) > 0 || alone) }
 	ask := func(some []redwingshunt.Instance, timeout time.Duration) (redwingshunt.Origin, bool) {
 		for a := range c.ask(ctx, some, key, service, timeout) {
 			if a.found && isNamed {
@@ -327,10 +328,12 @@
 			denials = append(denials, pinner.Denial{Age: a.age, Lost: a.lost, Informed: a.versions.Joined})
 			known = max(known, a.holders)
 			versions = pinner.Merge(versions, a.versions)
+			if isOnly() {
+				break
+			}
 		}
 		return redwingshunt.Origin{}, false
 	}
-	isOnly := func() bool { return pinner.IsOnly(versions, known, denials) && (len(denials) > 0 || alone) }
 	near := min(1, len(holders))
 	origin, found := ask(holders[:near], nearTimeout)
 	if !found && !isOnly() {
--- a/pinner/infer.go
+++ b/pinner/infer.go
@@ -28,6 +28,9 @@
 // before holders have its record: a stream without one might be taken for one of the
 // first version.
 func MustWait(now time.Time, v redwingshunt.ServiceVersions, version string) bool {
+	if !NeedsRecord(now, v) {
+		return false
+	}
 	if v.Joined && len(v.Spans) > 1 && now.Sub(v.Spans[1].First) > inferTime+settleTime {
 		return false // no instance infers any more
 	}
--- a/pinner/pinner_test.go
+++ b/pinner/pinner_test.go
@@ -118,6 +118,7 @@
 		want    bool
 	}{
 		"only version":          {"v1@0", 0, false, "v1", false},
+		"cut off for long":      {"v1@-200", -300, false, "v1", false},
 		"first version":         {"v1@0 v2@20", 0, false, "v1", false},
 		"second version":        {"v1@0 v2@20", 0, false, "v2", true},
 		"no version known":      {"", 0, false, "v1", true},
