--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,12 +31,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -69,16 +67,6 @@
 	Observe func(Record)
 }
 
-// Record describes the end of one request, for metrics.
-type Record struct {
-	Route     redwingshunt.RouteID
-	Service   redwingshunt.ServiceID
-	Outcome   string
-	Attempts  int
-	FirstByte time.Duration // until the first byte of the response; zero without one
-	Total     time.Duration
-}
-
 // Relayer is an http.Handler. It is safe for concurrent use.
 type Relayer struct {
 	options  Options
@@ -209,23 +197,6 @@
 	x.finish(ctx, err)
 }
 
-// recordPanic counts and logs a request that ends with a panic other than that of
-// finish. The server then closes the connection without a response.
-func (x *exchange) recordPanic() {
-	cause := recover()
-	if cause == nil {
-		return
-	}
-	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		x.relayer.options.Logger.Error("request ended by a panic", "request", x.id, "account", string(x.account),
-			"upstream", string(x.upstream), "started", x.started, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
-		if x.relayer.options.Observe != nil {
-			x.relayer.options.Observe(x.record(outcomePanic))
-		}
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // exchange is the state of one request in flight.
 type exchange struct {
 	relayer *Relayer
@@ -286,14 +257,6 @@
 	return true
 }
 
-// Values of Record.Outcome other than a Reason.
-const (
-	outcomeAnswered = "answered" // by an upstream
-	outcomeBroken   = "broken"   // the response was cut off
-	outcomeLeft     = "left"     // the caller disconnected within the response
-	outcomePanic    = "panic"    // a defect of this program
-)
-
 // errResponseCut ends a request of which the caller has part of the response.
 var errResponseCut = errors.New("the response was cut off after a part of it was sent")
 
@@ -420,82 +383,3 @@
 	}
 	x.relayer.options.Suspects.Ended(x.fingerprint)
 }
-
-// finish sends the caller an error not yet sent, logs the end of the request and
-// cuts the connection if the response is incomplete.
-func (x *exchange) finish(ctx context.Context, err error) {
-	outcome := outcomeAnswered
-	var refusal *redwingshunt.OutcomeError
-	switch {
-	case errors.Is(err, errResponseCut):
-		outcome = outcomeBroken
-	case errors.Is(err, errCallerLeft):
-		outcome = outcomeLeft
-	case err != nil:
-		refusal = redwingshunt.OutcomeOf(err)
-		outcome = string(refusal.Reason)
-		if refusal.Status != redwingshunt.StatusClientClosed {
-			x.writeError(refusal)
-		}
-	}
-	logged, suppressed := true, 0
-	if x.bodyUnread && refusal != nil {
-		logged, suppressed = x.relayer.checkLog.allow(x.arrived, maxCheckLinesPerSecond)
-	}
-	if logged {
-		x.log(ctx, outcome, refusal, err, suppressed)
-	}
-	if x.relayer.options.Observe != nil {
-		x.relayer.options.Observe(x.record(outcome))
-	}
-	if errors.Is(err, errResponseCut) || errors.Is(err, errCallerLeft) || refusal != nil && refusal.Status == redwingshunt.StatusClientClosed {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (x *exchange) record(outcome string) Record {
-	record := Record{
-		Service: x.service, Outcome: outcome, Attempts: x.sent, FirstByte: x.firstByte, Total: time.Since(x.arrived),
-	}
-	if x.route != nil {
-		record.Route = x.route.Name
-	}
-	return record
-}
-
-// log writes the summary line of a request at its end.
-func (x *exchange) log(ctx context.Context, outcome string, refusal *redwingshunt.OutcomeError, err error, suppressed int) {
-	level := slog.LevelInfo
-	attributes := []slog.Attr{
-		slog.String("request", x.id), slog.String("outcome", outcome), slog.Int("status", x.status),
-		slog.String("service", string(x.service)), slog.String("account", string(x.account)),
-		slog.String("upstream", string(x.upstream)), slog.String("build", x.build), slog.Int("tries", x.tries), slog.Int("sent", x.sent),
-		slog.Duration("predicted", x.predicted), slog.Duration("first", x.firstByte), slog.Duration("total", time.Since(x.arrived)),
-	}
-	if x.route != nil {
-		attributes = append(attributes, slog.String("route", string(x.route.Name)))
-	}
-	if suppressed > 0 {
-		attributes = append(attributes, slog.Int("untold", suppressed))
-	}
-	if resumes := x.resumes(); resumes != "" {
-		attributes = append(attributes, slog.String("resumes", resumes))
-	}
-	if last, known := x.events.last.Get(); known {
-		attributes = append(attributes, slog.Uint64("event", last))
-	}
-	if refusal != nil {
-		level = slog.LevelWarn
-		attributes = append(attributes, slog.String("promise", string(refusal.Outcome)),
-			slog.String("detail", refusal.Detail), slog.Duration("after", refusal.RetryAfter))
-	} else if err != nil {
-		if !errors.Is(err, errCallerLeft) {
-			level = slog.LevelWarn
-		}
-		attributes = append(attributes, slog.String("detail", err.Error()))
-	}
-	if i := x.relayer.index.Load(); i != nil {
-		attributes = append(attributes, slog.Uint64("version", i.snapshot.Document.Version))
-	}
-	x.relayer.options.Logger.LogAttrs(context.WithoutCancel(ctx), level, "request ended", attributes...)
-}
