--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -178,7 +178,14 @@
 							}
 						})
 					}
-					eventually(t, func() bool { return upstreams[0].Silences()+upstreams[2].Silences() > 0 })
+					eventually(t, func() bool {
+						mu.Lock()
+						defer mu.Unlock()
+						return upstreams[0].Silences()+upstreams[2].Silences() > 0 || len(failures) > 0
+					})
+					mu.Lock()
+					is.Equal(failures, nil) // before the change
+					mu.Unlock()
 					time.Sleep(100 * time.Millisecond)
 					if apply == nil {
 						go func() { _ = n.stop() }()
