--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -93,6 +93,34 @@
 	}
 }
 
+// TestPowerLossAfterKill ends the process at each file operation, which leaves writes
+// that were not synced, and crashes the machine at each operation of the next Open. A
+// successful write must survive both, and the folder must not be taken for altered.
+func TestPowerLossAfterKill(t *testing.T) {
+	const (
+		writes    = 25
+		openCalls = 14
+		seeds     = 2
+	)
+	reference := newFakeDisk(0)
+	_, err := writeUntilError(reference, writes)
+	is.New(t).NoErr(err)
+	for killAt := 1; killAt <= reference.calls; killAt++ {
+		for crashAt := range openCalls {
+			for seed := range uint64(seeds) {
+				disk := newFakeDisk(seed<<32 | uint64(killAt)<<16 | uint64(crashAt))
+				disk.crashAt = killAt
+				written, _ := writeUntilError(disk, writes)
+				disk.kill()
+				disk.crashAt = disk.calls + 1 + crashAt
+				_, _ = openTestJournal(disk)
+				disk.restart()
+				checkRecovered(t, disk, written)
+			}
+		}
+	}
+}
+
 func TestDiskFull(t *testing.T) {
 	is := is.New(t)
 	for capacity := 500; capacity < 12_000; capacity += 333 {
@@ -107,6 +135,33 @@
 	}
 }
 
+// TestFailedCompactionIsRepeated guards against a journal that outgrows its disk: there is
+// no room for one compaction, and there is some soon after.
+func TestFailedCompactionIsRepeated(t *testing.T) {
+	const rotate = 4000
+	is := is.New(t)
+	disk := newFakeDisk(1)
+	j, err := openTestJournal(disk)
+	is.NoErr(err)
+	write := func(n int) {
+		is.NoErr(j.Write([]Record{{Group: 1, Persist: replicator.Persist{HardState: &replicator.HardState{Term: uint64(n)}}}}))
+	}
+	written := 0
+	for ; j.rotateSize == rotate; written++ {
+		disk.capacity = disk.used() + 100 // a record fits, a compacted file does not
+		write(written)
+	}
+	disk.capacity = 0
+	largest := j.Size()
+	for range 10 * written {
+		written++
+		write(written)
+		largest = max(largest, j.Size())
+	}
+	is.True(j.number > 1)
+	is.True(largest <= 2*rotate+100)
+}
+
 func TestCorruptionInTheMiddleIsRefused(t *testing.T) {
 	is := is.New(t)
 	disk := newFakeDisk(1)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -75,7 +75,7 @@
 
 // relayStream relays a stream event by event. The caller gets the header of the
 // first upstream, also when another one continues the stream.
-func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, stall *stallTimer) attemptResult {
+func (x *exchange) relayStream(ctx context.Context, placed redwingshunt.Placed, reply *carrier.Reply, stall *stallWatch) attemptResult {
 	x.events.pending = nil
 	x.events.lenient = !isEventStream(reply.Header)
 	if _, known := x.events.last.Get(); !known {
@@ -87,6 +87,9 @@
 	reserved := eventReserveBytes // reserved for the event that is incomplete
 	for {
 		n, err := reply.Read(chunk)
+		if err = stall.cause(err); errors.Is(err, errStalled) {
+			n = 0 // the standby sends the events that were not relayed yet
+		}
 		if errors.Is(err, io.EOF) {
 			err = cmp.Or(x.verifyEnd(ctx, placed, reply), err)
 		}
@@ -99,7 +102,8 @@
 		}
 		if len(complete) > 0 {
 			if splitter.HasData(complete) {
-				stall.reset()
+				x.progressed = time.Now()
+				stall.progress()
 			}
 			if began.IsZero() {
 				began = time.Now()
@@ -110,6 +114,7 @@
 				answered = true
 				x.reportAnswered(began)
 			}
+			x.pinVersion(placed.Upstream.Version)
 			x.recordOrigin(ctx)
 			if !x.forward(reply, complete) {
 				return attemptResult{end: redwingshunt.EndLeft, sent: true, mayHaveBegun: true, err: errResponseCut}
@@ -122,6 +127,7 @@
 			return attemptResult{end: redwingshunt.EndFailed, sent: true, mayHaveBegun: true, err: errEventTruncated}
 		case errors.Is(err, io.EOF):
 			if !x.started {
+				x.pinVersion(placed.Upstream.Version)
 				x.forward(reply, nil)
 			}
 			if !answered && !began.IsZero() {
@@ -133,7 +139,7 @@
 			if !began.IsZero() {
 				progress = redwingshunt.LostAfterEvent
 			}
-			x.reportLoss(ctx, placed, loss{progress: progress, answered: answered, silent: stall.hasExpired() || isTimeout(err)})
+			x.reportLoss(ctx, placed, err, loss{progress: progress, answered: answered})
 			return attemptResult{end: failedOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
 		}
 	}
@@ -172,7 +178,6 @@
 // caller still accepts them.
 func (x *exchange) forward(reply *carrier.Reply, events []byte) bool {
 	if !x.started {
-		x.version = redwingshunt.Some(x.build)
 		x.copyHeader(reply.Header)
 		x.writeStatus(reply.Status)
 	}
