--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -20,10 +22,11 @@
 const (
 	// firstByteSlack is how long an upstream may stay silent beyond its predicted
 	// time and the objective of the route before another one is asked for an idempotent
-	// request. Callers tolerate two seconds plus four times the objective.
+	// request. Callers tolerate two seconds, four times the objective or eight times the
+	// pause, whichever is longest.
 	firstByteSlack = 700 * time.Millisecond
 	// eventPauseFactor is the multiple of the route's target pause for which an
-	// upstream may stay silent within a stream. Callers tolerate eight times.
+	// upstream may stay silent within a stream.
 	eventPauseFactor = 4
 	// minEventTimeout is the minimum timeout within a stream, since an engine that
 	// runs out of memory preempts its newest request for a while.
@@ -33,6 +36,9 @@
 	stallRecheck = 250 * time.Millisecond
 	// standbyPoll is the interval at which the state of a standby is read.
 	standbyPoll = 10 * time.Millisecond
+	// unreachablePause is how long a silent upstream that accepts no connection gets no
+	// new requests.
+	unreachablePause = 500 * time.Millisecond
 	// standbyOverlap is how long two upstreams may have the request. A refusal arrives
 	// within a round trip between regions and some work.
 	standbyOverlap = 250 * time.Millisecond
@@ -50,6 +56,7 @@
 	x            *exchange
 	watch        carrier.Watch
 	eventTimeout time.Duration // timeout after the first progress
+	probe        func()        // called at the first check, then nil
 	replaced     bool          // check has returned errStalled
 }
 
@@ -62,6 +69,7 @@
 	s := &stallWatch{x: x, eventTimeout: max(eventPauseFactor*x.route.Pause, minEventTimeout)}
 	s.watch.At = time.Now().Add(placed.Predicted + x.route.Aim + firstByteSlack)
 	s.watch.Check = func() (time.Time, error) { return s.check(ctx) }
+	s.probe = func() { go x.relayer.spareUnreachable(ctx, placed) }
 	return s
 }
 
@@ -93,6 +101,10 @@
 // the time of the next check.
 func (s *stallWatch) check(ctx context.Context) (time.Time, error) {
 	x := s.x
+	if s.probe != nil {
+		s.probe()
+		s.probe = nil
+	}
 	if x.standby == nil && !x.startStandby(ctx) {
 		return time.Now().Add(stallRecheck), nil
 	}
@@ -108,13 +120,25 @@
 	return time.Now().Add(standbyPoll), nil
 }
 
+// spareUnreachable keeps new requests off a silent upstream that accepts no connection.
+// Those that are running there may still complete.
+func (r *Relayer) spareUnreachable(ctx context.Context, placed redwingshunt.Placed) {
+	if r.options.Carrier.Alive(ctx, placed.Upstream.Address) || ctx.Err() != nil {
+		return
+	}
+	r.options.Carrier.CloseIdle(placed.Upstream.Address)
+	r.options.Placer.Pause(placed.Ticket, unreachablePause)
+}
+
 // standby is an attempt that runs beside one that makes no progress.
 type standby struct {
 	placed    redwingshunt.Placed
-	upstream  redwingshunt.UpstreamID // of the attempt that makes no progress
-	build     string                  // of the same
-	predicted time.Duration           // of the same
-	ctx       context.Context         // of the standby
+	number    int                         // of the attempt
+	upstream  redwingshunt.UpstreamID     // of the attempt that makes no progress
+	build     string                      // of the same
+	predicted time.Duration               // of the same
+	after     redwingshunt.Option[uint64] // number of the event after which it continues the stream
+	ctx       context.Context             // of the standby
 	cancel    context.CancelCauseFunc
 	sentAt    atomic.Pointer[time.Time] // start of sending; nil before it
 
@@ -129,12 +153,15 @@
 	if ctx.Err() != nil || x.started && x.events.partial || x.checkParts() != nil {
 		return false
 	}
+	if !x.admitted && x.relayer.options.Suspects != nil {
+		return false // the standby before died with the request
+	}
 	progress := x.progress()
 	progress.MayHaveRun, progress.Sent = true, x.sent+1
 	if progress.Obstacle() != "" {
 		return false
 	}
-	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, done: make(chan struct{})}
+	b := &standby{upstream: x.upstream, build: x.build, predicted: x.predicted, after: x.lastRelayed(), done: make(chan struct{})}
 	var err error
 	if b.placed, err = x.place(); err != nil {
 		x.tries--
@@ -145,6 +172,7 @@
 		x.forget(b)
 		return false
 	}
+	b.number = x.tries
 	b.ctx, b.cancel = context.WithCancelCause(ctx)
 	call := x.newCall(b.placed)
 	stillValid := call.StillValid
@@ -158,17 +186,33 @@
 	}
 	go func() {
 		defer close(b.done)
+		defer x.recoverStandby(b)
 		b.reply, b.err = x.relayer.options.Carrier.Send(b.ctx, call) //nolint:bodyclose // closed by dropStandby or exchangeWith
 	}()
 	x.standby = b
 	return true
 }
 
+// recoverStandby turns a panic of a standby into a failure. The server recovers only
+// those of the goroutine of a request.
+func (x *exchange) recoverStandby(b *standby) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	b.err = &carrier.Failure{Sent: b.sentAt.Load() != nil, Err: fmt.Errorf("the attempt panicked: %v", cause)}
+	x.relayer.options.Logger.Error("attempt ended by a panic", "request", x.id, "upstream", string(b.placed.Upstream.ID),
+		"cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
 // standbyState reports whether the standby has taken the request over: its response has
 // begun, or it has had the request for standbyOverlap without a refusal. The error says
 // why it cannot.
 func (x *exchange) standbyState() (taken bool, err error) {
 	b := x.standby
+	if err := x.checkParts(); err != nil {
+		return false, err
+	}
 	select {
 	case <-b.done:
 		if b.err != nil {
@@ -206,6 +250,7 @@
 		b.reply.Close()
 	}
 	b.cancel(nil)
+	result.number = b.number
 	result.sent = b.sentAt.Load() != nil
 	result.mayHaveBegun = result.sent && result.end != redwingshunt.EndRefused
 	x.mayHaveRun = x.mayHaveRun || result.mayHaveBegun
@@ -238,7 +283,7 @@
 		if failure.Sent {
 			x.reportLoss(b.ctx, b.placed, b.err, loss{progress: redwingshunt.LostBeforeHeader})
 		}
-		return attemptResult{end: lostOrLeft(b.ctx), err: b.err}
+		return attemptResult{end: lostOrLeft(b.ctx, b.err), err: b.err}
 	}
 	x.applySignals(b.placed, b.reply)
 	if failed := x.rejectHeader(b.reply); failed != nil {
