--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,6 +30,7 @@
 	done         bool          // the caller has its response
 	mayHaveBegun bool          // the upstream may have begun
 	sent         bool          // a byte may have reached the upstream
+	number       int           // of the attempt, from 1
 	silent       time.Duration // at its end, since its last progress
 	err          error
 	reply        *bufferedResponse // error response of the upstream, sent if there is no other attempt
@@ -60,8 +61,13 @@
 		if err != nil {
 			return x.giveUp(ctx, last, err, err.Error())
 		}
+		number := x.tries
+		if ready != nil {
+			number = ready.number
+		}
 		x.progressed = time.Now()
 		last = x.attempt(ctx, placed, ready)
+		last.number = number
 		last.silent = time.Since(x.progressed)
 		x.mayHaveRun = x.mayHaveRun || last.mayHaveBegun
 		if last.done {
@@ -77,6 +83,10 @@
 			x.logAttempt(placed, last, "not sent again: "+reason)
 			return x.giveUp(ctx, last, x.newOutcome(redwingshunt.ReasonSuspect, http.StatusServiceUnavailable, http.StatusBadGateway, last.err.Error()), reason)
 		}
+		if errors.Is(last.err, redwingshunt.ErrUnrecorded) {
+			x.logAttempt(placed, last, "not sent again: "+last.err.Error())
+			return x.giveUp(ctx, last, nil, last.err.Error())
+		}
 		if !x.admitted && x.relayer.options.Suspects != nil {
 			x.dropStandby("its upstream died with the request")
 		}
@@ -230,10 +240,10 @@
 	if err != nil {
 		var failure *carrier.Failure
 		if errors.As(err, &failure) && !failure.Sent {
-			return attemptResult{end: lostOrLeft(ctx), err: err}
+			return attemptResult{end: lostOrLeft(ctx, err), err: err}
 		}
 		x.reportLoss(ctx, placed, err, loss{progress: redwingshunt.LostBeforeHeader})
-		return attemptResult{end: lostOrLeft(ctx), sent: true, mayHaveBegun: true, err: err}
+		return attemptResult{end: lostOrLeft(ctx, err), sent: true, mayHaveBegun: true, err: err}
 	}
 	defer reply.Close()
 	x.progressed = time.Now()
@@ -268,9 +278,13 @@
 	return nil
 }
 
-// lostOrLeft returns EndLost, or EndLeft if the request itself has ended.
-func lostOrLeft(ctx context.Context) redwingshunt.PlacementEnd {
-	if ctx.Err() != nil {
+// lostOrLeft returns EndLost, EndStalled if a standby replaces the attempt, or EndLeft if
+// the request itself has ended.
+func lostOrLeft(ctx context.Context, err error) redwingshunt.PlacementEnd {
+	switch {
+	case errors.Is(err, errStalled):
+		return redwingshunt.EndStalled
+	case ctx.Err() != nil:
 		return redwingshunt.EndLeft
 	}
 	return redwingshunt.EndLost
@@ -358,6 +372,6 @@
 		event = last
 	}
 	x.relayer.options.Logger.Warn("attempt failed", "request", x.id, "upstream", string(placed.Upstream.ID),
-		"address", placed.Upstream.Address.String(), "build", placed.Upstream.Version, "attempt", x.tries, "sent", v.sent, "ran", v.mayHaveBegun,
+		"address", placed.Upstream.Address.String(), "attempt", v.number, "sent", v.sent, "ran", v.mayHaveBegun, "build", placed.Upstream.Version,
 		"predicted", placed.Predicted.String(), "event", event, "silent", v.silent.String(), "error", reason, "decision", decision)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,10 @@
 // any of it, so that a broken one can still be replaced by another attempt. A
 // stream is relayed event by event; if its upstream fails in the middle, a
 // resumable stream continues at another upstream after the last event relayed.
+//
+// An upstream that makes no progress for a while may only be silent. Its attempt is
+// given up once another upstream has taken an idempotent request over, see stall.go.
+//
 // # Usage
 //
 //	r := relayer.New(relayer.Options{
@@ -260,6 +264,7 @@
 	bodyIncomplete bool          // the rest of the body did not arrive within bodyRestTimeout
 	events         eventSplitter
 	version        redwingshunt.Option[string] // software version that began the stream
+	takesUp        bool                        // the caller takes up a stream that an earlier request began
 	patience       time.Time                   // how long the caller itself waits
 }
 
