--- a/review/rig-2/changes.go
+++ b/review/rig-2/changes.go
@@ -32,7 +32,7 @@
 		memoryMiB = 280
 		changeFor = 85 * time.Second
 		growth    = 350 // routes more in a change, as big_config adds
-		maxRoutes = 14 * growth
+		maxRoutes = 7 * growth
 	)
 	if err := f.startAll(); err != nil {
 		return 0, err
