--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,7 +21,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	cases := map[string]func(*fleet, bool) (int, error){"empty-loop": emptyLoop, "first-start": firstStart, "many-changes": manyChanges}
+	cases := map[string]func(*fleet, bool) (int, error){"empty-loop": emptyLoop, "first-start": firstStart, "silent-workers": silentWorkers}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig2 CASE FOLDER")
 		return exitUnable
--- a/review/rig-2/operator.go
+++ b/review/rig-2/operator.go
@@ -96,16 +96,6 @@
 	return false
 }
 
-// putQuietly is put without a line in the record.
-func (o *operator) putQuietly(version int, text []byte, patience time.Duration) bool {
-	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if status, _, _ := o.call(http.MethodPost, "/v1/Config.Put", text); status == http.StatusOK {
-			return true
-		}
-	}
-	return false
-}
-
 // get reads the configuration, for the given time, and returns its version.
 func (o *operator) get(patience time.Duration) (int, bool) {
 	tries := 0
